--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,127 @@
+// Command standin runs the stand-ins of what the users own, as processes of
+// their own: the platform's log and list, a zone's workers, a zone's minions.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/standin"
+)
+
+// Bounds of the stand-ins' own calls.
+const (
+	dialTimeout   = time.Second
+	callTimeout   = 5 * time.Second
+	headerTimeout = 10 * time.Second
+)
+
+type cli struct {
+	Platform platformOptions `cmd:"" help:"Run the platform's log and list."`
+	Workers  workersOptions  `cmd:"" help:"Run the workers of one availability zone."`
+	Minions  minionsOptions  `cmd:"" help:"Run minions of one availability zone."`
+}
+
+type platformOptions struct {
+	Listen string `help:"Address to listen on." required:""`
+	Keep   int    `help:"Records that a stream retains; 0 keeps all."`
+}
+
+type workersOptions struct {
+	Listen   string `help:"Address to listen on." required:""`
+	Platform string `help:"URL of the platform." required:""`
+	Zone     string `help:"The availability zone." required:""`
+	Folder   string `help:"The configuration's folder." required:"" type:"existingdir"`
+}
+
+type minionsOptions struct {
+	Listen      string        `help:"Address of the first minion; others follow on the next ports." required:""`
+	Platform    string        `help:"URL of the platform." required:""`
+	Zone        string        `help:"The availability zone." required:""`
+	Service     string        `help:"The service." required:""`
+	Count       int           `help:"Number of minions." default:"4"`
+	Slots       int           `help:"Slots of each." default:"8"`
+	Connections int           `help:"Connections of each." default:"60"`
+	Work        time.Duration `help:"Time that a request takes." default:"2ms"`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("standin"), kong.Description("Stand-ins for the platform, workers and minions."))
+	if err := ctx.Run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// Run serves the platform.
+func (o *platformOptions) Run() error {
+	p := standin.NewPlatform(standin.PlatformConfig{Keep: o.Keep})
+	server := &http.Server{Addr: o.Listen, Handler: p.Handler(), ReadHeaderTimeout: headerTimeout}
+	return server.ListenAndServe()
+}
+
+// Run serves the workers and registers them.
+func (o *workersOptions) Run() error {
+	files, err := config.ReadDir(os.DirFS(o.Folder))
+	if err != nil {
+		return err
+	}
+	cfg, err := files.Site(o.Zone)
+	if err != nil {
+		return err
+	}
+	var all []*standin.Worker
+	for _, rack := range cfg.Site.Racks(o.Zone) {
+		for _, w := range rack.Workers {
+			all = append(all, standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: w.Accelerators}))
+			in := platform.Instance{
+				Name: w.Name, Role: platform.RoleWorker, Zone: o.Zone, Address: "http://" + o.Listen + "/workers/" + w.Name, State: platform.StateLive,
+			}
+			if err := register(o.Platform, in); err != nil {
+				return err
+			}
+		}
+	}
+	server := &http.Server{Addr: o.Listen, Handler: standin.NewWorkers(all).Handler(), ReadHeaderTimeout: headerTimeout}
+	return server.ListenAndServe()
+}
+
+// Run serves the minions and registers them.
+func (o *minionsOptions) Run() error {
+	address, err := net.ResolveTCPAddr("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error)
+	for i := range o.Count {
+		m := standin.NewMinion(standin.MinionConfig{
+			Name: fmt.Sprintf("%s-%s%d", o.Zone, o.Service, i+1), Slots: o.Slots, Connections: o.Connections, Work: o.Work,
+		})
+		at := net.TCPAddr{IP: address.IP, Port: address.Port + i}
+		in := platform.Instance{
+			Name: m.Name(), Role: platform.RoleMinion, Zone: o.Zone, Service: o.Service, Address: "http://" + at.String(), State: platform.StateLive,
+		}
+		if err := register(o.Platform, in); err != nil {
+			return err
+		}
+		server := &http.Server{Addr: at.String(), Handler: m.Handler(), ConnState: m.Track, ReadHeaderTimeout: headerTimeout}
+		go func() { failed <- server.ListenAndServe() }()
+	}
+	return <-failed
+}
+
+func register(url string, in platform.Instance) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return platform.NewList(httpjson.NewClient(1, dialTimeout), url).Put(ctx, in)
+}
--- /dev/null
+++ b/internal/cell/place.go
@@ -0,0 +1,520 @@
+package cell
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// maxCandidates bounds how many cells are compared for one decision.
+const maxCandidates = 16
+
+// Class says whether work may be stopped for others.
+type Class string
+
+// The classes of work. Guaranteed work runs inside its customer's shapes and
+// is not stopped for others; spare work may be reclaimed.
+const (
+	Guaranteed Class = "guaranteed"
+	Spare      Class = "spare"
+)
+
+// Rank weighs two costs of taking a cell for a guaranteed job: work lost by
+// stopping spare jobs and larger cells broken up.
+type Rank struct {
+	// Lost is the cost of an accelerator-second since the last checkpoint.
+	Lost float64
+	// Broken is the cost of an accelerator of the largest cell broken up.
+	Broken float64
+}
+
+// Request asks for Count cells of Level for one job, all or none.
+type Request struct {
+	Job      string
+	Customer string
+	Level    int
+	Count    int
+	Class    Class
+	Since    time.Time
+}
+
+// Part is one cell of a placement. Unit is the level of the guaranteed cell
+// that the part lies in and Home the cell it is bound to, none for spare work.
+type Part struct {
+	Cell ID
+	Unit int
+	Home ID
+	unit *Unit
+}
+
+// Placement is the answer to a Request: the cells, and the spare jobs that
+// have to be stopped before the job can be started.
+type Placement struct {
+	Class Class
+	Parts []Part
+	Evict []string
+}
+
+type job struct {
+	customer string
+	class    Class
+	parts    []Part
+	since    time.Time
+}
+
+// Feasible reports whether the zone could ever hold the shape, with every
+// worker up and nothing else running.
+func (t *Tree) Feasible(level, count int) bool {
+	return level >= 0 && level <= MaxLevel && count > 0 && len(t.byLevel[level]) >= count
+}
+
+// Place chooses cells for the job, all or none, and registers them as held.
+func (t *Tree) Place(r Request, now time.Time) (Placement, error) {
+	if !t.Feasible(r.Level, r.Count) {
+		return Placement{}, ErrInfeasible
+	}
+	if t.jobs[r.Job] != nil {
+		return Placement{}, ErrHeld
+	}
+	j := &job{customer: r.Customer, class: r.Class, since: r.Since}
+	t.jobs[r.Job] = j
+	for range r.Count {
+		p, ok := t.choose(r, now)
+		if !ok {
+			t.Release(r.Job)
+			return Placement{}, ErrBusy
+		}
+		t.hold(r.Job, j, p)
+	}
+	return Placement{Class: r.Class, Parts: j.parts, Evict: t.evictions(j)}, nil
+}
+
+func (t *Tree) choose(r Request, now time.Time) (Part, bool) {
+	if r.Class == Spare {
+		id, ok := t.chooseSpare(r.Level)
+		return Part{Cell: id, Home: none}, ok
+	}
+	return t.chooseGuaranteed(r, now)
+}
+
+// chooseSpare takes from the smallest idle cell that is large enough.
+func (t *Tree) chooseSpare(level int) (ID, bool) {
+	for k := level; k <= MaxLevel; k++ {
+		if list := t.idle.levels[k]; len(list) > 0 {
+			return t.descend(list[len(list)-1], level), true
+		}
+	}
+	return none, false
+}
+
+// descend walks to the left-most cell of the level.
+func (t *Tree) descend(id ID, level int) ID {
+	for t.cells[id].level > level {
+		id = t.cells[id].left
+	}
+	return id
+}
+
+// chooseGuaranteed prefers room in a cell that the customer has bound already,
+// and else binds the smallest unused unit that is large enough.
+func (t *Tree) chooseGuaranteed(r Request, now time.Time) (Part, bool) {
+	var unused *Unit
+	for _, u := range t.units {
+		if u.customer != r.Customer || u.level < r.Level {
+			continue
+		}
+		if u.cell == none {
+			if !u.suspended && (unused == nil || u.level < unused.level) {
+				unused = u
+			}
+			continue
+		}
+		if id, ok := t.roomIn(u.cell, r.Level, now); ok {
+			return part(u, id), true
+		}
+	}
+	if unused == nil {
+		return Part{}, false
+	}
+	home, ok := t.chooseHome(unused.level, now)
+	if !ok {
+		return Part{}, false
+	}
+	t.bind(unused, home)
+	id, ok := t.roomIn(home, r.Level, now)
+	return part(unused, id), ok
+}
+
+func part(u *Unit, id ID) Part { return Part{Cell: id, Unit: u.level, Home: u.cell, unit: u} }
+
+// roomIn finds the cell of the level inside a bound cell that no guaranteed
+// work holds and that costs least, leaving larger room whole if it can.
+func (t *Tree) roomIn(home ID, level int, now time.Time) (ID, bool) {
+	best, bestCost := ID(none), 0.0
+	var walk func(id ID, largest int)
+	walk = func(id ID, largest int) {
+		n := &t.cells[id]
+		if n.firm == 0 && n.down == 0 {
+			largest = max(largest, n.level)
+		}
+		if n.level == level {
+			cost := t.cost(id, largest, now)
+			if n.firm == 0 && n.down == 0 && (best == none || cost < bestCost) {
+				best, bestCost = id, cost
+			}
+			return
+		}
+		walk(n.left, largest)
+		walk(n.right, largest)
+	}
+	walk(home, level)
+	return best, best != none
+}
+
+// chooseHome finds the cheapest cell that a unit of the level may be bound to
+// while every other unused unit stays reclaimable.
+func (t *Tree) chooseHome(level int, now time.Time) (ID, bool) {
+	top := t.ceiling(level)
+	best, bestCost := ID(none), 0.0
+	for _, c := range t.candidates(level, top) {
+		id := t.lightest(c, level)
+		cost := t.cost(id, t.largest(id), now)
+		if best == none || cost < bestCost {
+			best, bestCost = id, cost
+		}
+	}
+	return best, best != none
+}
+
+// candidates lists largest cells, clear ones first, the smallest first. A clear
+// cell inside a larger available one counts by the larger one's level, since
+// that is what would be broken.
+func (t *Tree) candidates(level, top int) []ID {
+	var out []ID
+	for _, f := range []*freelist{&t.clear, &t.loaded} {
+		taken := 0
+		for k := level; k <= MaxLevel && taken < maxCandidates/2; k++ {
+			for i := len(f.levels[k]) - 1; i >= 0 && taken < maxCandidates/2; i-- {
+				if t.largest(f.levels[k][i]) <= top {
+					out = append(out, f.levels[k][i])
+					taken++
+				}
+			}
+		}
+	}
+	return out
+}
+
+// largest is the level of the largest available cell around the given one.
+func (t *Tree) largest(id ID) int {
+	level := t.cells[id].level
+	for up := t.cells[id].parent; up != none && t.cells[up].available(); up = t.cells[up].parent {
+		level = t.cells[up].level
+	}
+	return level
+}
+
+// lightest walks to the cell of the level with the least spare work on it.
+func (t *Tree) lightest(id ID, level int) ID {
+	for t.cells[id].level > level {
+		n := &t.cells[id]
+		id = n.left
+		if t.cells[n.right].spare < t.cells[n.left].spare {
+			id = n.right
+		}
+	}
+	return id
+}
+
+// cost is what taking the cell loses, by the tree's Rank.
+func (t *Tree) cost(id ID, largest int, now time.Time) float64 {
+	broken := float64(Size(largest) - Size(t.cells[id].level))
+	cost := t.rank.Broken * broken
+	if t.cells[id].spare == 0 {
+		return cost
+	}
+	for _, name := range t.sparesIn(id) {
+		j := t.jobs[name]
+		cost += t.rank.Lost * float64(t.size(j)) * now.Sub(j.since).Seconds()
+		cost += float64(t.size(j))
+	}
+	return cost
+}
+
+func (t *Tree) size(j *job) int {
+	n := 0
+	for _, p := range j.parts {
+		n += Size(t.cells[p.Cell].level)
+	}
+	return n
+}
+
+// sparesIn lists the spare jobs that hold an accelerator of the cell.
+func (t *Tree) sparesIn(id ID) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, leaf := range t.leaves(id, nil) {
+		name := t.spares[leaf]
+		if name != "" && !seen[name] {
+			seen[name] = true
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (t *Tree) evictions(j *job) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, p := range j.parts {
+		if p.unit == nil {
+			continue
+		}
+		for _, name := range t.sparesIn(p.Cell) {
+			if !seen[name] {
+				seen[name] = true
+				out = append(out, name)
+			}
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// hold registers the part as held by the job.
+func (t *Tree) hold(name string, j *job, p Part) {
+	j.parts = append(j.parts, p)
+	if p.unit != nil {
+		p.unit.jobs++
+		t.adjust(p.Cell, func(n *node, size int32) { n.firm += size })
+		return
+	}
+	t.adjust(p.Cell, func(n *node, size int32) { n.spare += size })
+	for _, leaf := range t.leaves(p.Cell, nil) {
+		t.spares[leaf] = name
+	}
+}
+
+// Release frees all that the job holds. An unknown job is ignored.
+func (t *Tree) Release(name string) {
+	j := t.jobs[name]
+	if j == nil {
+		return
+	}
+	delete(t.jobs, name)
+	for _, p := range j.parts {
+		t.free(p)
+	}
+}
+
+func (t *Tree) free(p Part) {
+	if p.unit == nil {
+		t.adjust(p.Cell, func(n *node, size int32) { n.spare -= size })
+		for _, leaf := range t.leaves(p.Cell, nil) {
+			delete(t.spares, leaf)
+		}
+		return
+	}
+	t.adjust(p.Cell, func(n *node, size int32) { n.firm -= size })
+	p.unit.jobs--
+	if p.unit.jobs == 0 {
+		t.unbind(p.unit)
+	}
+}
+
+// Checkpointed records that the job's work up to now is safe.
+func (t *Tree) Checkpointed(name string, now time.Time) {
+	if j := t.jobs[name]; j != nil {
+		j.since = now
+	}
+}
+
+// Restore registers a job that already holds its cells, as read back from the
+// workers' lease tables. A guaranteed job whose home can't be bound any more,
+// for example because two halves of a split zone both gave out the same
+// guarantee, is registered as spare. It returns the class that was given.
+func (t *Tree) Restore(r Request, parts []Part) (Class, error) {
+	if t.jobs[r.Job] != nil {
+		return "", ErrHeld
+	}
+	j := &job{customer: r.Customer, class: r.Class, since: r.Since}
+	t.jobs[r.Job] = j
+	for _, p := range parts {
+		p.unit = nil
+		if r.Class == Guaranteed {
+			p.unit = t.rehome(r.Customer, p)
+		}
+		if r.Class == Guaranteed && p.unit == nil {
+			t.Release(r.Job)
+			r.Class = Spare
+			return t.Restore(r, parts)
+		}
+		if !t.vacant(p) {
+			t.Release(r.Job)
+			return "", ErrHeld
+		}
+		t.hold(r.Job, j, p)
+	}
+	return r.Class, nil
+}
+
+// rehome finds or binds the unit that the part was placed in.
+func (t *Tree) rehome(customer string, p Part) *Unit {
+	if !t.Valid(p.Home, p.Unit) {
+		return nil
+	}
+	var unused *Unit
+	for _, u := range t.units {
+		if u.customer != customer || u.level != p.Unit {
+			continue
+		}
+		if u.cell == p.Home {
+			return u
+		}
+		if u.cell == none && !u.suspended {
+			unused = u
+		}
+	}
+	if unused == nil || !t.cells[p.Home].available() || t.largest(p.Home) > t.ceiling(p.Unit) {
+		return nil
+	}
+	t.bind(unused, p.Home)
+	return unused
+}
+
+func (t *Tree) vacant(p Part) bool {
+	n := &t.cells[p.Cell]
+	if p.unit != nil {
+		return n.firm == 0
+	}
+	return n.spare == 0
+}
+
+// Demote turns a guaranteed job into spare work where it runs. It reports
+// false, and frees the job's cells, if other spare work is still on them.
+func (t *Tree) Demote(name string) bool {
+	j := t.jobs[name]
+	if j == nil || j.class == Spare {
+		return true
+	}
+	t.Release(name)
+	parts := j.parts
+	for _, p := range parts {
+		if t.cells[p.Cell].spare > 0 {
+			return false
+		}
+	}
+	j.class = Spare
+	j.parts = nil
+	t.jobs[name] = j
+	for _, p := range parts {
+		t.hold(name, j, Part{Cell: p.Cell, Home: none})
+	}
+	return true
+}
+
+// SetDown records the loss or return of a worker and returns the jobs that
+// can't go on: those that hold accelerators on it. Other guaranteed jobs of a
+// unit that lost a worker become spare, so that the whole unit can be bound
+// elsewhere at once.
+func (t *Tree) SetDown(worker string, down bool) []string {
+	leaves, ok := t.byName[worker]
+	if !ok || t.lost[worker] == down {
+		return nil
+	}
+	t.lost[worker] = down
+	var hit []string
+	if down {
+		hit = t.jobsOn(leaves)
+		hit = append(hit, t.strand(leaves)...)
+	}
+	for _, leaf := range leaves {
+		t.adjust(leaf, func(n *node, size int32) {
+			if down {
+				n.down += size
+			} else {
+				n.down -= size
+			}
+		})
+	}
+	t.cover()
+	return hit
+}
+
+// strand frees the units that include one of the accelerators. It returns the
+// jobs that could not stay where they were.
+func (t *Tree) strand(leaves []ID) []string {
+	var out []string
+	for _, leaf := range leaves {
+		u := t.boundTo(leaf)
+		if u == nil {
+			continue
+		}
+		for _, name := range t.jobsIn(u) {
+			if !t.Demote(name) {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
+
+// jobsIn lists the guaranteed jobs that run in the unit.
+func (t *Tree) jobsIn(u *Unit) []string {
+	var out []string
+	for name, j := range t.jobs {
+		if slices.ContainsFunc(j.parts, func(p Part) bool { return p.unit == u }) {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (t *Tree) jobsOn(leaves []ID) []string {
+	on := map[ID]bool{}
+	for _, leaf := range leaves {
+		on[leaf] = true
+	}
+	var out []string
+	for name, j := range t.jobs {
+		if t.touches(j, on) {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (t *Tree) touches(j *job, on map[ID]bool) bool {
+	for _, p := range j.parts {
+		for _, leaf := range t.leaves(p.Cell, nil) {
+			if on[leaf] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Keep reserves a cell for a large job that waits, so that smaller spare jobs
+// don't fill it up again; Unkeep lifts it.
+func (t *Tree) Keep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept += size }) }
+
+// Unkeep ends a reservation made with Keep.
+func (t *Tree) Unkeep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept -= size }) }
+
+// Nearest finds the cell of the level with the fewest held accelerators, the
+// one that a waiting large job should reserve.
+func (t *Tree) Nearest(level int) (ID, bool) {
+	best := ID(none)
+	var bestHeld int32
+	for _, id := range t.byLevel[level] {
+		n := &t.cells[id]
+		held := n.spare + n.firm
+		if n.down == 0 && n.kept == 0 && (best == none || held < bestHeld) {
+			best, bestHeld = id, held
+		}
+	}
+	return best, best != none
+}
--- /dev/null
+++ b/internal/cell/stats.go
@@ -0,0 +1,102 @@
+package cell
+
+// Summary is what another zone needs to know to send a job here: for each
+// level the cells that are idle and those that could be reclaimed beyond what
+// is owed.
+type Summary struct {
+	Idle  []int
+	Slack []int
+}
+
+// Summary counts the idle cells and the slack of each level.
+func (t *Tree) Summary() Summary {
+	s := Summary{Idle: make([]int, MaxLevel+1), Slack: make([]int, MaxLevel+1)}
+	for k, list := range t.idle.levels {
+		for below := 0; below <= k; below++ {
+			s.Idle[below] += len(list) * Size(k-below)
+		}
+	}
+	for k := range s.Slack {
+		s.Slack[k] = max(0, t.slack(k))
+	}
+	return s
+}
+
+// Fragmentation is the share of idle accelerators that lie in no idle cell of
+// the level: 0 where all are usable for that shape, 1 where none is.
+func (t *Tree) Fragmentation(level int) float64 {
+	total, usable := 0, 0
+	for k, list := range t.idle.levels {
+		total += len(list) * Size(k)
+		if k >= level {
+			usable += len(list) * Size(k)
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return 1 - float64(usable)/float64(total)
+}
+
+// WorstLoss is the highest number of cells of each level that the loss of n
+// workers can take away, whichever workers they are.
+func (t *Tree) WorstLoss(n int) [MaxLevel + 1]int {
+	var out [MaxLevel + 1]int
+	for k := range out {
+		var counts []int
+		for _, leaves := range t.byName {
+			counts = append(counts, t.cellsAbove(leaves, k))
+		}
+		out[k] = sumLargest(counts, n)
+	}
+	return out
+}
+
+// cellsAbove counts the cells of the level that include one of the leaves.
+func (t *Tree) cellsAbove(leaves []ID, level int) int {
+	seen := map[ID]bool{}
+	for _, leaf := range leaves {
+		id := leaf
+		for id != none && t.cells[id].level < level {
+			id = t.cells[id].parent
+		}
+		if id != none {
+			seen[id] = true
+		}
+	}
+	return len(seen)
+}
+
+func sumLargest(counts []int, n int) int {
+	sum := 0
+	for range min(n, len(counts)) {
+		best := 0
+		for i := range counts {
+			if counts[i] > counts[best] {
+				best = i
+			}
+		}
+		sum += counts[best]
+		counts[best] = 0
+	}
+	return sum
+}
+
+// Short names the first level, from the highest, at which the unbound
+// guarantees don't fit after the worst loss of n workers. It returns ok when
+// they fit at every level.
+func Short(cfg Config, n int) (level int, lacking int, ok bool) {
+	wanted := cfg.Guarantees
+	cfg.Guarantees = nil
+	t := NewTree(cfg)
+	for _, g := range wanted {
+		t.owe(min(g.Level, MaxLevel), g.Count)
+	}
+	loss := t.WorstLoss(n)
+	for k := MaxLevel; k >= 0; k-- {
+		if t.owed[k] > 0 && t.slack(k) < loss[k] {
+			return k, loss[k] - t.slack(k), false
+		}
+	}
+	return 0, 0, true
+}
--- /dev/null
+++ b/internal/cell/tree.go
@@ -0,0 +1,326 @@
+// Package cell decides which accelerators of an availability zone a job may
+// use, so that every customer's guaranteed shape stays reclaimable.
+//
+// A cell of level k is a group of 2^k accelerators. Two cells of level k-1
+// that are neighbours form one cell of level k, first within a worker, then
+// within a rack, then within the zone, as far as Levels allows. Workers and
+// racks may differ in size: what finds no neighbour stays a root of its own,
+// so that a zone is a forest of perfect binary trees.
+package cell
+
+import (
+	"math/bits"
+
+	"github.com/joomcode/errorx"
+)
+
+// MaxLevel is the highest level of a cell: 2^12 accelerators.
+const MaxLevel = 12
+
+// none marks an absent cell, unit or holder.
+const none = -1
+
+// Errors of this package. Callers test for them with errors.Is.
+var (
+	ErrInfeasible = errorx.NewType(namespace, "infeasible").New("no cell of that shape exists in this zone")
+	ErrBusy       = errorx.NewType(namespace, "busy").New("no cell of that shape is free now")
+	ErrUnsafe     = errorx.NewType(namespace, "unsafe").New("a guaranteed shape can't be reclaimed")
+	ErrHeld       = errorx.NewType(namespace, "held").New("the accelerators are held by another job")
+)
+
+var namespace = errorx.NewNamespace("cell")
+
+// ID names a cell within its Tree.
+type ID int32
+
+// Levels bounds how far a cell may spread. A cell of a level up to Worker lies
+// within one worker, and one of a level up to Rack within one rack.
+type Levels struct {
+	Worker int
+	Rack   int
+}
+
+// Worker is a worker as it is declared: its name and number of accelerators.
+type Worker struct {
+	Name         string
+	Accelerators int
+}
+
+// Rack lists the workers of a rack in the order of their neighbourhood.
+type Rack struct {
+	Name    string
+	Workers []Worker
+}
+
+// Guarantee is one customer's claim to Count cells of Level in this zone.
+type Guarantee struct {
+	Customer string
+	Order    int
+	Level    int
+	Count    int
+}
+
+// Config describes a zone for NewTree. Guarantees of a lower Order are kept
+// longer when hardware fails.
+type Config struct {
+	Levels     Levels
+	Racks      []Rack
+	Guarantees []Guarantee
+	Rank       Rank
+}
+
+// Slot is one accelerator: a worker's name and the index on that worker.
+type Slot struct {
+	Worker string
+	Index  int
+}
+
+// Tree is the forest of cells of a zone together with what is placed on it.
+// It is not safe for concurrent use: the placer's goroutine owns it.
+type Tree struct {
+	cells   []node
+	slots   []Slot
+	byName  map[string][]ID
+	byLevel [MaxLevel + 1][]ID
+	avail   [MaxLevel + 1]int
+	owed    [MaxLevel + 1]int
+	idle    freelist
+	clear   freelist
+	loaded  freelist
+	units   []*Unit
+	spares  map[ID]string
+	jobs    map[string]*job
+	rank    Rank
+	lost    map[string]bool
+	short   bool
+
+	// unguarded switches the ceiling off, for tests that show what it prevents.
+	unguarded bool
+}
+
+// node is a cell's place in the forest and its counters, all in accelerators.
+type node struct {
+	level  int
+	parent ID
+	left   ID
+	right  ID
+	down   int32
+	bound  int32
+	firm   int32
+	spare  int32
+	kept   int32
+}
+
+// Level returns the lowest level whose cells hold n accelerators.
+func Level(n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return bits.Len(uint(n - 1))
+}
+
+// Size returns the number of accelerators of a cell of the level.
+func Size(level int) int { return 1 << level }
+
+// NewTree builds the forest and registers the guarantees, all unused.
+func NewTree(cfg Config) *Tree {
+	t := &Tree{
+		byName: map[string][]ID{},
+		spares: map[ID]string{},
+		jobs:   map[string]*job{},
+		lost:   map[string]bool{},
+		rank:   cfg.Rank,
+	}
+	t.build(cfg)
+	t.addUnits(cfg.Guarantees)
+	for id := range t.cells {
+		t.enter(ID(id))
+	}
+	t.cover()
+	return t
+}
+
+func (t *Tree) build(cfg Config) {
+	var zone []ID
+	for _, r := range cfg.Racks {
+		var rack []ID
+		for _, w := range r.Workers {
+			leaves := t.addWorker(w)
+			rack = append(rack, t.pair(leaves, cfg.Levels.Worker)...)
+		}
+		zone = append(zone, t.pair(rack, cfg.Levels.Rack)...)
+	}
+	t.pair(zone, MaxLevel)
+}
+
+func (t *Tree) addWorker(w Worker) []ID {
+	var leaves []ID
+	for i := range w.Accelerators {
+		leaves = append(leaves, t.addNode(node{level: 0, parent: none, left: none, right: none}))
+		t.slots = append(t.slots, Slot{Worker: w.Name, Index: i})
+	}
+	t.byName[w.Name] = leaves
+	return leaves
+}
+
+// addNode appends the node. Leaves and inner cells share one numbering, so the
+// slot of a leaf is kept at the leaf's own index.
+func (t *Tree) addNode(n node) ID {
+	id := ID(len(t.cells))
+	t.cells = append(t.cells, n)
+	t.byLevel[n.level] = append(t.byLevel[n.level], id)
+	for len(t.slots) < int(id) {
+		t.slots = append(t.slots, Slot{})
+	}
+	return id
+}
+
+// pair joins neighbouring roots of equal level, from the lowest level up, and
+// returns the roots that remain in the order of their neighbourhood.
+func (t *Tree) pair(roots []ID, top int) []ID {
+	for level := 0; level < min(top, MaxLevel); level++ {
+		roots = t.pairLevel(roots, level)
+	}
+	return roots
+}
+
+func (t *Tree) pairLevel(roots []ID, level int) []ID {
+	var next []ID
+	waiting := none
+	for _, id := range roots {
+		if t.cells[id].level != level {
+			next = append(next, id)
+			continue
+		}
+		if waiting == none {
+			waiting = len(next)
+			next = append(next, id)
+			continue
+		}
+		next[waiting] = t.join(next[waiting], id)
+		waiting = none
+	}
+	return next
+}
+
+func (t *Tree) join(left, right ID) ID {
+	id := t.addNode(node{level: t.cells[left].level + 1, parent: none, left: left, right: right})
+	t.cells[left].parent = id
+	t.cells[right].parent = id
+	return id
+}
+
+// Slots lists the accelerators of the cell.
+func (t *Tree) Slots(id ID) []Slot {
+	leaves := t.leaves(id, nil)
+	out := make([]Slot, 0, len(leaves))
+	for _, leaf := range leaves {
+		out = append(out, t.slots[leaf])
+	}
+	return out
+}
+
+func (t *Tree) leaves(id ID, out []ID) []ID {
+	n := &t.cells[id]
+	if n.level == 0 {
+		return append(out, id)
+	}
+	return t.leaves(n.right, t.leaves(n.left, out))
+}
+
+// First returns the cell's first accelerator, which with its level names it
+// across processes.
+func (t *Tree) First(id ID) Slot { return t.slots[t.descend(id, 0)] }
+
+// Find returns the cell of the level whose first accelerator is the slot.
+func (t *Tree) Find(level int, s Slot) (ID, bool) {
+	leaves := t.byName[s.Worker]
+	if s.Index < 0 || s.Index >= len(leaves) {
+		return none, false
+	}
+	for id := leaves[s.Index]; id != none; id = t.cells[id].parent {
+		if t.cells[id].level == level {
+			return id, t.descend(id, 0) == leaves[s.Index]
+		}
+	}
+	return none, false
+}
+
+// Valid reports whether the cell exists and has that level.
+func (t *Tree) Valid(id ID, level int) bool {
+	return id >= 0 && int(id) < len(t.cells) && t.cells[id].level == level
+}
+
+// Accelerators returns the number of accelerators declared in the zone.
+func (t *Tree) Accelerators() int { return len(t.byLevel[0]) }
+
+// available: no unit is bound here and no accelerator is down, so that a unit
+// may be bound to the cell once spare work on it is stopped.
+func (n *node) available() bool { return n.down == 0 && n.bound == 0 }
+
+// clear: available, and no spare work runs on it.
+func (n *node) clear() bool { return n.available() && n.spare == 0 }
+
+// idle: spare work may start on it.
+func (n *node) idle() bool { return n.down+n.firm+n.spare+n.kept == 0 }
+
+// adjust changes the counters of the accelerators of a cell, of the cells
+// inside it and of those above it, and keeps the indexes in step.
+func (t *Tree) adjust(id ID, change func(n *node, size int32)) {
+	t.adjustDown(id, change)
+	size := int32(Size(t.cells[id].level))
+	for up := t.cells[id].parent; up != none; up = t.cells[up].parent {
+		t.update(up, change, size)
+	}
+}
+
+func (t *Tree) adjustDown(id ID, change func(n *node, size int32)) {
+	t.update(id, change, int32(Size(t.cells[id].level)))
+	if t.cells[id].level > 0 {
+		t.adjustDown(t.cells[id].left, change)
+		t.adjustDown(t.cells[id].right, change)
+	}
+}
+
+func (t *Tree) update(id ID, change func(n *node, size int32), size int32) {
+	t.leave(id)
+	change(&t.cells[id], size)
+	t.enter(id)
+}
+
+// leave takes the cell out of the indexes before its counters change.
+func (t *Tree) leave(id ID) {
+	n := &t.cells[id]
+	if n.available() {
+		t.avail[n.level]--
+	}
+	t.idle.remove(id, n.level)
+	t.clear.remove(id, n.level)
+	t.loaded.remove(id, n.level)
+}
+
+// enter puts the cell, and its children, where their counters say.
+func (t *Tree) enter(id ID) {
+	n := &t.cells[id]
+	if n.available() {
+		t.avail[n.level]++
+	}
+	t.list(id)
+	if n.level > 0 {
+		t.list(n.left)
+		t.list(n.right)
+	}
+}
+
+// list registers the cell in the free lists of largest cells.
+func (t *Tree) list(id ID) {
+	n := &t.cells[id]
+	top := n.parent == none
+	t.idle.set(id, n.level, n.idle() && (top || !t.cells[n.parent].idle()))
+	largest := n.available() && (top || !t.cells[n.parent].available())
+	t.clear.set(id, n.level, n.clear() && (top || !t.cells[n.parent].clear()))
+	t.loaded.set(id, n.level, largest && n.spare > 0)
+}
+
+// LevelOf returns the level of the cell.
+func (t *Tree) LevelOf(id ID) int { return t.cells[id].level }
--- /dev/null
+++ b/internal/cell/unit.go
@@ -0,0 +1,191 @@
+package cell
+
+import "sort"
+
+// Unit is one guaranteed cell of a customer. It is bound to a cell of the zone
+// while guaranteed work of that customer runs in it.
+type Unit struct {
+	customer  string
+	order     int
+	level     int
+	cell      ID
+	jobs      int
+	suspended bool
+}
+
+// Customer returns the name of the customer that the unit is guaranteed to.
+func (u *Unit) Customer() string { return u.customer }
+
+// Level returns the level of the guaranteed cell.
+func (u *Unit) Level() int { return u.level }
+
+// Bound reports the cell that the unit is bound to, if any.
+func (u *Unit) Bound() (ID, bool) { return u.cell, u.cell != none }
+
+// Suspended reports that too much hardware has failed to keep this unit.
+func (u *Unit) Suspended() bool { return u.suspended }
+
+// Units lists the guaranteed cells of the zone.
+func (t *Tree) Units() []*Unit { return t.units }
+
+func (t *Tree) addUnits(guarantees []Guarantee) {
+	for _, g := range guarantees {
+		for range g.Count {
+			t.units = append(t.units, &Unit{customer: g.Customer, order: g.Order, level: g.Level, cell: none})
+		}
+	}
+	sort.SliceStable(t.units, func(i, j int) bool {
+		a, b := t.units[i], t.units[j]
+		if a.order != b.order {
+			return a.order < b.order
+		}
+		return a.level > b.level
+	})
+}
+
+// owe adds n unbound units of the level to what must stay reclaimable.
+func (t *Tree) owe(level, n int) {
+	for k := 0; k <= level; k++ {
+		t.owed[k] += n * Size(level-k)
+	}
+}
+
+// slack is the number of cells of a level that may be taken without touching
+// what is owed to unbound units.
+func (t *Tree) slack(level int) int { return t.avail[level] - t.owed[level] }
+
+// cover decides, after a change of hardware, which unbound units can still be
+// kept: in order of their rank, the last ones are suspended.
+func (t *Tree) cover() {
+	t.owed = [MaxLevel + 1]int{}
+	t.short = false
+	for _, u := range t.units {
+		if u.cell != none {
+			u.suspended = false
+			continue
+		}
+		u.suspended = !t.fits(u.level)
+		if u.suspended {
+			t.short = true
+			continue
+		}
+		t.owe(u.level, 1)
+	}
+}
+
+func (t *Tree) fits(level int) bool {
+	for k := 0; k <= level; k++ {
+		if t.slack(k) < Size(level-k) {
+			return false
+		}
+	}
+	return true
+}
+
+// bind takes a cell for the unit. The cell must be available.
+func (t *Tree) bind(u *Unit, id ID) {
+	u.cell = id
+	if !u.suspended {
+		t.owe(u.level, -1)
+	}
+	u.suspended = false
+	t.adjust(id, func(n *node, size int32) { n.bound += size })
+}
+
+func (t *Tree) unbind(u *Unit) {
+	id := u.cell
+	u.cell = none
+	t.adjust(id, func(n *node, size int32) { n.bound -= size })
+	t.owe(u.level, 1)
+	if t.short {
+		t.cover()
+	}
+}
+
+// ceiling is the highest level up to which a largest available cell may be
+// broken for a unit of the given level: above it, breaking one would leave too
+// few whole cells for what is owed.
+func (t *Tree) ceiling(level int) int {
+	if t.unguarded {
+		return MaxLevel
+	}
+	for k := level + 1; k <= MaxLevel; k++ {
+		if t.slack(k) <= 0 && t.owed[k] > 0 {
+			return k - 1
+		}
+	}
+	return MaxLevel
+}
+
+// Check is the safety invariant: at every level, the cells that are free or
+// held by spare work only are at least as many as the unused guaranteed cells
+// need. It counts from the accelerators up and uses no index.
+func (t *Tree) Check() error {
+	var avail, owed [MaxLevel + 1]int
+	for id := range t.cells {
+		if t.reclaimable(ID(id)) {
+			avail[t.cells[id].level]++
+		}
+	}
+	for _, u := range t.units {
+		if u.cell != none || u.suspended {
+			continue
+		}
+		for k := 0; k <= u.level; k++ {
+			owed[k] += Size(u.level - k)
+		}
+	}
+	for k := range avail {
+		if avail[k] < owed[k] {
+			return ErrUnsafe
+		}
+	}
+	return t.checkHolders()
+}
+
+// reclaimable looks at each accelerator of the cell by itself.
+func (t *Tree) reclaimable(id ID) bool {
+	for _, leaf := range t.leaves(id, nil) {
+		if t.lost[t.slots[leaf].Worker] || t.boundTo(leaf) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// boundTo finds the unit whose cell holds the accelerator.
+func (t *Tree) boundTo(leaf ID) *Unit {
+	for id := leaf; id != none; id = t.cells[id].parent {
+		for _, u := range t.units {
+			if u.cell == id {
+				return u
+			}
+		}
+	}
+	return nil
+}
+
+// checkHolders verifies that guaranteed work lies inside cells bound to its
+// own customer and that no accelerator has two holders of one class.
+func (t *Tree) checkHolders() error {
+	firm := map[ID]string{}
+	spare := map[ID]string{}
+	for name, j := range t.jobs {
+		for _, p := range j.parts {
+			for _, leaf := range t.leaves(p.Cell, nil) {
+				holders := spare
+				if p.unit != nil {
+					holders = firm
+				}
+				if holders[leaf] != "" {
+					return ErrHeld
+				}
+				holders[leaf] = name
+				if p.unit != nil && t.boundTo(leaf) != p.unit {
+					return ErrUnsafe
+				}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,50 @@
+// Package check is the first filter of the request pipe: it compares a
+// caller's request with the configuration in force.
+package check
+
+import (
+	"time"
+
+	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/request"
+	"rhubarbshore/pkg/api"
+)
+
+// Check turns the caller's message into a Request. If it can't, it returns the
+// answer to give: nothing has run and nothing will.
+func Check(cfg *config.Config, in api.Request, key string, now time.Time) (*request.Request, *api.Response) {
+	r := &request.Request{ID: in.ID, Key: key, Customer: in.Customer, Kind: in.Kind, Body: in.Body, Arrived: now}
+	if cfg == nil {
+		return nil, refuse(r, api.Retry, request.ReasonConfig)
+	}
+	if _, ok := cfg.Customers[in.Customer]; !ok {
+		return nil, refuse(r, refusal(key), request.ReasonCustomer)
+	}
+	kind, ok := cfg.Kinds[in.Kind]
+	if !ok {
+		return nil, refuse(r, refusal(key), request.ReasonKind)
+	}
+	if len(in.Body) > kind.Size {
+		return nil, refuse(r, refusal(key), request.ReasonSize)
+	}
+	r.Service = kind.Service
+	r.Worth = kind.Worth
+	r.Idempotent = kind.Idempotent
+	r.Timeout = time.Duration(kind.Timeout)
+	r.Deadline = now.Add(time.Duration(kind.Window))
+	return r, nil
+}
+
+// refusal is the outcome of a copy that this VM does not take in. For a keyed
+// request other copies may be under way, of which this VM knows nothing.
+func refusal(key string) api.Outcome {
+	if key != "" {
+		return api.Retry
+	}
+	return api.NotRun
+}
+
+func refuse(r *request.Request, outcome api.Outcome, reason string) *api.Response {
+	resp := r.Refuse(outcome, reason)
+	return &resp
+}
--- /dev/null
+++ b/internal/cmd/demo/demo.go
@@ -0,0 +1,249 @@
+// Package demo runs a small site in one process, breaks parts of it while it
+// works, and checks what callers were told.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"rhubarbshore/examples"
+	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/internal/ledger"
+	"rhubarbshore/internal/site"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// Sizes of the demo.
+const (
+	callers    = 16
+	minions    = 4
+	work       = 2 * time.Millisecond
+	callerTime = 10 * time.Second
+)
+
+// Options are the command's flags.
+type Options struct {
+	Deployment string `help:"The example to run." enum:"robes,splints" default:"robes"`
+	Requests   int    `help:"Requests to send." default:"2000"`
+	Verbose    bool   `help:"Show the daemons' logs."`
+	JSON       bool   `help:"Print the report as JSON."`
+}
+
+// Help is shown by --help.
+func (o *Options) Help() string {
+	return `Three availability zones with an entry VM each, the platform, 50 workers and
+minions run on loopback. While requests and gang jobs are under way one entry VM
+is killed and replaced, the platform's log goes out and comes back, and a minion
+loses its answers. In the end the stand-ins' ledger is compared with what callers
+were told; the command exits with 1 if they differ.
+
+Example:
+  rhubarbshore demo --requests 5000`
+}
+
+// Run runs the demo.
+func (o *Options) Run(f *cmdutil.Factory) error {
+	ctx, cancel := context.WithTimeout(context.Background(), max(f.Timeout, time.Minute))
+	defer cancel()
+	logger := slog.New(slog.DiscardHandler)
+	if o.Verbose {
+		logger = slog.New(slog.NewTextHandler(f.IO.Err, nil))
+	}
+	files, err := site.Sub(examples.Files, o.Deployment)
+	if err != nil {
+		return err
+	}
+	say(f.IO.Err, "starting a site with %d availability zones", len(files.Overlays))
+	s, err := site.Start(site.Config{Files: files, VMs: 1, Minions: minions, Work: work, Logger: logger, Deadlines: site.Deadlines()})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	d := &run{o: o, site: s, client: s.Client(), out: f.IO.Err}
+	if err := d.play(ctx); err != nil {
+		return err
+	}
+	return o.report(f, d.compare())
+}
+
+func say(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+
+// run is one run of the demo.
+type run struct {
+	o      *Options
+	site   *site.Site
+	client *client.Client
+	out    io.Writer
+
+	mu   sync.Mutex
+	told []ledger.Told
+}
+
+// play sends the requests and jobs while parts of the site fail.
+func (d *run) play(ctx context.Context) error {
+	published, err := d.site.Publish(ctx, d.client)
+	if err != nil {
+		return err
+	}
+	say(d.out, "configuration %d in force on all entry VMs", published.Number)
+	if err := d.submit(ctx); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() { d.call(ctx, c) })
+	}
+	wg.Go(func() { d.breakThings(ctx) })
+	wg.Wait()
+	return d.await(ctx)
+}
+
+// submit starts a gang of 16 in each zone, on two workers side by side.
+func (d *run) submit(ctx context.Context) error {
+	for _, zone := range d.site.Zones() {
+		status, err := d.client.Submit(ctx, api.Job{
+			ID: "gang-" + zone, Customer: d.first(), Zone: zone, Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 3,
+		})
+		if err != nil {
+			return err
+		}
+		say(d.out, "job %s: %s", status.Job.ID, status.State)
+	}
+	return nil
+}
+
+// first is the example's first customer, whose guarantee holds the gang.
+func (d *run) first() string {
+	if d.o.Deployment == "robes" {
+		return "parishes"
+	}
+	return "carpatin"
+}
+
+// kinds are an idempotent and a non-idempotent kind of the example.
+func (d *run) kinds() (idempotent, once string) {
+	if d.o.Deployment == "robes" {
+		return "fitting", "reminder"
+	}
+	return "check", "certification"
+}
+
+// call is one caller's requests.
+func (d *run) call(ctx context.Context, caller int) {
+	idempotent, once := d.kinds()
+	for i := caller; i < d.o.Requests; i += callers {
+		in := api.Request{ID: fmt.Sprintf("request-%d", i), Customer: d.first(), Kind: once, Body: fmt.Appendf(nil, "body %d", i)}
+		if i%2 == 0 {
+			in.Kind = idempotent
+		}
+		o := client.Options{}
+		if i%4 == 1 {
+			o.Key = fmt.Sprintf("key-%d", i)
+		}
+		ctx, cancel := context.WithTimeout(ctx, callerTime)
+		resp, err := d.client.Send(ctx, in, o)
+		cancel()
+		if err != nil {
+			resp = api.Response{Outcome: api.Retry, Reason: err.Error()}
+		}
+		d.mu.Lock()
+		d.told = append(d.told, ledger.Told{Request: in, Idempotent: i%2 == 0, Response: resp})
+		d.mu.Unlock()
+	}
+}
+
+// breakThings makes parts of the site fail and come back.
+func (d *run) breakThings(ctx context.Context) {
+	zone := d.site.Zones()[0]
+	name := zone + "-vm1"
+	pause(ctx, 200*time.Millisecond)
+	say(d.out, "killing %s, its successor starts", name)
+	d.site.VMs[name].Kill()
+	if err := d.site.StartVM(zone, name+"b"); err != nil {
+		say(d.out, "no successor: %v", err)
+	}
+	delete(d.site.VMs, name)
+	pause(ctx, 200*time.Millisecond)
+	say(d.out, "the platform's log is out for a second")
+	d.site.Platform.SetFault(standin.Fault{Out: true})
+	pause(ctx, time.Second)
+	d.site.Platform.SetFault(standin.Fault{})
+	for _, m := range d.site.Minions {
+		say(d.out, "minion %s loses its answers", m.Name())
+		m.SetFault(standin.MinionFault{Mute: true})
+		pause(ctx, 300*time.Millisecond)
+		m.SetFault(standin.MinionFault{})
+		break
+	}
+}
+
+// await waits until the jobs have finished.
+func (d *run) await(ctx context.Context) error {
+	for ctx.Err() == nil {
+		list, err := d.client.Jobs(ctx)
+		finished := 0
+		for _, j := range list.Jobs {
+			if j.State == api.Finished {
+				finished++
+			}
+		}
+		if err == nil && finished >= len(d.site.Zones()) {
+			say(d.out, "all jobs finished")
+			return nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// bound is how long a gang may run short: a lease's term and the drift.
+func bound() time.Duration {
+	d := site.Deadlines()
+	return time.Duration(d.Term) + time.Duration(d.Drift)
+}
+
+func (d *run) compare() ledger.Report {
+	return ledger.Compare(d.told, d.site.Runs(), d.site.Spans(), bound(), time.Now())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// report prints the comparison. It fails if anybody was told wrong.
+func (o *Options) report(f *cmdutil.Factory, r ledger.Report) error {
+	if o.JSON {
+		if err := f.IO.WriteJSON(r); err != nil {
+			return err
+		}
+	} else {
+		o.print(f.IO.Out, r)
+	}
+	if len(r.Faults) > 0 {
+		return cmdutil.ErrSilent
+	}
+	return nil
+}
+
+func (o *Options) print(w io.Writer, r ledger.Report) {
+	for _, outcome := range []api.Outcome{api.Done, api.Failed, api.NotRun, api.Unknown, api.Retry} {
+		say(w, "told %s\t%d", outcome, r.Outcomes[outcome])
+	}
+	say(w, "runs by minions\t%d", r.Runs)
+	say(w, "gangs run\t%d, short for at most %s of %s allowed", r.Gangs, r.Short.Round(time.Millisecond), bound())
+	for _, fault := range r.Faults {
+		say(w, "FAULT\t%s", fault)
+	}
+	if len(r.Faults) == 0 {
+		say(w, "the ledger agrees with all that was told")
+	}
+}
--- /dev/null
+++ b/internal/cmd/serve/serve.go
@@ -0,0 +1,73 @@
+// Package serve runs an entry VM's daemon.
+package serve
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/internal/daemon"
+	"rhubarbshore/internal/settings"
+)
+
+// Options are the command's flags and what it depends on.
+type Options struct {
+	Settings string `help:"The settings file of this VM." required:"" type:"existingfile"`
+
+	signals chan os.Signal
+}
+
+// Help is shown by --help.
+func (o *Options) Help() string {
+	return `SIGTERM stops the daemon gracefully: health turns to leaving, what was
+admitted is finished, keys and the placer's office are handed on. A second
+SIGTERM changes nothing; only deadlines.stop in the settings cuts requests.
+
+Example:
+  rhubarbshore serve --settings vm.toml`
+}
+
+// Run serves until a signal asks the daemon to stop.
+func (o *Options) Run(f *cmdutil.Factory) error {
+	set, err := settings.Load(o.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(f.IO.Err, set.Logging)
+	if err != nil {
+		return err
+	}
+	if o.signals == nil {
+		o.signals = make(chan os.Signal, 1)
+		signal.Notify(o.signals, syscall.SIGTERM, os.Interrupt)
+	}
+	d, err := daemon.New(set, logger)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	<-o.signals
+	return d.Stop()
+}
+
+func newLogger(w io.Writer, l settings.Logging) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		return nil, errorx.Decorate(err, "logging.level")
+	}
+	options := &slog.HandlerOptions{Level: level}
+	switch l.Format {
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, options)), nil
+	case "text":
+		return slog.New(slog.NewTextHandler(w, options)), nil
+	}
+	return nil, errorx.IllegalArgument.New("logging.format: found %q, allowed: json, text", l.Format)
+}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"time"
+
+	"rhubarbshore/internal/cell"
+)
+
+// Bounds of a configuration.
+const (
+	maxCustomers    = 1000
+	maxAccelerators = 4096
+	maxWindow       = 12 * time.Hour
+	maxBody         = 4 << 20
+	maxQueue        = 100_000
+)
+
+// check reports what is well-formed but makes no sense.
+func (s *source) check(cfg *Config, site string) {
+	s.checkSite(cfg.Site)
+	s.checkServices(cfg)
+	s.checkKinds(cfg)
+	s.checkCustomers(cfg)
+	if len(s.problems) == 0 {
+		s.checkGuarantees(cfg, site)
+	}
+}
+
+// need reports the key unless ok holds.
+func (s *source) need(ok bool, key string, found any, allowed string) {
+	if !ok {
+		s.fail(key, fmt.Sprint(found), allowed)
+	}
+}
+
+func (s *source) checkSite(site Site) {
+	if len(site.Layout) == 0 {
+		s.need(site.Workers > 0, "site.workers", site.Workers, "1 or more, or a layout")
+		s.need(site.Rack > 0, "site.rack", site.Rack, "1 or more workers to a rack")
+	}
+	total := site.total()
+	s.need(total > 0 && total <= maxAccelerators, "site.accelerators", fmt.Sprintf("%d in all", total), fmt.Sprintf("1 to %d in all", maxAccelerators))
+	s.need(site.Spare >= 0, "site.spare", site.Spare, "0 or more workers")
+	s.need(powerOfTwo(site.Levels.Worker), "site.levels.worker", site.Levels.Worker, "a power of two")
+	s.need(powerOfTwo(site.Levels.Rack) && site.Levels.Rack >= site.Levels.Worker, "site.levels.rack", site.Levels.Rack, "a power of two, not below site.levels.worker")
+}
+
+func powerOfTwo(n int) bool { return n > 0 && bits.OnesCount(uint(n)) == 1 }
+
+func (s *source) checkServices(cfg *Config) {
+	for _, name := range sortedKeys(cfg.Services) {
+		v, key := cfg.Services[name], "services."+name
+		s.need(v.Slots > 0, key+".slots", v.Slots, "1 or more")
+		s.need(v.Connections >= v.Slots, key+".connections", v.Connections, "not below slots")
+		s.need(v.Queue > 0 && v.Queue <= maxQueue, key+".queue", v.Queue, fmt.Sprintf("1 to %d requests", maxQueue))
+	}
+}
+
+func (s *source) checkKinds(cfg *Config) {
+	for _, name := range sortedKeys(cfg.Kinds) {
+		v, key := cfg.Kinds[name], "kinds."+name
+		_, known := cfg.Services[v.Service]
+		s.need(known, key+".service", fmt.Sprintf("%q", v.Service), fmt.Sprintf("one of %v", sortedKeys(cfg.Services)))
+		window, timeout := time.Duration(v.Window), time.Duration(v.Timeout)
+		s.need(window > 0 && window <= maxWindow, key+".window", window, fmt.Sprintf("above 0s, up to %s", maxWindow))
+		s.need(timeout > 0 && timeout <= window, key+".timeout", timeout, "above 0s, not above window")
+		s.need(v.Worth > 0, key+".worth", v.Worth, "above 0")
+		s.need(v.Size > 0 && v.Size <= maxBody, key+".size", v.Size, fmt.Sprintf("1 to %d bytes", maxBody))
+	}
+}
+
+func (s *source) checkCustomers(cfg *Config) {
+	s.need(len(cfg.Customers) > 0 && len(cfg.Customers) <= maxCustomers, "customers", len(cfg.Customers), fmt.Sprintf("1 to %d customers", maxCustomers))
+	for _, name := range sortedKeys(cfg.Customers) {
+		c, key := cfg.Customers[name], "customers."+name
+		s.need(c.Share > 0, key+".share", c.Share, "above 0")
+		s.need(c.Jobs > 0, key+".jobs", c.Jobs, "1 or more waiting jobs")
+		for _, shape := range sortedKeys(c.Guarantees) {
+			g, at := c.Guarantees[shape], key+".guarantees."+shape
+			s.need(powerOfTwo(g.Accelerators), at+".accelerators", g.Accelerators, "a power of two")
+			s.need(g.Count >= 0, at+".count", g.Count, "0 or more")
+		}
+	}
+}
+
+// checkGuarantees refuses guarantees that can't all be kept in the zone when
+// as many workers as the site's spare share have failed.
+func (s *source) checkGuarantees(cfg *Config, zone string) {
+	tree := cfg.Tree(zone)
+	level, lacking, ok := cell.Short(tree, cfg.Site.Spare)
+	if ok {
+		return
+	}
+	names := sortedKeys(cfg.Customers)
+	slices.SortStableFunc(names, func(a, b string) int { return cfg.Customers[b].Order - cfg.Customers[a].Order })
+	for _, name := range names {
+		for _, shape := range sortedKeys(cfg.Customers[name].Guarantees) {
+			g := cfg.Customers[name].Guarantees[shape]
+			if g.Count > 0 && g.Accelerators >= cell.Size(level) {
+				found := fmt.Sprintf("%d x %d accelerators, for which the zone lacks %d cells of %d", g.Count, g.Accelerators, lacking, cell.Size(level))
+				s.fail("customers."+name+".guarantees."+shape+".count", found, fmt.Sprintf("what fits with %d workers failed", cfg.Site.Spare))
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,155 @@
+// Package config is the published configuration: customers with their
+// guaranteed shapes, kinds of requests, services and the layout of each site.
+// It is written in TOML as one base file and an overlay for each site, and
+// travels as records of the platform's log.
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"rhubarbshore/internal/cell"
+)
+
+// Duration is a length of time written as text, for example "30s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Config is the configuration of one site: the base with its overlay applied.
+type Config struct {
+	Differs   []string            `toml:"differs"`
+	Site      Site                `toml:"site"`
+	Weights   Weights             `toml:"weights"`
+	Customers map[string]Customer `toml:"customers"`
+	Services  map[string]Service  `toml:"services"`
+	Kinds     map[string]Kind     `toml:"kinds"`
+}
+
+// Site is the layout of one availability zone.
+type Site struct {
+	Region       string  `toml:"region"`
+	Workers      int     `toml:"workers"`
+	Rack         int     `toml:"rack"`
+	Accelerators int     `toml:"accelerators"`
+	Layout       [][]int `toml:"layout"`
+	Spare        int     `toml:"spare"`
+	Levels       Levels  `toml:"levels"`
+}
+
+// Levels are the largest cells, in accelerators, that lie within one worker
+// and within one rack.
+type Levels struct {
+	Worker int `toml:"worker"`
+	Rack   int `toml:"rack"`
+}
+
+// Weights says what a site weighs more when it takes back accelerators: work
+// lost, per accelerator-second, or large cells broken up, per accelerator.
+type Weights struct {
+	Lost   float64 `toml:"lost"`
+	Broken float64 `toml:"broken"`
+}
+
+// Customer is a customer's share of the services and its guarantees.
+type Customer struct {
+	Share      float64              `toml:"share"`
+	Order      int                  `toml:"order"`
+	Jobs       int                  `toml:"jobs"`
+	Guarantees map[string]Guarantee `toml:"guarantees"`
+}
+
+// Guarantee is Count cells of Accelerators neighbouring accelerators.
+type Guarantee struct {
+	Accelerators int `toml:"accelerators"`
+	Count        int `toml:"count"`
+}
+
+// Service is a pool of backend servers with equal limits.
+type Service struct {
+	Slots       int `toml:"slots"`
+	Connections int `toml:"connections"`
+	Queue       int `toml:"queue"`
+}
+
+// Kind is a kind of request.
+type Kind struct {
+	Service    string   `toml:"service"`
+	Window     Duration `toml:"window"`
+	Timeout    Duration `toml:"timeout"`
+	Worth      float64  `toml:"worth"`
+	Idempotent bool     `toml:"idempotent"`
+	Size       int      `toml:"size"`
+}
+
+// WorkerName is the name under which the platform lists a worker.
+func WorkerName(zone string, rack, index int) string {
+	return fmt.Sprintf("%s-r%d-w%d", zone, rack+1, index+1)
+}
+
+// Racks lays the site's workers out. Without an explicit layout all racks but
+// the last are full.
+func (s Site) Racks(zone string) []cell.Rack {
+	var out []cell.Rack
+	for r, row := range s.rows() {
+		rack := cell.Rack{Name: fmt.Sprintf("%s-r%d", zone, r+1)}
+		for i, n := range row {
+			rack.Workers = append(rack.Workers, cell.Worker{Name: WorkerName(zone, r, i), Accelerators: n})
+		}
+		out = append(out, rack)
+	}
+	return out
+}
+
+func (s Site) rows() [][]int {
+	if len(s.Layout) > 0 {
+		return s.Layout
+	}
+	var rows [][]int
+	for left := s.Workers; left > 0 && s.Rack > 0; left -= s.Rack {
+		row := make([]int, min(left, s.Rack))
+		for i := range row {
+			row[i] = s.Accelerators
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Tree is the configuration of the zone's cells.
+func (c *Config) Tree(zone string) cell.Config {
+	out := cell.Config{
+		Levels: cell.Levels{Worker: cell.Level(c.Site.Levels.Worker), Rack: cell.Level(c.Site.Levels.Rack)},
+		Racks:  c.Site.Racks(zone),
+		Rank:   cell.Rank{Lost: c.Weights.Lost, Broken: c.Weights.Broken},
+	}
+	for _, name := range sortedKeys(c.Customers) {
+		customer := c.Customers[name]
+		for _, shape := range sortedKeys(customer.Guarantees) {
+			g := customer.Guarantees[shape]
+			out.Guarantees = append(out.Guarantees, cell.Guarantee{
+				Customer: name, Order: customer.Order, Level: cell.Level(g.Accelerators), Count: g.Count,
+			})
+		}
+	}
+	return out
+}
+
+// Accelerators is the number of accelerators of the site.
+func (s Site) total() int {
+	n := 0
+	for _, row := range s.rows() {
+		for _, a := range row {
+			n += a
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,360 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// ErrInvalid is matched by every Problems value.
+var ErrInvalid = errorx.NewType(errorx.NewNamespace("config"), "invalid").New("the configuration is not valid")
+
+// BaseFile is the name under which the base file is reported in problems.
+const BaseFile = "base.toml"
+
+// Problem is one fault of a configuration and where it stands.
+type Problem struct {
+	File    string
+	Line    int
+	Key     string
+	Found   string
+	Allowed string
+}
+
+// String renders the problem on one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d: %s: found %s, allowed: %s", p.File, p.Line, p.Key, p.Found, p.Allowed)
+}
+
+// Problems are all the faults of a configuration.
+type Problems []Problem
+
+// Error implements error.
+func (p Problems) Error() string { return strings.Join(p.Strings(), "\n") }
+
+// Is makes errors.Is(err, ErrInvalid) true.
+func (p Problems) Is(target error) bool { return target == ErrInvalid }
+
+// Strings renders each problem on a line of its own.
+func (p Problems) Strings() []string {
+	var out []string
+	for _, problem := range p {
+		out = append(out, problem.String())
+	}
+	return out
+}
+
+// table is a decoded TOML table of unknown shape, before it has been checked
+// against the types of Config.
+type table = map[string]any
+
+// place is where a key was set.
+type place struct {
+	file string
+	line int
+}
+
+// source is the merged text of a base and an overlay, on its way to a Config.
+type source struct {
+	root     table
+	places   map[string]place
+	problems Problems
+}
+
+func (s *source) fail(key, found, allowed string) {
+	at := s.find(key)
+	s.problems = append(s.problems, Problem{File: at.file, Line: at.line, Key: key, Found: found, Allowed: allowed})
+}
+
+// find returns where the key, or the nearest table around it, was set.
+func (s *source) find(key string) place {
+	for {
+		if at, ok := s.places[key]; ok {
+			return at
+		}
+		i := strings.LastIndexByte(key, '.')
+		if i < 0 {
+			return place{file: BaseFile, line: 1}
+		}
+		key = key[:i]
+	}
+}
+
+// Parse builds and checks the configuration of one site. The error, if any, is
+// a Problems value that lists every fault.
+func Parse(base, overlay, site string) (*Config, error) {
+	s := &source{places: map[string]place{}}
+	s.root = s.read(BaseFile, base)
+	if overlay != "" && len(s.problems) == 0 {
+		s.overlay(site+".toml", overlay)
+	}
+	if len(s.problems) > 0 {
+		return nil, s.problems
+	}
+	s.verify(s.root, reflect.TypeFor[Config](), "")
+	if len(s.problems) > 0 {
+		return nil, s.problems
+	}
+	cfg, err := s.decode()
+	if err != nil {
+		return nil, err
+	}
+	s.check(cfg, site)
+	if len(s.problems) > 0 {
+		return nil, s.problems
+	}
+	return cfg, nil
+}
+
+// read parses one file and remembers the line of each of its keys.
+func (s *source) read(file, text string) table {
+	var out table
+	if err := toml.Unmarshal([]byte(text), &out); err != nil {
+		line := 1
+		var syntax *toml.DecodeError
+		if errors.As(err, &syntax) {
+			line, _ = syntax.Position()
+		}
+		s.problems = append(s.problems, Problem{File: file, Line: line, Key: "-", Found: err.Error(), Allowed: "TOML"})
+		return nil
+	}
+	s.locate(file, text)
+	return out
+}
+
+// locate walks over the file's expressions and records the line of each key.
+func (s *source) locate(file, text string) {
+	p := unstable.Parser{}
+	p.Reset([]byte(text))
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		name, line := dotted(&p, e.Key())
+		switch e.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			prefix = name
+			s.places[name] = place{file, line}
+		case unstable.KeyValue:
+			s.places[joinKey(prefix, name)] = place{file, line}
+		default:
+		}
+	}
+}
+
+func dotted(p *unstable.Parser, it unstable.Iterator) (string, int) {
+	var parts []string
+	line := 1
+	for it.Next() {
+		n := it.Node()
+		parts = append(parts, string(n.Data))
+		line = p.Shape(n.Raw).Start.Line
+	}
+	return strings.Join(parts, "."), line
+}
+
+func joinKey(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+// overlay applies a site's overlay. It may change only keys that exist in the
+// base and that the base lists in differs.
+func (s *source) overlay(file, text string) {
+	allowed := stringsOf(s.root["differs"])
+	top := &source{places: map[string]place{}}
+	changes := top.read(file, text)
+	s.problems = append(s.problems, top.problems...)
+	for _, key := range leafKeys(changes, "") {
+		at := top.find(key)
+		fail := func(found, rule string) {
+			s.problems = append(s.problems, Problem{File: file, Line: at.line, Key: key, Found: found, Allowed: rule})
+		}
+		if _, ok := lookup(s.root, key); !ok {
+			fail("a key that the base lacks", "keys of "+BaseFile)
+			continue
+		}
+		if !slices.ContainsFunc(allowed, func(pattern string) bool { return matches(pattern, key) }) {
+			fail("a change", "keys that the base lists in differs")
+			continue
+		}
+		value, _ := lookup(changes, key)
+		assign(s.root, key, value)
+		s.places[key] = at
+	}
+}
+
+func stringsOf(v any) []string {
+	var out []string
+	list, _ := v.([]any)
+	for _, item := range list {
+		if text, ok := item.(string); ok {
+			out = append(out, text)
+		}
+	}
+	return out
+}
+
+// matches compares a dotted key with a pattern in which * stands for one name.
+func matches(pattern, key string) bool {
+	p, k := strings.Split(pattern, "."), strings.Split(key, ".")
+	if len(p) != len(k) {
+		return false
+	}
+	for i := range p {
+		if p[i] != "*" && p[i] != k[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func leafKeys(t table, prefix string) []string {
+	var out []string
+	for _, name := range sortedKeys(t) {
+		key := joinKey(prefix, name)
+		if sub, ok := t[name].(table); ok {
+			out = append(out, leafKeys(sub, key)...)
+			continue
+		}
+		out = append(out, key)
+	}
+	return out
+}
+
+func lookup(t table, key string) (any, bool) {
+	head, rest, nested := strings.Cut(key, ".")
+	v, ok := t[head]
+	if !ok || !nested {
+		return v, ok
+	}
+	sub, ok := v.(table)
+	if !ok {
+		return nil, false
+	}
+	return lookup(sub, rest)
+}
+
+func assign(t table, key string, value any) {
+	head, rest, nested := strings.Cut(key, ".")
+	if !nested {
+		t[head] = value
+		return
+	}
+	if sub, ok := t[head].(table); ok {
+		assign(sub, rest, value)
+	}
+}
+
+// verify compares the text with the types of Config, so that unknown keys and
+// wrong units are all reported at once.
+func (s *source) verify(v any, want reflect.Type, key string) {
+	switch {
+	case want == reflect.TypeFor[Duration]():
+		s.verifyDuration(v, key)
+	case want.Kind() == reflect.Struct:
+		s.verifyStruct(v, want, key)
+	case want.Kind() == reflect.Map:
+		s.verifyEach(v, want.Elem(), key)
+	case want.Kind() == reflect.Slice:
+		s.verifyList(v, want.Elem(), key)
+	default:
+		s.verifyScalar(v, want, key)
+	}
+}
+
+func (s *source) verifyDuration(v any, key string) {
+	var d Duration
+	text, ok := v.(string)
+	if !ok || d.UnmarshalText([]byte(text)) != nil {
+		s.fail(key, fmt.Sprintf("%#v", v), `a length of time with its unit, such as "30s"`)
+	}
+}
+
+func (s *source) verifyStruct(v any, want reflect.Type, key string) {
+	t, ok := v.(table)
+	if !ok {
+		s.fail(key, fmt.Sprintf("%#v", v), "a table")
+		return
+	}
+	fields := map[string]reflect.Type{}
+	for f := range want.Fields() {
+		fields[f.Tag.Get("toml")] = f.Type
+	}
+	for _, name := range sortedKeys(t) {
+		sub, ok := fields[name]
+		if !ok {
+			s.fail(joinKey(key, name), "an unknown key", strings.Join(sortedKeys(fields), ", "))
+			continue
+		}
+		s.verify(t[name], sub, joinKey(key, name))
+	}
+}
+
+func (s *source) verifyEach(v any, elem reflect.Type, key string) {
+	t, ok := v.(table)
+	if !ok {
+		s.fail(key, fmt.Sprintf("%#v", v), "a table")
+		return
+	}
+	for _, name := range sortedKeys(t) {
+		s.verify(t[name], elem, joinKey(key, name))
+	}
+}
+
+func (s *source) verifyList(v any, elem reflect.Type, key string) {
+	list, ok := v.([]any)
+	if !ok {
+		s.fail(key, fmt.Sprintf("%#v", v), "a list")
+		return
+	}
+	for _, item := range list {
+		s.verify(item, elem, key)
+	}
+}
+
+func (s *source) verifyScalar(v any, want reflect.Type, key string) {
+	ok := false
+	switch v.(type) {
+	case string:
+		ok = want.Kind() == reflect.String
+	case bool:
+		ok = want.Kind() == reflect.Bool
+	case int64:
+		ok = want.Kind() == reflect.Int || want.Kind() == reflect.Float64
+	case float64:
+		ok = want.Kind() == reflect.Float64
+	}
+	if !ok {
+		s.fail(key, fmt.Sprintf("%#v", v), "a value of type "+want.Kind().String())
+	}
+}
+
+func (s *source) decode() (*Config, error) {
+	text, err := toml.Marshal(s.root)
+	if err != nil {
+		return nil, errorx.Decorate(err, "merge")
+	}
+	cfg := &Config{}
+	if err := toml.Unmarshal(text, cfg); err != nil {
+		return nil, errorx.Decorate(err, "decode")
+	}
+	return cfg, nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/config/version.go
@@ -0,0 +1,261 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"maps"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/platform"
+)
+
+// Stream is the stream of the platform's log that carries the configuration.
+const Stream = "config"
+
+// Errors of reading the stream.
+var (
+	// ErrGap: records were dropped by the log before they were read.
+	ErrGap = errorx.NewType(errorx.NewNamespace("version"), "gap").New("records were dropped before they were read")
+)
+
+// Files is the text of a configuration: the base and an overlay for each site.
+type Files struct {
+	Base     string            `json:"base"`
+	Overlays map[string]string `json:"overlays,omitempty"`
+}
+
+// Site parses the configuration of one site.
+func (f Files) Site(site string) (*Config, error) { return Parse(f.Base, f.Overlays[site], site) }
+
+// Check parses every site that has an overlay, or the base alone if none has.
+func (f Files) Check() error {
+	var all Problems
+	for _, site := range sortedKeys(f.Overlays) {
+		if _, err := f.Site(site); err != nil {
+			var problems Problems
+			if !errors.As(err, &problems) {
+				return err
+			}
+			all = append(all, problems...)
+		}
+	}
+	if len(f.Overlays) == 0 {
+		_, err := f.Site("base")
+		return err
+	}
+	if len(all) > 0 {
+		return all
+	}
+	return nil
+}
+
+func (f Files) sum() string {
+	h := xxhash.New()
+	_, _ = h.WriteString(f.Base)
+	for _, site := range sortedKeys(f.Overlays) {
+		_, _ = h.WriteString("\x00" + site + "\x00" + f.Overlays[site])
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Splice replaces Cut bytes of a file at offset At by Text. An empty file name
+// is the base.
+type Splice struct {
+	File string `json:"file,omitempty"`
+	At   int    `json:"at"`
+	Cut  int    `json:"cut"`
+	Text string `json:"text"`
+}
+
+// Change is a record of the stream. It holds if Parent is the version in force
+// at its offset; otherwise every reader passes over it. A record with Upto is a
+// snapshot: the state after all records below that offset.
+type Change struct {
+	ID      string   `json:"id"`
+	Parent  string   `json:"parent,omitempty"`
+	Author  string   `json:"author,omitempty"`
+	Sum     string   `json:"sum"`
+	Number  int64    `json:"number,omitempty"`
+	Upto    int64    `json:"upto,omitempty"`
+	Files   *Files   `json:"files,omitempty"`
+	Splices []Splice `json:"splices,omitempty"`
+}
+
+// Encode renders the record for the log.
+func (c Change) Encode() ([]byte, error) { return json.Marshal(c) }
+
+// Version is the state of the stream after the records below Upto.
+type Version struct {
+	ID     string `json:"id"`
+	Parent string `json:"parent"`
+	Author string `json:"author"`
+	Number int64  `json:"number"`
+	Upto   int64  `json:"upto"`
+	Files  Files  `json:"files"`
+}
+
+// NewChange makes the record that turns the version into files, as splices if
+// they are smaller than the files.
+func NewChange(id, author string, from Version, files Files) Change {
+	c := Change{ID: id, Author: author, Parent: from.ID, Sum: files.sum()}
+	splices, ok := diff(from.Files, files)
+	if ok && from.ID != "" {
+		c.Splices = splices
+		return c
+	}
+	c.Files = &files
+	return c
+}
+
+// Snapshot makes the record that restates the version.
+func (v Version) Snapshot() Change {
+	files := v.Files
+	return Change{ID: v.ID, Parent: v.Parent, Author: v.Author, Sum: files.sum(), Number: v.Number, Upto: v.Upto, Files: &files}
+}
+
+// Fold applies the record at the offset and returns the version after it. It
+// depends on nothing but its arguments, so that all readers agree. It does not
+// judge the text: readers of another release may allow more or less, and still
+// have to agree on the order of versions.
+func (v Version) Fold(offset int64, data []byte) Version {
+	v.Upto = offset + 1
+	var c Change
+	if err := json.Unmarshal(data, &c); err != nil || c.Upto != 0 || c.ID == "" || c.Parent != v.ID {
+		return v
+	}
+	files, ok := c.apply(v.Files)
+	if !ok || files.sum() != c.Sum {
+		return v
+	}
+	return Version{ID: c.ID, Parent: c.Parent, Author: c.Author, Number: v.Number + 1, Upto: offset + 1, Files: files}
+}
+
+// Adopt returns the snapshot in the record, if it is one and the records from
+// its Upto on are still in the log, whose oldest offset is first.
+func Adopt(data []byte, first int64) (Version, bool) {
+	var c Change
+	if err := json.Unmarshal(data, &c); err != nil || c.Upto < first || c.Upto == 0 || c.Files == nil {
+		return Version{}, false
+	}
+	return Version{ID: c.ID, Parent: c.Parent, Author: c.Author, Number: c.Number, Upto: c.Upto, Files: *c.Files}, true
+}
+
+// Load folds the records that a log still keeps, the oldest at offset first. It
+// reports false if the stream is older than that and no snapshot covers the
+// records that were dropped.
+func Load(records []platform.Record, first int64) (Version, bool) {
+	v, ok := Version{Upto: first}, first == 0
+	for _, r := range records {
+		if snapshot, adopted := Adopt(r.Data, first); adopted && !ok {
+			v, ok = snapshot, true
+			break
+		}
+	}
+	if !ok {
+		return Version{}, len(records) == 0 && first == 0
+	}
+	return v.FoldAll(records), true
+}
+
+// FoldAll applies the records that the version has not seen yet.
+func (v Version) FoldAll(records []platform.Record) Version {
+	for _, r := range records {
+		if r.Offset >= v.Upto {
+			v = v.Fold(r.Offset, r.Data)
+		}
+	}
+	return v
+}
+
+func (c Change) apply(from Files) (Files, bool) {
+	if c.Files != nil {
+		return *c.Files, true
+	}
+	out := Files{Base: from.Base, Overlays: maps.Clone(from.Overlays)}
+	for _, s := range c.Splices {
+		text := out.get(s.File)
+		if s.At < 0 || s.Cut < 0 || s.At+s.Cut > len(text) {
+			return from, false
+		}
+		out.set(s.File, text[:s.At]+s.Text+text[s.At+s.Cut:])
+	}
+	return out, true
+}
+
+func (f *Files) get(name string) string {
+	if name == "" {
+		return f.Base
+	}
+	return f.Overlays[name]
+}
+
+func (f *Files) set(name, text string) {
+	if name == "" {
+		f.Base = text
+		return
+	}
+	if f.Overlays == nil {
+		f.Overlays = map[string]string{}
+	}
+	f.Overlays[name] = text
+}
+
+// diff expresses the step between two sets of files as splices. It reports
+// false if an overlay was removed, which splices can't express.
+func diff(from, to Files) ([]Splice, bool) {
+	var out []Splice
+	for site := range from.Overlays {
+		if _, ok := to.Overlays[site]; !ok {
+			return nil, false
+		}
+	}
+	names := append([]string{""}, sortedKeys(to.Overlays)...)
+	for _, name := range names {
+		_, existed := from.Overlays[name]
+		if s := splice(name, from.get(name), to.get(name)); s.Cut > 0 || s.Text != "" || name != "" && !existed {
+			out = append(out, s)
+		}
+	}
+	return out, true
+}
+
+func splice(name, a, b string) Splice {
+	head := 0
+	for head < len(a) && head < len(b) && a[head] == b[head] {
+		head++
+	}
+	tail := 0
+	for tail < len(a)-head && tail < len(b)-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	return Splice{File: name, At: head, Cut: len(a) - head - tail, Text: b[head : len(b)-tail]}
+}
+
+// ReadDir reads base.toml and the overlays, every other TOML file, of a folder.
+func ReadDir(dir fs.FS) (Files, error) {
+	base, err := fs.ReadFile(dir, BaseFile)
+	if err != nil {
+		return Files{}, errorx.Decorate(err, "read base")
+	}
+	out := Files{Base: string(base), Overlays: map[string]string{}}
+	names, err := fs.Glob(dir, "*.toml")
+	if err != nil {
+		return Files{}, errorx.Decorate(err, "list overlays")
+	}
+	for _, name := range names {
+		if name == BaseFile {
+			continue
+		}
+		text, err := fs.ReadFile(dir, name)
+		if err != nil {
+			return Files{}, errorx.Decorate(err, "read overlay")
+		}
+		out.Overlays[strings.TrimSuffix(name, ".toml")] = string(text)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,177 @@
+// Package daemon is the entry VM's process: it joins the request pipe, the
+// placement pipe and the control pipe, and serves callers, operators and peers.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/claim"
+	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/idempotency"
+	"rhubarbshore/internal/minion"
+	"rhubarbshore/internal/peer"
+	"rhubarbshore/internal/peer/rpc"
+	"rhubarbshore/internal/placer"
+	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/queue"
+	"rhubarbshore/internal/settings"
+)
+
+// Tuning of the daemon.
+const (
+	peerConns     = 4
+	minionConns   = 64
+	dialTimeout   = 500 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 16 << 10
+	officeEvery   = 250 * time.Millisecond
+	claimWaiting  = 4096
+	maxHomes      = 64
+)
+
+// ErrStop is returned by Stop when requests were cut by its deadline.
+var ErrStop = errorx.NewType(errorx.NewNamespace("daemon"), "stop").New("requests were cut by the stop deadline")
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	set     settings.Settings
+	logger  *slog.Logger
+	log     *platform.Log
+	list    *platform.List
+	store   *config.Store
+	members *peer.Members
+	placer  *placer.Placer
+	claims  *claim.Claimer
+	sender  *minion.Client
+	workers *http.Client
+
+	server   *http.Server
+	listener net.Listener
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	booted   time.Time
+	inflight atomic.Int64
+	stopping atomic.Bool
+	leaving  atomic.Bool
+
+	mu     sync.Mutex
+	queues map[string]*queue.Queue
+	homes  map[string]*home
+	own    *home
+	// listed is the platform's list as last read.
+	listed   []platform.Instance
+	clients  map[string]placer.Worker
+	minions  *http.Transport
+	queueCtx context.Context
+}
+
+// home is a set of keys that this VM decides about: its own, and those handed
+// over by VMs that stopped.
+type home struct {
+	minter *idempotency.Minter
+	table  *idempotency.Table
+}
+
+// New builds a daemon that is not running yet.
+func New(set settings.Settings, logger *slog.Logger) (*Daemon, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	logger = logger.With("vm", set.Name, "zone", set.Zone)
+	incarnation := time.Now().UnixMilli()
+	minter, err := idempotency.NewMinter(idempotency.Home(set.Name, incarnation), nil)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		set: set, logger: logger, queues: map[string]*queue.Queue{}, homes: map[string]*home{},
+		clients: map[string]placer.Worker{}, workers: httpjson.NewClient(peerConns, dialTimeout),
+	}
+	d.own = &home{minter: minter, table: idempotency.NewTable(idempotency.Limits{Keys: set.Limits.Keys, Bytes: set.Limits.Bytes})}
+	d.homes[minter.Home()] = d.own
+	d.connect(incarnation)
+	return d, nil
+}
+
+// connect builds the adapters to the platform, the peers and the servers.
+func (d *Daemon) connect(incarnation int64) {
+	set := d.set
+	client := httpjson.NewClient(peerConns, dialTimeout)
+	d.log = platform.NewLog(client, set.Log)
+	d.list = platform.NewList(client, set.List)
+	servers := httpjson.NewClient(minionConns, dialTimeout)
+	if t, ok := servers.Transport.(*http.Transport); ok {
+		d.minions = t
+	}
+	d.sender = minion.NewClient(servers)
+	d.members = peer.NewMembers(peer.Config{
+		Self:  peer.Self{Name: set.Name, Address: set.Address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation},
+		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
+		Client: httpjson.NewClient(peerConns, dialTimeout), Logger: d.logger, LeftServer: d.serverLeft,
+	})
+	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Home()} })
+	for _, p := range set.Peers {
+		d.members.Seed(p.Name, p.Address, p.Zone)
+	}
+	d.store = config.NewStore(config.StoreConfig{
+		Log: d.log, Site: set.Zone, Poll: time.Duration(set.Deadlines.Poll), Restate: time.Duration(set.Deadlines.Restate),
+		Logger: d.logger, Applied: d.applied,
+	})
+	d.claims = claim.New(claim.Config{
+		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
+	})
+	d.placer = placer.New(placer.Config{
+		VM: set.Name, Zone: set.Zone, Logger: d.logger, Journal: &journal{log: d.log, stream: "jobs-" + set.Zone},
+		Term: time.Duration(set.Deadlines.Term), Renew: time.Duration(set.Deadlines.Renew), Hold: time.Duration(set.Deadlines.Hold),
+		Checkpoint: time.Duration(set.Deadlines.Checkpoint), Lost: time.Duration(set.Deadlines.Lost), Drift: time.Duration(set.Deadlines.Drift),
+	})
+}
+
+// Start begins to serve. It returns once the daemon listens.
+func (d *Daemon) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", d.set.Listen)
+	if err != nil {
+		cancel()
+		return errorx.Decorate(err, "listen")
+	}
+	d.cancel = cancel
+	d.queueCtx = ctx
+	d.booted = time.Now()
+	d.listener = listener
+	d.server = &http.Server{
+		Handler: d.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.placer.Run, d.followList, d.followPeers, d.keepOffice} {
+		d.done.Go(func() { duty(ctx) })
+	}
+	d.done.Go(func() {
+		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.logger.Error("listener failed", "error", err)
+		}
+	})
+	d.logger.Info("serving", "address", d.set.Address)
+	return nil
+}
+
+// Kill ends the daemon at once, as a crash would: nothing is handed over.
+func (d *Daemon) Kill() {
+	d.cancel()
+	_ = d.server.Close()
+	d.done.Wait()
+}
+
+// Address returns the address that the daemon listens on.
+func (d *Daemon) Address() string { return d.listener.Addr().String() }
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,224 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"rhubarbshore/internal/idempotency"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/peer"
+	"rhubarbshore/internal/peer/rpc"
+	"rhubarbshore/internal/placer"
+	"rhubarbshore/internal/request"
+	"rhubarbshore/pkg/api"
+)
+
+// peerServer answers other entry VMs.
+type peerServer struct {
+	d *Daemon
+}
+
+// Probe implements rpc.Peer.
+func (s *peerServer) Probe(_ context.Context, g *rpc.Gossip) (*rpc.Gossip, error) {
+	s.d.members.Hear(g)
+	return &rpc.Gossip{Self: s.d.members.Self()}, nil
+}
+
+// Forward implements rpc.Peer.
+func (s *peerServer) Forward(ctx context.Context, in *rpc.ForwardRequest) (*rpc.ForwardReply, error) {
+	a := arrival{
+		in:   api.Request{ID: in.GetRequest(), Customer: in.GetCustomer(), Kind: in.GetKind(), Body: in.GetBody()},
+		home: in.GetHome(), settle: in.GetSettle(),
+	}
+	if in.GetTicket() {
+		a.ticket = in.GetKey()
+	} else {
+		a.key = in.GetKey()
+	}
+	return toReply(s.d.do(ctx, a)), nil
+}
+
+func toReply(r api.Response) *rpc.ForwardReply {
+	return &rpc.ForwardReply{
+		Outcome: string(r.Outcome), Reason: r.Reason, Attempts: int32(r.Attempts), Server: r.Server, Hash: r.Hash, Body: r.Body,
+	}
+}
+
+// Adopt implements rpc.Peer. It may be repeated.
+func (s *peerServer) Adopt(_ context.Context, in *rpc.Handover) (*rpc.Done, error) {
+	if err := s.d.adopt(in); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &rpc.Done{}, nil
+}
+
+// adopt takes over the keys of a VM that stops.
+func (d *Daemon) adopt(in *rpc.Handover) error {
+	minter, err := idempotency.NewMinter(in.GetHome(), in.GetSecret())
+	if err != nil {
+		return err
+	}
+	var kept []idempotency.Kept
+	now := time.Now()
+	for _, e := range in.GetEntries() {
+		kept = append(kept, idempotency.Kept{
+			Key: e.GetKey(), Print: e.GetPrint(), Deadline: now.Add(time.Duration(e.GetRemaining()) * time.Millisecond),
+			Response: fromReply(e.GetReply()),
+		})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping.Load() || len(d.homes) >= maxHomes {
+		return placer.ErrFull
+	}
+	if d.homes[in.GetHome()] != nil {
+		return nil
+	}
+	table := idempotency.NewTable(idempotency.Limits{Keys: d.set.Limits.Keys, Bytes: d.set.Limits.Bytes})
+	table.Import(kept)
+	d.homes[in.GetHome()] = &home{minter: minter, table: table}
+	d.members.Change(func(self *rpc.Member) { self.Homes = append(self.Homes, in.GetHome()) })
+	metric.Count("homes_adopted_total")
+	d.logger.Info("keys taken over", "home", in.GetHome(), "keys", len(kept))
+	return nil
+}
+
+func fromReply(r *rpc.ForwardReply) api.Response {
+	return api.Response{
+		Outcome: api.Outcome(r.GetOutcome()), Reason: r.GetReason(), Attempts: int(r.GetAttempts()),
+		Server: r.GetServer(), Hash: r.GetHash(), Body: r.GetBody(),
+	}
+}
+
+// Version implements rpc.Peer.
+func (s *peerServer) Version(_ context.Context, in *rpc.VersionRequest) (*rpc.VersionReply, error) {
+	v := s.d.store.Version()
+	if v.Upto <= in.GetUpto() {
+		return &rpc.VersionReply{}, nil
+	}
+	data, err := json.Marshal(v)
+	return &rpc.VersionReply{Version: data}, err
+}
+
+// Submit implements rpc.Peer.
+func (s *peerServer) Submit(ctx context.Context, in *rpc.JobRequest) (*rpc.JobReply, error) {
+	return s.job(ctx, in, s.d.placer.Submit)
+}
+
+// Cancel implements rpc.Peer.
+func (s *peerServer) Cancel(ctx context.Context, in *rpc.JobRequest) (*rpc.JobReply, error) {
+	return s.job(ctx, in, func(ctx context.Context, j api.Job) (api.JobStatus, error) {
+		return s.d.placer.Cancel(ctx, j.ID)
+	})
+}
+
+func (s *peerServer) job(ctx context.Context, in *rpc.JobRequest, do func(ctx context.Context, j api.Job) (api.JobStatus, error)) (*rpc.JobReply, error) {
+	var j api.Job
+	if err := json.Unmarshal(in.GetJob(), &j); err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	status, err := do(ctx, j)
+	if errors.Is(err, placer.ErrNoOffice) || errors.Is(err, placer.ErrFull) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(status)
+	return &rpc.JobReply{Status: data}, err
+}
+
+// View implements rpc.Peer.
+func (s *peerServer) View(ctx context.Context, in *rpc.ViewRequest) (*rpc.ViewReply, error) {
+	view, err := s.d.localView(ctx, in.GetWhat())
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	data, err := json.Marshal(view)
+	return &rpc.ViewReply{View: data}, err
+}
+
+// The views that a placer gives of its zone.
+const (
+	viewJobs      = "jobs"
+	viewWorkers   = "workers"
+	viewCustomers = "customers"
+)
+
+func (d *Daemon) localView(ctx context.Context, what string) (any, error) {
+	if !d.placer.Ready(ctx) {
+		return nil, placer.ErrNoOffice
+	}
+	switch what {
+	case viewJobs:
+		return d.placer.Jobs(ctx)
+	case viewWorkers:
+		return d.placer.Workers(ctx)
+	}
+	return d.placer.Customers(ctx)
+}
+
+// submit hands the job to its zone's placer.
+func (d *Daemon) submit(ctx context.Context, j api.Job) (api.JobStatus, error) {
+	if j.Zone == d.set.Zone {
+		status, err := d.placer.Submit(ctx, j)
+		if !errors.Is(err, placer.ErrNoOffice) {
+			return status, err
+		}
+	}
+	return d.askPlacer(ctx, j, func(ctx context.Context, p peer.Peer, in *rpc.JobRequest) (*rpc.JobReply, error) {
+		return p.Client.Submit(ctx, in)
+	})
+}
+
+func (d *Daemon) cancelJob(ctx context.Context, j api.Job) (api.JobStatus, error) {
+	if j.Zone == d.set.Zone {
+		status, err := d.placer.Cancel(ctx, j.ID)
+		if !errors.Is(err, placer.ErrNoOffice) {
+			return status, err
+		}
+	}
+	return d.askPlacer(ctx, j, func(ctx context.Context, p peer.Peer, in *rpc.JobRequest) (*rpc.JobReply, error) {
+		return p.Client.Cancel(ctx, in)
+	})
+}
+
+func (d *Daemon) askPlacer(ctx context.Context, j api.Job, ask func(ctx context.Context, p peer.Peer, in *rpc.JobRequest) (*rpc.JobReply, error)) (api.JobStatus, error) {
+	p, ok := d.members.PlacerOf(j.Zone)
+	if !ok || p.Info.GetName() == d.set.Name {
+		return api.JobStatus{}, placer.ErrNoOffice
+	}
+	data, err := json.Marshal(j)
+	if err != nil {
+		return api.JobStatus{}, err
+	}
+	reply, err := ask(ctx, p, &rpc.JobRequest{Job: data})
+	if err != nil {
+		if unsent(err) {
+			d.members.Failed(p.Info.GetName())
+		}
+		return api.JobStatus{}, classifyJob(err)
+	}
+	var status api.JobStatus
+	return status, json.Unmarshal(reply.GetStatus(), &status)
+}
+
+// classifyJob tells a refusal and a call that was never sent, after which the
+// job is in no queue, from a lost answer.
+func classifyJob(err error) error {
+	var t twirp.Error
+	if errors.As(err, &t) && t.Code() == twirp.FailedPrecondition || unsent(err) {
+		return placer.ErrNoOffice
+	}
+	return errLost
+}
+
+// refuseStopping is the answer to what arrives after the last moment.
+func refuseStopping(id string) api.Response {
+	metric.Refusal("request", request.ReasonStopping)
+	return api.Response{Outcome: api.Retry, Reason: request.ReasonStopping, Request: id}
+}
--- /dev/null
+++ b/internal/daemon/pipe.go
@@ -0,0 +1,237 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/twitchtv/twirp"
+
+	"rhubarbshore/internal/check"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/idempotency"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/peer"
+	"rhubarbshore/internal/peer/rpc"
+	"rhubarbshore/internal/queue"
+	"rhubarbshore/internal/request"
+	"rhubarbshore/pkg/api"
+)
+
+// arrival is a caller's request before it is checked.
+type arrival struct {
+	in     api.Request
+	key    string
+	ticket string
+	settle bool
+	// home is set on a request that a peer forwarded here.
+	home string
+}
+
+// do takes a request through the pipe and returns its outcome.
+func (d *Daemon) do(ctx context.Context, a arrival) api.Response {
+	begun := time.Now()
+	resp := d.route(ctx, a)
+	resp.Request = a.in.ID
+	metric.Observe("request_seconds", begun)
+	if resp.Outcome != api.Done {
+		metric.Refusal("request", resp.Reason)
+	}
+	return resp
+}
+
+// route decides which VM runs the request: this one, or the key's home.
+func (d *Daemon) route(ctx context.Context, a arrival) api.Response {
+	cfg, _ := d.store.Current()
+	keyed := a.key
+	if a.ticket != "" {
+		keyed = a.ticket
+	}
+	r, refusal := check.Check(cfg, a.in, keyed, time.Now())
+	if refusal != nil {
+		return *refusal
+	}
+	r.Settle = a.settle
+	r.Ticket = a.ticket != ""
+	switch {
+	case a.home != "":
+		return d.runHome(ctx, r, a.home)
+	case a.ticket != "":
+		return d.runTicket(ctx, r)
+	case a.key != "":
+		return d.runClaimed(ctx, r)
+	}
+	q := d.queueOf(r)
+	if q == nil {
+		return r.Refuse(api.NotRun, request.ReasonNoServer)
+	}
+	return q.Do(ctx, r)
+}
+
+func (d *Daemon) queueOf(r *request.Request) *queue.Queue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queues[r.Service]
+}
+
+// runTicket runs the request at the home that its ticket names.
+func (d *Daemon) runTicket(ctx context.Context, r *request.Request) api.Response {
+	home, err := idempotency.HomeOf(r.Key)
+	if err != nil {
+		return r.Refuse(api.Retry, request.ReasonTicket)
+	}
+	return d.runAt(ctx, r, home)
+}
+
+// runClaimed settles the home of the caller's own key through the log.
+func (d *Daemon) runClaimed(ctx context.Context, r *request.Request) api.Response {
+	won, err := d.claims.Claim(ctx, scoped(r), r.Deadline)
+	if err != nil {
+		metric.Refusal("claim", request.ReasonLog)
+		return r.Refuse(api.Retry, request.ReasonLog)
+	}
+	if won.Deadline.Before(time.Now()) {
+		return r.Refuse(api.Unknown, request.ReasonExpired)
+	}
+	r.Deadline = won.Deadline
+	return d.runAt(ctx, r, won.Home)
+}
+
+// scoped keeps customers' keys apart.
+func scoped(r *request.Request) string { return r.Customer + "/" + r.Key }
+
+// runAt runs the request here if this VM answers for the home, and forwards it
+// otherwise.
+func (d *Daemon) runAt(ctx context.Context, r *request.Request, home string) api.Response {
+	if d.homeOf(home) != nil {
+		return d.runHome(ctx, r, home)
+	}
+	p, ok := d.members.Serving(home)
+	if !ok {
+		return r.Refuse(api.Unknown, request.ReasonHome)
+	}
+	return d.forward(ctx, r, home, p)
+}
+
+func (d *Daemon) homeOf(name string) *home {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.homes[name]
+}
+
+// runHome decides about a key that this VM is the home of.
+func (d *Daemon) runHome(ctx context.Context, r *request.Request, name string) api.Response {
+	h := d.homeOf(name)
+	if h == nil {
+		return r.Refuse(api.Retry, request.ReasonHome)
+	}
+	key := scoped(r)
+	if r.Ticket {
+		key = r.Key
+		deadline, err := h.minter.Verify(r.Key)
+		if err != nil {
+			return r.Refuse(api.Retry, request.ReasonTicket)
+		}
+		if !time.Now().Before(deadline) {
+			return r.Refuse(api.Unknown, request.ReasonExpired)
+		}
+		r.Deadline = earlier(r.Deadline, deadline)
+		return d.begin(ctx, h, r, key, deadline)
+	}
+	return d.begin(ctx, h, r, key, r.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// begin runs the request if this copy is the first, and waits for the first
+// copy's outcome otherwise.
+func (d *Daemon) begin(ctx context.Context, h *home, r *request.Request, key string, deadline time.Time) api.Response {
+	claim, err := h.table.Begin(key, print(r), deadline)
+	if err != nil {
+		return refuseKey(r, err)
+	}
+	switch {
+	case claim.First && r.Settle:
+		claim.Finish(r.Refuse(api.NotRun, request.ReasonCancelled))
+	case claim.First:
+		d.spawn(func() { d.runFirst(r, claim) })
+	}
+	select {
+	case <-claim.Done():
+		return claim.Response()
+	case <-ctx.Done():
+		return r.Refuse(api.Unknown, request.ReasonLost)
+	}
+}
+
+// print identifies what a keyed request asks for.
+func print(r *request.Request) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Customer + "\x00" + r.Kind + "\x00")
+	_, _ = h.Write(r.Body)
+	return h.Sum64() | 1
+}
+
+func refuseKey(r *request.Request, err error) api.Response {
+	switch {
+	case errors.Is(err, idempotency.ErrExpired):
+		return r.Refuse(api.Unknown, request.ReasonExpired)
+	case errors.Is(err, idempotency.ErrMismatch):
+		return r.Refuse(api.Retry, request.ReasonMismatch)
+	case errors.Is(err, idempotency.ErrMoved):
+		return r.Refuse(api.Retry, request.ReasonMoved)
+	}
+	return r.Refuse(api.Retry, request.ReasonFull)
+}
+
+// spawn runs a duty that outlives the request that began it.
+func (d *Daemon) spawn(duty func()) { d.done.Go(duty) }
+
+// runFirst runs a keyed request whether or not its caller still waits: another
+// copy may ask for the answer.
+func (d *Daemon) runFirst(r *request.Request, claim idempotency.Claim) {
+	d.inflight.Add(1)
+	defer d.inflight.Add(-1)
+	q := d.queueOf(r)
+	if q == nil {
+		claim.Finish(r.Refuse(api.Retry, request.ReasonNoServer))
+		return
+	}
+	claim.Finish(q.Do(context.Background(), r))
+}
+
+// forward carries the request to its home.
+func (d *Daemon) forward(ctx context.Context, r *request.Request, home string, p peer.Peer) api.Response {
+	reply, err := p.Client.Forward(ctx, &rpc.ForwardRequest{
+		Home: home, Key: r.Key, Request: r.ID, Customer: r.Customer, Kind: r.Kind, Body: r.Body,
+		Settle: r.Settle, Ticket: r.Ticket, Remaining: time.Until(r.Deadline).Milliseconds(),
+	})
+	if err == nil {
+		return api.Response{
+			Outcome: api.Outcome(reply.GetOutcome()), Reason: reply.GetReason(), Attempts: int(reply.GetAttempts()),
+			Server: reply.GetServer(), Hash: reply.GetHash(), Body: reply.GetBody(),
+		}
+	}
+	metric.Retry("forward")
+	if unsent(err) {
+		return r.Refuse(api.Retry, request.ReasonHome)
+	}
+	return r.Refuse(api.Unknown, request.ReasonLost)
+}
+
+// unsent reports whether a call to a peer provably never reached it.
+func unsent(err error) bool {
+	var t twirp.Error
+	if errors.As(err, &t) {
+		if cause := errors.Unwrap(t); cause != nil {
+			err = cause
+		}
+	}
+	return errors.Is(httpjson.Classify(err), httpjson.ErrUnsent)
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,357 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/peer"
+	"rhubarbshore/internal/peer/rpc"
+	"rhubarbshore/internal/placer"
+	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/request"
+	"rhubarbshore/pkg/api"
+)
+
+// Bounds of what callers and operators send.
+const (
+	maxRequestBody = 6 << 20
+	maxConfigBody  = 4 << 20
+	maxTickets     = 1000
+	maxID          = 128
+)
+
+// errLost is returned when a job may have been accepted by its placer.
+var errLost = errorx.NewType(errorx.NewNamespace("job"), "lost").New("the placer's answer was lost; ask again with the same id and zone")
+
+// handler serves callers, operators, peers and the platform's health checks.
+func (d *Daemon) handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/requests", d.admit(d.handleRequest)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/settle", d.admit(d.handleSettle)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/tickets", d.handleTickets).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs", d.handleSubmit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs", d.handleView(viewJobs)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{zone}/{id}", d.handleCancel).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/workers", d.handleView(viewWorkers)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/customers", d.handleView(viewCustomers)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/zone", d.handleZone).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms", d.handleVMs).Methods(http.MethodGet)
+	r.HandleFunc("/v1/config", d.handleConfig).Methods(http.MethodGet)
+	r.HandleFunc("/v1/config", d.handlePublish).Methods(http.MethodPost)
+	r.HandleFunc("/health", d.handleHealth).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", handleMetrics).Methods(http.MethodGet)
+	r.PathPrefix(rpc.PeerPathPrefix).Handler(rpc.NewPeerServer(&peerServer{d: d}))
+	return r
+}
+
+// admit bounds the callers served at once and refuses them once the daemon has
+// begun to stop.
+func (d *Daemon) admit(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n := d.inflight.Add(1)
+		defer d.inflight.Add(-1)
+		switch {
+		case d.stopping.Load():
+			w.Header().Set("Connection", "close")
+			answer(w, refuseStopping(""))
+		case n > int64(d.set.Limits.Callers):
+			metric.Refusal("request", request.ReasonFull)
+			answer(w, api.Response{Outcome: api.Retry, Reason: request.ReasonFull})
+		default:
+			next(w, r)
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, resp api.Response) {
+	if resp.Outcome == api.Retry {
+		w.Header().Set("Retry-After", "1")
+	}
+	httpjson.Write(w, resp.Outcome.Status(), resp)
+}
+
+func (d *Daemon) handleRequest(w http.ResponseWriter, r *http.Request) { d.handle(w, r, false) }
+
+func (d *Daemon) handleSettle(w http.ResponseWriter, r *http.Request) { d.handle(w, r, true) }
+
+func (d *Daemon) handle(w http.ResponseWriter, r *http.Request, settle bool) {
+	in, err := httpjson.Read[api.Request](w, r, maxRequestBody)
+	key, ticket := r.Header.Get(api.HeaderKey), r.Header.Get(api.HeaderTicket)
+	if err != nil || len(in.ID) > maxID || len(key) > maxID || len(ticket) > maxID || settle && key == "" && ticket == "" {
+		metric.Refusal("request", "malformed")
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "the request can't be read or is over a limit")
+		return
+	}
+	if in.ID == "" {
+		in.ID = uuid.NewString()
+	}
+	answer(w, d.do(r.Context(), arrival{in: in, key: key, ticket: ticket, settle: settle}))
+}
+
+func (d *Daemon) handleTickets(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("count"))
+	if err != nil || n < 1 || n > maxTickets {
+		metric.Refusal("tickets", "malformed")
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "count: 1 to 1000")
+		return
+	}
+	if d.leaving.Load() {
+		metric.Refusal("tickets", request.ReasonStopping)
+		httpjson.Refuse(w, http.StatusServiceUnavailable, request.ReasonStopping, "this VM is leaving")
+		return
+	}
+	out := api.Tickets{Deadline: time.Now().Add(time.Duration(d.set.Deadlines.Ticket))}
+	for range n {
+		out.Tickets = append(out.Tickets, d.own.minter.Mint(out.Deadline))
+	}
+	httpjson.Write(w, http.StatusOK, out)
+}
+
+func (d *Daemon) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	j, err := httpjson.Read[api.Job](w, r, maxConfigBody)
+	if err != nil || j.ID == "" || len(j.ID) > maxID || j.Zone == "" || j.Accelerators < 1 || j.Cells < 1 || j.Tasks < 0 || j.Seconds < 0 {
+		metric.Refusal("job", "malformed")
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "a job needs an id, a zone and at least one cell of one accelerator")
+		return
+	}
+	status, err := d.submit(r.Context(), j)
+	d.writeJob(w, status, err)
+}
+
+func (d *Daemon) handleCancel(w http.ResponseWriter, r *http.Request) {
+	v := mux.Vars(r)
+	status, err := d.cancelJob(r.Context(), api.Job{ID: v["id"], Zone: v["zone"]})
+	d.writeJob(w, status, err)
+}
+
+func (d *Daemon) writeJob(w http.ResponseWriter, status api.JobStatus, err error) {
+	switch {
+	case err == nil && status.State == api.Refused:
+		httpjson.Write(w, api.NotRun.Status(), status)
+	case err == nil:
+		httpjson.Write(w, http.StatusAccepted, status)
+	case errors.Is(err, placer.ErrNoOffice) || errors.Is(err, placer.ErrFull):
+		metric.Refusal("job", "nooffice")
+		httpjson.Refuse(w, api.Retry.Status(), "nooffice", err.Error())
+	default:
+		metric.Refusal("job", "lost")
+		httpjson.Refuse(w, api.Unknown.Status(), "lost", err.Error())
+	}
+}
+
+// handleView merges what each zone's placer says.
+func (d *Daemon) handleView(what string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var out merged
+		var silent []string
+		for _, zone := range d.members.Zones() {
+			if err := d.viewZone(r.Context(), zone, what, &out); err != nil {
+				silent = append(silent, zone)
+			}
+		}
+		for _, zone := range silent {
+			w.Header().Add("Silent-Zone", zone)
+		}
+		switch what {
+		case viewJobs:
+			httpjson.Write(w, http.StatusOK, out.JobList)
+		case viewWorkers:
+			httpjson.Write(w, http.StatusOK, out.WorkerList)
+		default:
+			httpjson.Write(w, http.StatusOK, out.CustomerList)
+		}
+	}
+}
+
+// merged collects the views of several zones.
+type merged struct {
+	api.JobList
+	api.WorkerList
+	api.CustomerList
+}
+
+func (d *Daemon) viewZone(ctx context.Context, zone, what string, out *merged) error {
+	data, err := d.zoneData(ctx, zone, what)
+	if err != nil {
+		return err
+	}
+	var part merged
+	if err := json.Unmarshal(data, &part); err != nil {
+		return err
+	}
+	out.Jobs = append(out.Jobs, part.Jobs...)
+	out.Workers = append(out.Workers, part.Workers...)
+	out.Customers = append(out.Customers, part.Customers...)
+	return nil
+}
+
+func (d *Daemon) zoneData(ctx context.Context, zone, what string) ([]byte, error) {
+	if zone == d.set.Zone {
+		if view, err := d.localView(ctx, what); err == nil {
+			return json.Marshal(view)
+		}
+	}
+	p, ok := d.members.PlacerOf(zone)
+	if !ok {
+		return nil, placer.ErrNoOffice
+	}
+	reply, err := p.Client.View(ctx, &rpc.ViewRequest{What: what})
+	if err != nil && unsent(err) {
+		d.members.Failed(p.Info.GetName())
+	}
+	return reply.GetView(), err
+}
+
+// handleZone proposes a zone for a job of a shape: this one if it can start it
+// now or no other can, else the one with the most room.
+func (d *Daemon) handleZone(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("accelerators"))
+	if err != nil || n < 1 || cell.Level(n) > cell.MaxLevel {
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "accelerators: 1 to 4096")
+		return
+	}
+	level := cell.Level(n)
+	best, room := d.set.Zone, 0
+	if s, _, ok := d.placer.Summary(r.Context()); ok {
+		room = s.Idle[level] + s.Slack[level]
+	}
+	for _, p := range d.members.All() {
+		s := p.Info.GetSummary()
+		if s == nil || p.Info.GetState() != peer.Alive || level >= len(s.GetIdle()) {
+			continue
+		}
+		there := int(s.GetIdle()[level] + s.GetSlack()[level])
+		if p.Info.GetZone() == d.set.Zone {
+			room = max(room, there)
+		}
+	}
+	if room == 0 {
+		best = d.roomiest(level)
+	}
+	httpjson.Write(w, http.StatusOK, api.VM{Zone: best})
+}
+
+func (d *Daemon) roomiest(level int) string {
+	best, room := d.set.Zone, int32(0)
+	for _, p := range d.members.All() {
+		s := p.Info.GetSummary()
+		if s == nil || p.Info.GetState() != peer.Alive || level >= len(s.GetIdle()) {
+			continue
+		}
+		if there := s.GetIdle()[level] + s.GetSlack()[level]; there > room {
+			best, room = p.Info.GetZone(), there
+		}
+	}
+	return best
+}
+
+func (d *Daemon) handleVMs(w http.ResponseWriter, _ *http.Request) {
+	var out api.VMList
+	add := func(m *rpc.Member, state string) {
+		out.VMs = append(out.VMs, api.VM{
+			Name: m.GetName(), Address: m.GetAddress(), Zone: m.GetZone(), State: state,
+			Version: m.GetVersion(), Number: m.GetNumber(), Placer: m.GetSummary() != nil,
+		})
+	}
+	add(d.members.Self(), stateName(d.members.Self().GetState()))
+	for _, p := range d.members.All() {
+		add(p.Info, stateName(p.Info.GetState()))
+	}
+	httpjson.Write(w, http.StatusOK, out)
+}
+
+func stateName(state int32) string {
+	switch state {
+	case peer.Leaving:
+		return "leaving"
+	case peer.Gone:
+		return "gone"
+	}
+	return "live"
+}
+
+func (d *Daemon) handleConfig(w http.ResponseWriter, _ *http.Request) {
+	v := d.store.Version()
+	httpjson.Write(w, http.StatusOK, api.ConfigView{
+		Version: v.ID, Number: v.Number, Parent: v.Parent, Author: v.Author, Base: v.Files.Base, Overlays: v.Files.Overlays,
+	})
+}
+
+// handlePublish checks a change and answers only when it is known to have won
+// or lost.
+func (d *Daemon) handlePublish(w http.ResponseWriter, r *http.Request) {
+	in, err := httpjson.Read[api.Publish](w, r, maxConfigBody)
+	if err != nil {
+		metric.Refusal("config", "malformed")
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", err.Error())
+		return
+	}
+	files := config.Files{Base: in.Base, Overlays: in.Overlays}
+	if err := files.Check(); err != nil {
+		metric.Refusal("config", "invalid")
+		refuseInvalid(w, err)
+		return
+	}
+	from := d.store.Version()
+	if in.Parent != from.ID {
+		metric.Refusal("config", "stale")
+		httpjson.Refuse(w, http.StatusConflict, "stale", "the change was not made from version "+from.ID+", which is in force")
+		return
+	}
+	c := config.NewChange(uuid.NewString(), in.Author, from, files)
+	d.writePublished(w, c, from.Number+1, d.store.Publish(r.Context(), c))
+}
+
+func refuseInvalid(w http.ResponseWriter, err error) {
+	var problems config.Problems
+	p := api.Problem{Error: "the configuration is not valid", Reason: "invalid"}
+	if errors.As(err, &problems) {
+		p.Details = problems.Strings()
+	}
+	httpjson.Write(w, http.StatusUnprocessableEntity, p)
+}
+
+func (d *Daemon) writePublished(w http.ResponseWriter, c config.Change, number int64, err error) {
+	switch {
+	case err == nil:
+		httpjson.Write(w, http.StatusOK, api.Published{Version: c.ID, Number: number})
+	case errors.Is(err, config.ErrLost):
+		metric.Refusal("config", "lost")
+		httpjson.Refuse(w, http.StatusConflict, "lost", err.Error())
+	case errors.Is(err, platform.ErrOut):
+		metric.Refusal("config", "out")
+		httpjson.Refuse(w, api.Retry.Status(), "out", err.Error())
+	default:
+		metric.Refusal("config", "unsettled")
+		httpjson.Refuse(w, api.Unknown.Status(), "unsettled", err.Error()+" (version "+c.ID+")")
+	}
+}
+
+func (d *Daemon) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	cfg, _ := d.store.Current()
+	switch {
+	case d.leaving.Load():
+		httpjson.Refuse(w, http.StatusServiceUnavailable, "leaving", "this VM is leaving")
+	case cfg == nil:
+		httpjson.Refuse(w, http.StatusServiceUnavailable, "config", "no configuration is in force yet")
+	default:
+		httpjson.Write(w, http.StatusOK, d.members.Self().GetName())
+	}
+}
+
+func handleMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metric.Write(w)
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/peer"
+	"rhubarbshore/internal/peer/rpc"
+)
+
+// Tuning of a stop.
+const (
+	stopPoll    = 20 * time.Millisecond
+	adoptCall   = 2 * time.Second
+	farewell    = time.Second
+	retryAdopts = 100 * time.Millisecond
+)
+
+// Stop shuts the daemon down gracefully: health turns to leaving, the office
+// is handed on, what was admitted is finished, and the keys go to an heir.
+func (d *Daemon) Stop() error {
+	deadline := time.Now().Add(time.Duration(d.set.Deadlines.Stop))
+	d.leaving.Store(true)
+	d.logger.Info("leaving")
+	d.members.Change(func(self *rpc.Member) { self.State = peer.Leaving })
+	d.tell()
+	d.handOffice()
+	time.Sleep(time.Duration(d.set.Deadlines.Drain))
+	d.stopping.Store(true)
+	cut := d.finish(deadline)
+	d.handKeys(deadline)
+	d.members.Change(func(self *rpc.Member) { self.State = peer.Gone; self.Homes = nil })
+	d.tell()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(farewell))
+	defer cancel()
+	_ = d.server.Shutdown(ctx)
+	d.cancel()
+	d.done.Wait()
+	d.logger.Info("stopped", "cut", cut)
+	if cut > 0 {
+		return ErrStop
+	}
+	return nil
+}
+
+// tell sends this VM's state to every peer at once.
+func (d *Daemon) tell() {
+	ctx, cancel := context.WithTimeout(context.Background(), farewell)
+	defer cancel()
+	done := make(chan struct{})
+	all := d.members.All()
+	for _, p := range all {
+		go func() {
+			_, _ = p.Client.Probe(ctx, &rpc.Gossip{Self: d.members.Self()})
+			done <- struct{}{}
+		}()
+	}
+	for range all {
+		<-done
+	}
+}
+
+// handOffice gives the zone's office up and passes on the jobs that only this
+// process knows.
+func (d *Daemon) handOffice() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Deadlines.Stop)/2)
+	defer cancel()
+	d.placer.SetOffice(false)
+	for _, j := range d.placer.Stray(ctx) {
+		j.Zone = d.set.Zone
+		for ctx.Err() == nil {
+			if _, err := d.submit(ctx, j); err == nil {
+				break
+			}
+			metric.Retry("handoffice")
+			pause(ctx, retryAdopts)
+		}
+	}
+}
+
+// finish waits for all requests that were admitted. It returns how many were
+// still under way at the deadline.
+func (d *Daemon) finish(deadline time.Time) int64 {
+	for d.inflight.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(stopPoll)
+	}
+	cut := d.inflight.Load()
+	if cut > 0 {
+		metric.Count("requests_cut_total")
+	}
+	return cut
+}
+
+// handKeys hands every home to one heir. The heir is asked until it confirms:
+// once it may have taken the keys, no other VM may be given them.
+func (d *Daemon) handKeys(deadline time.Time) {
+	heir, ok := d.heir()
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	homes := make([]*home, 0, len(d.homes))
+	for _, h := range d.homes {
+		homes = append(homes, h)
+	}
+	d.mu.Unlock()
+	for _, h := range homes {
+		d.handHome(h, heir, deadline)
+	}
+}
+
+func (d *Daemon) heir() (peer.Peer, bool) {
+	for _, p := range d.members.Live(d.set.Zone) {
+		return p, true
+	}
+	for _, zone := range d.members.Zones() {
+		for _, p := range d.members.Live(zone) {
+			return p, true
+		}
+	}
+	return peer.Peer{}, false
+}
+
+func (d *Daemon) handHome(h *home, heir peer.Peer, deadline time.Time) {
+	in := &rpc.Handover{Home: h.minter.Home(), Secret: h.minter.Secret()}
+	for _, k := range h.table.Export() {
+		in.Entries = append(in.Entries, &rpc.Entry{
+			Key: k.Key, Print: k.Print, Remaining: time.Until(k.Deadline).Milliseconds(), Reply: toReply(k.Response),
+		})
+	}
+	for time.Now().Before(deadline) {
+		ctx, cancel := context.WithTimeout(context.Background(), adoptCall)
+		_, err := heir.Client.Adopt(ctx, in)
+		cancel()
+		if err == nil {
+			return
+		}
+		metric.Retry("adopt")
+		time.Sleep(retryAdopts)
+	}
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,184 @@
+// Package httpjson speaks JSON over HTTP with typed messages, bounded bodies
+// and errors that say whether the peer can have acted on a call.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+)
+
+// MaxBody bounds every body that is read, in bytes.
+const MaxBody = 8 << 20
+
+// Errors of a call. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("http")
+	// ErrUnsent: no byte of the call reached the peer.
+	ErrUnsent = errorx.NewType(namespace, "unsent").New("the peer was not reached")
+	// ErrDoubt: the call may have taken effect.
+	ErrDoubt = errorx.NewType(namespace, "doubt").New("the answer was lost")
+)
+
+// StatusError is an answer other than 2xx: the peer refused the call.
+type StatusError struct {
+	Status int
+	Reason string
+	Text   string
+	Detail []string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return e.Reason + ": " + e.Text }
+
+type problem struct {
+	Error   string   `json:"error"`
+	Reason  string   `json:"reason"`
+	Details []string `json:"details,omitempty"`
+}
+
+// NewClient returns an HTTP client that keeps conns connections to each peer
+// open and gives up dialling after dial.
+func NewClient(conns int, dial time.Duration) *http.Client {
+	d := &net.Dialer{Timeout: dial, KeepAlive: time.Minute}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}
+}
+
+// Call sends in as JSON and decodes the answer into Out.
+func Call[In, Out any](ctx context.Context, c *http.Client, method, url string, in *In) (Out, error) {
+	return exchange[In, Out](ctx, c, method, url, in, nil, refuseOthers)
+}
+
+// Get fetches url and decodes the answer.
+func Get[Out any](ctx context.Context, c *http.Client, url string) (Out, error) {
+	return Call[struct{}, Out](ctx, c, http.MethodGet, url, nil)
+}
+
+// Post sends in with extra headers to a peer that answers with an Out under any
+// status code but 400, which is a refusal.
+func Post[In, Out any](ctx context.Context, c *http.Client, url string, in *In, header http.Header) (Out, error) {
+	return exchange[In, Out](ctx, c, http.MethodPost, url, in, header, func(status int) bool { return status == http.StatusBadRequest })
+}
+
+// refuseOthers takes every status code but 2xx for a refusal.
+func refuseOthers(status int) bool { return status/100 != 2 }
+
+// exchange sends in and decodes the whole answer.
+func exchange[In, Out any](ctx context.Context, c *http.Client, method, url string, in *In, header http.Header, refused func(status int) bool) (Out, error) {
+	var out Out
+	r, err := build(ctx, method, url, in, header)
+	if err != nil {
+		return out, err
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return out, Classify(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
+	if err != nil {
+		return out, ErrDoubt
+	}
+	if refused(resp.StatusCode) {
+		return out, statusError(resp.StatusCode, data)
+	}
+	if len(data) > 0 && json.Unmarshal(data, &out) != nil {
+		return out, ErrDoubt
+	}
+	return out, nil
+}
+
+func build[In any](ctx context.Context, method, url string, in *In, header http.Header) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return nil, errorx.Decorate(err, "encode %s", url)
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, errorx.Decorate(err, "request %s", url)
+	}
+	for name := range header {
+		r.Header[name] = header[name]
+	}
+	return r, nil
+}
+
+func statusError(status int, data []byte) error {
+	var p problem
+	_ = json.Unmarshal(data, &p)
+	return &StatusError{Status: status, Reason: p.Reason, Text: p.Error, Detail: p.Details}
+}
+
+// Hash is the hash that guards a body, its xxhash64 in hexadecimal.
+func Hash(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// Classify turns a transport error into ErrUnsent if the connection was never
+// made, and into ErrDoubt otherwise.
+func Classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnsent
+	}
+	return ErrDoubt
+}
+
+// Reason returns the refusal's reason, or empty if err is no refusal.
+func Reason(err error) string {
+	var status *StatusError
+	if errors.As(err, &status) {
+		return status.Reason
+	}
+	return ""
+}
+
+// Read decodes a request's body of at most limit bytes.
+func Read[In any](w http.ResponseWriter, r *http.Request, limit int64) (In, error) {
+	var in In
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return in, errorx.Decorate(err, "read body")
+	}
+	if len(data) == 0 {
+		return in, nil
+	}
+	return in, json.Unmarshal(data, &in)
+}
+
+// Write answers with status and the JSON of out. The length is always sent, so
+// that a client notices an answer that was cut off.
+func Write(w http.ResponseWriter, status int, out any) {
+	data, err := json.Marshal(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h["Date"] = nil
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+// Refuse answers with a reason that clients may act on and a text for people.
+func Refuse(w http.ResponseWriter, status int, reason, text string) {
+	Write(w, status, problem{Error: text, Reason: reason})
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,166 @@
+// Package ledger compares what callers were told with what the stand-ins say
+// really happened. It never looks at the scheduler's own tables.
+package ledger
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/pkg/api"
+)
+
+// Told is a request together with the outcome that its caller was given.
+type Told struct {
+	Request    api.Request
+	Idempotent bool
+	Response   api.Response
+}
+
+// Report is the result of a comparison.
+type Report struct {
+	Outcomes map[api.Outcome]int
+	Runs     int
+	Gangs    int
+	// Short is the longest time in which a gang ran with a part of its members,
+	// and Overlap the longest in which two generations of one job ran.
+	Short   time.Duration
+	Overlap time.Duration
+	Faults  []string
+}
+
+func (r *Report) fault(format string, args ...any) {
+	r.Faults = append(r.Faults, fmt.Sprintf(format, args...))
+}
+
+// Compare checks every answer against the runs. At is the time up to which the
+// spans have been observed; a gang may be short for up to the bound.
+func Compare(told []Told, runs []standin.Run, spans []standin.Span, bound time.Duration, at time.Time) Report {
+	r := Report{Outcomes: map[api.Outcome]int{}, Runs: len(runs)}
+	byRequest := map[string][]standin.Run{}
+	for _, run := range runs {
+		byRequest[run.Request] = append(byRequest[run.Request], run)
+	}
+	for _, t := range told {
+		r.Outcomes[t.Response.Outcome]++
+		r.answer(t, byRequest[t.Request.ID])
+	}
+	r.gangs(spans, at)
+	if r.Short > bound {
+		r.fault("a gang ran short for %s, bound %s", r.Short, bound)
+	}
+	sort.Strings(r.Faults)
+	return r
+}
+
+func (r *Report) answer(t Told, runs []standin.Run) {
+	id := t.Request.ID
+	if !t.Idempotent && len(runs) > 1 {
+		r.fault("request %s may not be repeated and ran %d times", id, len(runs))
+	}
+	for _, run := range runs {
+		if run.Customer != t.Request.Customer || run.Kind != t.Request.Kind || run.Body != string(t.Request.Body) {
+			r.fault("request %s ran with another's content", id)
+		}
+	}
+	switch t.Response.Outcome {
+	case api.Done:
+		want := t.Request.Customer + " " + t.Request.Kind + " " + string(t.Request.Body)
+		if len(runs) == 0 {
+			r.fault("request %s was told done and did not run", id)
+		}
+		if string(t.Response.Body) != want {
+			r.fault("request %s got %q, not its own answer", id, t.Response.Body)
+		}
+	case api.NotRun:
+		if len(runs) > 0 {
+			r.fault("request %s was told notrun and ran %d times", id, len(runs))
+		}
+	case api.Failed, api.Unknown, api.Retry:
+	default:
+		r.fault("request %s got no outcome", id)
+	}
+}
+
+// generation collects the members' spans of one generation of a job.
+type generation struct {
+	members int
+	spans   []standin.Span
+}
+
+// gangs measures how long gangs ran with a part of their members.
+func (r *Report) gangs(spans []standin.Span, at time.Time) {
+	byGang := map[string]*generation{}
+	jobs := map[string][]*generation{}
+	for _, s := range spans {
+		if s.End.IsZero() {
+			s.End = at
+		}
+		key := fmt.Sprintf("%s/%d", s.Job, s.Generation)
+		if byGang[key] == nil {
+			byGang[key] = &generation{members: s.Members}
+			jobs[s.Job] = append(jobs[s.Job], byGang[key])
+		}
+		byGang[key].spans = append(byGang[key].spans, s)
+	}
+	r.Gangs = len(byGang)
+	for _, g := range byGang {
+		r.Short = max(r.Short, g.short())
+	}
+	for _, all := range jobs {
+		r.Overlap = max(r.Overlap, overlap(all))
+	}
+}
+
+// short sums up the time in which some members ran and others did not. Members
+// that finished by themselves count as running until the gang has ended.
+func (g *generation) short() time.Duration {
+	first, last := g.spans[0].Begin, g.spans[0].End
+	for _, s := range g.spans {
+		first = earlier(first, s.Begin)
+		last = later(last, s.End)
+	}
+	if len(g.spans) < g.members {
+		return last.Sub(first)
+	}
+	allFrom, allTo := first, last
+	for _, s := range g.spans {
+		allFrom = later(allFrom, s.Begin)
+		if s.Reason != "finished" {
+			allTo = earlier(allTo, s.End)
+		}
+	}
+	if allTo.Before(allFrom) {
+		return last.Sub(first)
+	}
+	return allFrom.Sub(first) + last.Sub(allTo)
+}
+
+func overlap(all []*generation) time.Duration {
+	var longest time.Duration
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			for _, s := range a.spans {
+				for _, t := range b.spans {
+					longest = max(longest, earlier(s.End, t.End).Sub(later(s.Begin, t.Begin)))
+				}
+			}
+		}
+	}
+	return longest
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,44 @@
+// Package metric names the counters and histograms of the daemon.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// prefix starts the name of every metric.
+const prefix = "rhubarbshore_"
+
+// Outcome counts a request's outcome with its reason.
+func Outcome(outcome, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(prefix+`outcomes_total{outcome=%q,reason=%q}`, outcome, reason)).Inc()
+}
+
+// Refusal counts a refusal by its reason, wherever it is made.
+func Refusal(where, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(prefix+`refusals_total{where=%q,reason=%q}`, where, reason)).Inc()
+}
+
+// Retry counts a repeated attempt by its reason.
+func Retry(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(prefix+`retries_total{reason=%q}`, reason)).Inc()
+}
+
+// Count adds one to a counter without labels.
+func Count(name string) { metrics.GetOrCreateCounter(prefix + name).Inc() }
+
+// Observe adds the time since begun, in seconds, to a histogram.
+func Observe(name string, begun time.Time) {
+	metrics.GetOrCreateHistogram(prefix + name).UpdateDuration(begun)
+}
+
+// Seconds adds a length of time to a histogram.
+func Seconds(name string, d time.Duration) {
+	metrics.GetOrCreateHistogram(prefix + name).Update(d.Seconds())
+}
+
+// Write prints all metrics in the Prometheus text format.
+func Write(w io.Writer) { metrics.WritePrometheus(w, true) }
--- /dev/null
+++ b/internal/peer/members.go
@@ -0,0 +1,421 @@
+// Package peer speaks to the other entry VMs: heartbeats with gossip, requests
+// forwarded to their home, hand-over of keys, configuration and jobs.
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/peer/rpc"
+)
+
+// The states of a member.
+const (
+	Alive   = 0
+	Leaving = 1
+	Gone    = 2
+)
+
+// Tuning of membership.
+const (
+	probeTimeout = time.Second
+	maxGossip    = 12
+	gossipFor    = 15 * time.Second
+	forgetAfter  = time.Minute
+	maxFailed    = 3
+	nearFailed   = 2
+	farEvery     = 4
+	keepLeaving  = 30 * time.Second
+	maxMembers   = 1024
+)
+
+// Self describes this VM to others.
+type Self struct {
+	Name        string
+	Address     string
+	Zone        string
+	Region      string
+	Incarnation int64
+}
+
+// Config constructs Members. Probe is the time between two probes, Suspect how
+// long a VM of the own zone may be silent before it counts as failed.
+type Config struct {
+	Self    Self
+	Client  *http.Client
+	Probe   time.Duration
+	Suspect time.Duration
+	Logger  *slog.Logger
+	// LeftServer is called when a peer tells of a leaving backend server.
+	LeftServer func(name string)
+}
+
+// member is another VM, or this one.
+type member struct {
+	info    *rpc.Member
+	client  rpc.Peer
+	heard   time.Time
+	changed time.Time
+	failed  int
+}
+
+// Members is what this VM knows of all VMs.
+type Members struct {
+	cfg     Config
+	mu      sync.Mutex
+	self    *rpc.Member
+	all     map[string]*member
+	leaving map[string]time.Time
+	turn    int
+	near    int
+	far     int
+}
+
+// NewMembers returns a membership of this VM alone.
+func NewMembers(cfg Config) *Members {
+	return &Members{
+		cfg: cfg, all: map[string]*member{}, leaving: map[string]time.Time{},
+		self: &rpc.Member{
+			Name: cfg.Self.Name, Address: cfg.Self.Address, Zone: cfg.Self.Zone, Region: cfg.Self.Region,
+			Incarnation: cfg.Self.Incarnation, Revision: 1,
+		},
+	}
+}
+
+// Seed adds a VM known from settings or from the platform's list. Heartbeats
+// decide about it from then on.
+func (m *Members) Seed(name, address, zone string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if name == m.cfg.Self.Name || m.all[name] != nil || len(m.all) >= maxMembers {
+		return
+	}
+	m.add(&rpc.Member{Name: name, Address: address, Zone: zone}, time.Time{})
+}
+
+func (m *Members) add(info *rpc.Member, heard time.Time) *member {
+	client := rpc.NewPeerProtobufClient("http://"+info.GetAddress(), m.cfg.Client)
+	v := &member{info: info, client: client, heard: heard, changed: time.Now()}
+	m.all[info.GetName()] = v
+	return v
+}
+
+// Change updates what this VM tells about itself.
+func (m *Members) Change(change func(self *rpc.Member)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, ok := proto.Clone(m.self).(*rpc.Member)
+	change(m.self)
+	if !ok || !proto.Equal(before, m.self) {
+		m.self.Revision++
+	}
+}
+
+// Self returns a copy of what this VM tells about itself.
+func (m *Members) Self() *rpc.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.copySelf()
+}
+
+func (m *Members) copySelf() *rpc.Member {
+	out, _ := proto.Clone(m.self).(*rpc.Member)
+	return out
+}
+
+// TellLeaving spreads that a backend server takes nothing new.
+func (m *Members) TellLeaving(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.leaving[name]; !ok {
+		m.leaving[name] = time.Now()
+	}
+}
+
+// Run probes other VMs until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	ticker := time.NewTicker(m.cfg.Probe)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if v := m.target(); v != nil {
+				go m.probe(ctx, v)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// target is the VM whose turn it is: one of the own zone, now and then another.
+func (m *Members) target() *member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []*member
+	for _, name := range m.names() {
+		v := m.all[name]
+		if v.stale(time.Now()) {
+			delete(m.all, name)
+			continue
+		}
+		if v.info.GetState() == Gone {
+			continue
+		}
+		if v.info.GetZone() == m.cfg.Self.Zone {
+			near = append(near, v)
+		} else {
+			far = append(far, v)
+		}
+	}
+	m.turn++
+	if len(far) > 0 && (len(near) == 0 || m.turn%farEvery == 0) {
+		m.far++
+		return far[m.far%len(far)]
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	m.near++
+	return near[m.near%len(near)]
+}
+
+// stale reports a VM that has not been reached for long.
+func (v *member) stale(now time.Time) bool {
+	return v.failed >= maxFailed && now.Sub(v.heard) > forgetAfter && now.Sub(v.changed) > forgetAfter
+}
+
+// Failed records that a call to the VM did not reach it.
+func (m *Members) Failed(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v := m.all[name]; v != nil {
+		v.failed++
+	}
+}
+
+func (m *Members) names() []string {
+	out := make([]string, 0, len(m.all))
+	for name := range m.all {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// probe exchanges gossip with one VM.
+func (m *Members) probe(ctx context.Context, v *member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply, err := v.client.Probe(ctx, m.gossip())
+	if err != nil {
+		m.Failed(v.info.GetName())
+		metric.Count("peer_probes_failed_total")
+		return
+	}
+	m.Hear(reply)
+}
+
+// gossip is this VM's state and what it learned lately.
+func (m *Members) gossip() *rpc.Gossip {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	out := &rpc.Gossip{Self: m.copySelf()}
+	for _, name := range m.names() {
+		v := m.all[name]
+		if len(out.Members) < maxGossip && now.Sub(v.changed) < gossipFor && v.info.GetIncarnation() != 0 {
+			out.Members = append(out.Members, v.info)
+		}
+	}
+	for name, at := range m.leaving {
+		if now.Sub(at) > keepLeaving {
+			delete(m.leaving, name)
+			continue
+		}
+		if len(out.Leaving) < maxGossip {
+			out.Leaving = append(out.Leaving, &rpc.Leaving{Name: name})
+		}
+	}
+	return out
+}
+
+// Hear takes a peer's gossip in.
+func (m *Members) Hear(g *rpc.Gossip) {
+	now := time.Now()
+	m.mu.Lock()
+	if self := g.GetSelf(); self != nil && self.GetName() != m.cfg.Self.Name {
+		v := m.learn(self)
+		if v != nil && v.info.GetIncarnation() == self.GetIncarnation() {
+			v.heard = now
+			v.failed = 0
+		}
+	}
+	for _, info := range g.GetMembers() {
+		m.learn(info)
+	}
+	var news []string
+	for _, l := range g.GetLeaving() {
+		if _, ok := m.leaving[l.GetName()]; !ok {
+			m.leaving[l.GetName()] = now
+			news = append(news, l.GetName())
+		}
+	}
+	m.mu.Unlock()
+	for _, name := range news {
+		if m.cfg.LeftServer != nil {
+			m.cfg.LeftServer(name)
+		}
+	}
+}
+
+// learn keeps the newest state of a VM: a later incarnation first, then the
+// later revision.
+func (m *Members) learn(info *rpc.Member) *member {
+	if info.GetName() == m.cfg.Self.Name || info.GetName() == "" {
+		return nil
+	}
+	v := m.all[info.GetName()]
+	if v == nil {
+		if len(m.all) >= maxMembers {
+			return nil
+		}
+		return m.add(info, time.Time{})
+	}
+	old := v.info
+	newer := info.GetIncarnation() > old.GetIncarnation() ||
+		info.GetIncarnation() == old.GetIncarnation() && info.GetRevision() > old.GetRevision()
+	if !newer {
+		return v
+	}
+	if old.GetAddress() != info.GetAddress() {
+		return m.add(info, v.heard)
+	}
+	v.info = info
+	v.changed = time.Now()
+	return v
+}
+
+// Peer is another VM as a caller of it sees it.
+type Peer struct {
+	Info   *rpc.Member
+	Client rpc.Peer
+	Heard  time.Time
+}
+
+// Live lists the VMs of a zone that take new work. Of the own zone those count
+// that were heard lately; of others, those not known to have left or failed, the
+// one heard last in front.
+func (m *Members) Live(zone string) []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var out []Peer
+	for _, name := range m.names() {
+		v := m.all[name]
+		if v.info.GetZone() != zone || v.info.GetState() != Alive {
+			continue
+		}
+		if v.info.GetIncarnation() == 0 || m.suspect(v, now) {
+			continue
+		}
+		out = append(out, Peer{Info: v.info, Client: v.client, Heard: v.heard})
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].Heard.After(out[k].Heard) })
+	return out
+}
+
+// suspect reports a VM that seems to have failed. A VM of the own zone is heard
+// often; of another zone, any call that did not reach it counts.
+func (m *Members) suspect(v *member, now time.Time) bool {
+	if v.info.GetZone() == m.cfg.Self.Zone {
+		return v.failed >= nearFailed || now.Sub(v.heard) > m.cfg.Suspect
+	}
+	return v.failed > 0
+}
+
+// All lists every VM known, without this one.
+func (m *Members) All() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Peer
+	for _, name := range m.names() {
+		v := m.all[name]
+		out = append(out, Peer{Info: v.info, Client: v.client, Heard: v.heard})
+	}
+	return out
+}
+
+// Zones lists the zones with a VM, this VM's first.
+func (m *Members) Zones() []string {
+	out := []string{m.cfg.Self.Zone}
+	for _, p := range m.All() {
+		if p.Info.GetState() != Gone && !slices.Contains(out, p.Info.GetZone()) {
+			out = append(out, p.Info.GetZone())
+		}
+	}
+	return out
+}
+
+// Serving finds the VM that answers for a home.
+func (m *Members) Serving(home string) (Peer, bool) {
+	for _, p := range m.All() {
+		if p.Info.GetState() != Gone && slices.Contains(p.Info.GetHomes(), home) {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Placer names the VM that should hold a zone's office: the one with the
+// highest rendezvous weight among the live ones.
+func (m *Members) Placer(zone string) string {
+	best, bestWeight := "", uint64(0)
+	consider := func(name string) {
+		if w := xxhash.Sum64String(zone + "\x00" + name); best == "" || w > bestWeight {
+			best, bestWeight = name, w
+		}
+	}
+	if zone == m.cfg.Self.Zone && m.Self().GetState() == Alive {
+		consider(m.cfg.Self.Name)
+	}
+	for _, p := range m.Live(zone) {
+		consider(p.Info.GetName())
+	}
+	return best
+}
+
+// PlacerOf returns the VM that holds a zone's office by its own account, or
+// else the one that should.
+func (m *Members) PlacerOf(zone string) (Peer, bool) {
+	want := m.Placer(zone)
+	for _, p := range m.Live(zone) {
+		if p.Info.GetSummary() != nil && zone != m.cfg.Self.Zone {
+			return p, true
+		}
+		if p.Info.GetName() == want {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// Summary turns a zone's summary into its message.
+func Summary(s cell.Summary, waiting int) *rpc.Summary {
+	out := &rpc.Summary{Waiting: int32(waiting)}
+	for k := range s.Idle {
+		out.Idle = append(out.Idle, int32(s.Idle[k]))
+		out.Slack = append(out.Slack, int32(s.Slack[k]))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placer/job.go
@@ -0,0 +1,151 @@
+package placer
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/worker"
+	"rhubarbshore/pkg/api"
+)
+
+// job is a job as the placer knows it.
+type job struct {
+	status    api.JobStatus
+	level     int
+	members   []string
+	refs      []worker.Part
+	finished  map[string]bool
+	notBefore time.Time
+	failures  int
+	tries     int
+	// left is the run time that is not yet safe, in seconds.
+	left     float64
+	evicting bool
+	// launching is set while a launch is under way; abort then says why it has
+	// to be undone.
+	launching bool
+	abort     string
+	cancelled bool
+	queued    bool
+	// unseen is set for a job that may run without this placer knowing.
+	unseen bool
+}
+
+// queue holds one customer's waiting jobs, the most worth per accelerator and
+// then the oldest in front.
+type queue struct {
+	customer string
+	jobs     []*job
+}
+
+// reservation keeps a cell for the large job that has waited longest.
+type reservation struct {
+	job  *job
+	cell cell.ID
+}
+
+func newJob(in api.Job, zone string) *job {
+	in.Cells = max(1, in.Cells)
+	in.Accelerators = max(1, in.Accelerators)
+	return &job{
+		status:   api.JobStatus{Job: in, State: api.Queued, Zone: zone, Submitted: time.Now()},
+		level:    cell.Level(in.Accelerators),
+		finished: map[string]bool{},
+		left:     in.Seconds,
+	}
+}
+
+// placed reports whether the job holds cells of the tree.
+func (j *job) placed() bool {
+	return !j.over() && (j.evicting || j.status.State == api.Starting || j.status.State == api.Running)
+}
+
+func (j *job) over() bool { return !j.status.Ended.IsZero() }
+
+func (j *job) has(worker string) bool { return slices.Contains(j.members, worker) }
+
+// density orders a customer's jobs.
+func (j *job) density() float64 {
+	return j.status.Job.Worth / float64(j.status.Job.Cells*cell.Size(j.level))
+}
+
+// enqueue makes the job wait.
+func (p *Placer) enqueue(j *job) {
+	p.jobs[j.status.Job.ID] = j
+	if j.queued {
+		return
+	}
+	j.queued = true
+	p.dirty = true
+	name := j.status.Job.Customer
+	q := p.queues[name]
+	if q == nil {
+		q = &queue{customer: name}
+		p.queues[name] = q
+	}
+	q.insert(j)
+}
+
+func (q *queue) insert(j *job) {
+	i := sort.Search(len(q.jobs), func(i int) bool {
+		o := q.jobs[i]
+		if o.density() != j.density() {
+			return o.density() < j.density()
+		}
+		return o.status.Submitted.After(j.status.Submitted)
+	})
+	q.jobs = slices.Insert(q.jobs, i, j)
+}
+
+// unqueue takes the job out of its customer's queue.
+func (p *Placer) unqueue(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	q := p.queues[j.status.Job.Customer]
+	q.jobs = slices.DeleteFunc(q.jobs, func(o *job) bool { return o == j })
+}
+
+// requeue stops the gang, if it runs, and makes the job wait again. A launch
+// under way is left to undo itself: only it knows which calls it has sent.
+func (p *Placer) requeue(j *job, reason string) {
+	if j.over() {
+		return
+	}
+	if j.launching {
+		j.abort = reason
+		return
+	}
+	p.dirty = true
+	if j.placed() {
+		p.tree.Release(j.status.Job.ID)
+		p.stopGang(j)
+	}
+	if j.cancelled {
+		p.ended(j, api.Cancelled, "caller")
+		return
+	}
+	j.evicting = false
+	j.abort = ""
+	j.members = nil
+	j.refs = nil
+	j.finished = map[string]bool{}
+	j.status.State = api.Queued
+	j.status.Reason = reason
+	j.status.Workers = nil
+	j.status.Class = ""
+	j.tries++
+	p.enqueue(j)
+	p.cfg.Logger.Info("job waits again", "job", j.status.Job.ID, "customer", j.status.Job.Customer, "reason", reason)
+}
+
+// backOff sets the earliest time of the next try.
+func (j *job) backOff(now time.Time) {
+	pause := min(firstBackOff<<min(j.tries, 10), maxBackOff)
+	if at := now.Add(pause); at.After(j.notBefore) {
+		j.notBefore = at
+	}
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,291 @@
+// Package placer decides in one availability zone which job runs on which
+// accelerators, and starts, renews and stops gangs on the workers.
+//
+// Every VM of the zone has a Placer, one of which holds office at a time. The
+// office is only for speed: what keeps two placers apart is the fence that each
+// worker enforces. All state can be rebuilt from the workers' lease tables, and
+// nothing here waits for the platform's log.
+package placer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/ring"
+	"rhubarbshore/internal/worker"
+	"rhubarbshore/pkg/api"
+)
+
+// Tuning of the placer.
+const (
+	events      = 4096
+	tick        = 100 * time.Millisecond
+	callTimeout = time.Second
+	maxJobs     = 20_000
+	keepEnded   = 10 * time.Minute
+	sweepEvery  = 200 * time.Millisecond
+)
+
+// Errors of the placer. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("placer")
+	// ErrNoOffice: this VM is not the zone's placer.
+	ErrNoOffice = errorx.NewType(namespace, "nooffice").New("this VM is not the zone's placer")
+	// ErrFull: the placer has more to do than it may queue.
+	ErrFull = errorx.NewType(namespace, "full").New("the placer's queue is full")
+)
+
+// Worker is what the placer needs of a worker.
+type Worker interface {
+	Fence(ctx context.Context, f worker.Fence) (worker.Table, error)
+	Hold(ctx context.Context, f worker.Fence, l worker.Lease, term time.Duration) error
+	Start(ctx context.Context, f worker.Fence, job string, generation uint64, term time.Duration) error
+	Renew(ctx context.Context, f worker.Fence, term time.Duration) (worker.Renewal, error)
+	Checkpoint(ctx context.Context, f worker.Fence, job string, generation uint64) error
+	Stop(ctx context.Context, f worker.Fence, job string, generation uint64) error
+}
+
+// Config constructs a Placer.
+type Config struct {
+	VM   string
+	Zone string
+	// Term is the term of a running lease, Renew the time between renewals.
+	Term  time.Duration
+	Renew time.Duration
+	// Hold is the term of a lease that is held but not started.
+	Hold time.Duration
+	// Checkpoint bounds the time that a reclaimed job gets to save its work.
+	Checkpoint time.Duration
+	// Lost is how long a worker may be silent before its gangs are given up.
+	Lost time.Duration
+	// Drift is the most by which clocks may differ over a term.
+	Drift  time.Duration
+	Logger *slog.Logger
+	// Journal keeps accepted jobs; nil keeps none.
+	Journal Journal
+
+	// Unsafe switches single mechanisms off, for tests that show what they
+	// prevent.
+	Unsafe Unsafe
+}
+
+// Unsafe names mechanisms that tests switch off.
+type Unsafe struct {
+	// NoFence reuses one fence for all placers.
+	NoFence bool
+	// NoHold starts members without holding all of them first.
+	NoHold bool
+	// NoRecheck sends after a pause without checking deadlines again.
+	NoRecheck bool
+}
+
+// Listed is a worker as the platform lists it.
+type Listed struct {
+	Name   string
+	Client Worker
+}
+
+// Placer is one VM's placer. Its goroutine, Run, owns all state.
+type Placer struct {
+	cfg    Config
+	events *ring.Ring[func()]
+
+	office  bool
+	ready   bool
+	since   time.Time
+	epoch   uint64
+	tree    *cell.Tree
+	layout  cell.Config
+	jobsMax map[string]int
+	workers map[string]*member
+	jobs    map[string]*job
+	queues  map[string]*queue
+	found   map[string]*gang
+	kept    *reservation
+	reading bool
+	read    bool
+	// dirty is set when something may have become placeable.
+	dirty bool
+	swept time.Time
+	stray []api.Job
+}
+
+// New returns a placer without office. Run serves it.
+func New(cfg Config) *Placer {
+	p := &Placer{cfg: cfg, events: ring.New[func()](events), workers: map[string]*member{}}
+	p.reset()
+	return p
+}
+
+// reset forgets all that is rebuilt on taking office.
+func (p *Placer) reset() {
+	p.ready = false
+	p.read = false
+	p.reading = false
+	p.jobs = map[string]*job{}
+	p.queues = map[string]*queue{}
+	p.found = map[string]*gang{}
+	p.kept = nil
+	p.tree = cell.NewTree(p.layout)
+	for _, w := range p.workers {
+		w.reset()
+	}
+}
+
+// post queues work for the placer's goroutine.
+func (p *Placer) post(event func()) {
+	for p.events.Put(event) != nil {
+		metric.Count("placer_ring_full_total")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// ask runs event on the placer's goroutine and waits for it.
+func (p *Placer) ask(ctx context.Context, event func()) error {
+	done := make(chan struct{})
+	if err := p.events.Put(func() { event(); close(done) }); err != nil {
+		return ErrFull
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run serves the placer until ctx ends. It does not stop any job.
+func (p *Placer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case event := <-p.events.Items():
+			p.pause(&last)
+			event()
+		case <-ticker.C:
+			p.pause(&last)
+			p.onTick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+		if p.office && p.ready && p.dirty {
+			p.dirty = false
+			p.schedule(time.Now())
+		}
+	}
+}
+
+// pause notices that this process stood still: what it knew about leases may
+// be out of date, so that every worker is fenced again before anything is sent.
+func (p *Placer) pause(last *time.Time) {
+	now := time.Now()
+	gap := now.Sub(*last)
+	*last = now
+	if gap < p.cfg.Lost || !p.office || p.cfg.Unsafe.NoRecheck {
+		return
+	}
+	metric.Count("placer_pauses_total")
+	p.takeOffice(now)
+}
+
+// SetOffice tells the placer whether this VM should decide for the zone.
+func (p *Placer) SetOffice(office bool) {
+	p.post(func() {
+		if office == p.office {
+			return
+		}
+		p.office = office
+		if office {
+			p.takeOffice(time.Now())
+			return
+		}
+		p.leaveOffice()
+	})
+}
+
+// SetLayout replaces the zone's layout and guarantees. Running jobs keep their
+// cells where these still exist.
+func (p *Placer) SetLayout(layout cell.Config, waiting map[string]int) {
+	p.post(func() {
+		p.layout = layout
+		p.jobsMax = waiting
+		p.replant()
+	})
+}
+
+// SetWorkers takes over the platform's list of the zone's workers.
+func (p *Placer) SetWorkers(all []Listed) {
+	p.post(func() {
+		seen := map[string]bool{}
+		for _, l := range all {
+			seen[l.Name] = true
+			if p.workers[l.Name] == nil {
+				p.workers[l.Name] = &member{name: l.Name, client: l.Client, down: true}
+			}
+		}
+		for name, w := range p.workers {
+			if !seen[name] && w.down {
+				delete(p.workers, name)
+			}
+		}
+	})
+}
+
+// onTick does what is due.
+func (p *Placer) onTick(now time.Time) {
+	if !p.office {
+		return
+	}
+	for _, w := range p.workers {
+		p.visit(w, now)
+	}
+	p.settle(now)
+	p.readJournal(now)
+	p.sweep(now)
+	p.forgetEnded(now)
+}
+
+// sweep has all waiting jobs looked at again from time to time, since a pause
+// or a back-off may have ended.
+func (p *Placer) sweep(now time.Time) {
+	if now.Sub(p.swept) >= sweepEvery {
+		p.swept = now
+		p.dirty = true
+	}
+}
+
+// forgetEnded drops jobs that ended a while ago.
+func (p *Placer) forgetEnded(now time.Time) {
+	for id, j := range p.jobs {
+		if j.over() && now.Sub(j.status.Ended) > keepEnded {
+			delete(p.jobs, id)
+		}
+	}
+}
+
+// call bounds a call to a worker.
+func call(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), timeout)
+}
+
+// doubtful reports whether the call may have taken effect all the same.
+func doubtful(err error) bool {
+	return err != nil && !errors.Is(err, worker.ErrUnsent) && !errors.Is(err, worker.ErrRefused) && !errors.Is(err, worker.ErrFenced)
+}
+
+// ended marks a job as over.
+func (p *Placer) ended(j *job, state api.State, reason string) {
+	j.status.State = state
+	j.status.Reason = reason
+	j.status.Ended = time.Now()
+	metric.Refusal("job", string(state)+"-"+reason)
+	p.journalEnd(j)
+}
--- /dev/null
+++ b/internal/placer/serve.go
@@ -0,0 +1,259 @@
+package placer
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/pkg/api"
+)
+
+// Reasons given with a refused job.
+const (
+	reasonInfeasible = "infeasible"
+	reasonCustomer   = "customer"
+	reasonGuarantee  = "guarantee"
+	reasonFull       = "full"
+)
+
+// Submit accepts a job, or says why it will never run. A job that is known
+// already is not taken in twice.
+func (p *Placer) Submit(ctx context.Context, in api.Job) (api.JobStatus, error) {
+	var status api.JobStatus
+	var fresh *job
+	var failure error
+	err := p.ask(ctx, func() {
+		if !p.office {
+			failure = ErrNoOffice
+			return
+		}
+		if j := p.jobs[in.ID]; j != nil {
+			status = j.status
+			return
+		}
+		j := newJob(in, p.cfg.Zone)
+		status = j.status
+		if reason := p.refuse(j); reason != "" {
+			metric.Refusal("job", reason)
+			status.State, status.Reason, status.Ended = api.Refused, reason, time.Now()
+			return
+		}
+		fresh = j
+		p.enqueue(j)
+	})
+	if err != nil || failure != nil || fresh == nil {
+		return status, firstError(failure, err)
+	}
+	return p.journalAccept(ctx, fresh, status)
+}
+
+// journalAccept writes the job to the log. While the log is out the job is
+// held in memory and the status says so.
+func (p *Placer) journalAccept(ctx context.Context, j *job, status api.JobStatus) (api.JobStatus, error) {
+	if p.cfg.Journal == nil || p.cfg.Journal.Accept(ctx, status.Job) != nil {
+		return status, nil
+	}
+	status.Durable = true
+	err := p.ask(ctx, func() {
+		j.status.Durable = true
+		if j.over() {
+			p.journalEnd(j)
+		}
+	})
+	return status, err
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// refuse names the reason why the job can never run here, if there is one.
+func (p *Placer) refuse(j *job) string {
+	in := j.status.Job
+	limit, known := p.jobsMax[in.Customer]
+	if !known {
+		return reasonCustomer
+	}
+	if !p.tree.Feasible(j.level, in.Cells) {
+		return reasonInfeasible
+	}
+	if in.Class == string(cell.Guaranteed) && !p.guaranteed(j) {
+		return reasonGuarantee
+	}
+	if len(p.jobs) >= maxJobs || p.waiting(in.Customer) >= limit {
+		return reasonFull
+	}
+	return ""
+}
+
+// guaranteed reports whether the customer's guarantees could ever hold the job.
+func (p *Placer) guaranteed(j *job) bool {
+	room := 0
+	for _, u := range p.tree.Units() {
+		if u.Customer() == j.status.Job.Customer && u.Level() >= j.level {
+			room += cell.Size(u.Level() - j.level)
+		}
+	}
+	return room >= j.status.Job.Cells
+}
+
+func (p *Placer) waiting(customer string) int {
+	if q := p.queues[customer]; q != nil {
+		return len(q.jobs)
+	}
+	return 0
+}
+
+// Cancel ends a job. A gang that is starting or running is stopped whole.
+func (p *Placer) Cancel(ctx context.Context, id string) (api.JobStatus, error) {
+	var status api.JobStatus
+	var failure error
+	err := p.ask(ctx, func() {
+		j := p.jobs[id]
+		if !p.office || j == nil {
+			failure = ErrNoOffice
+			return
+		}
+		p.cancel(j)
+		status = j.status
+	})
+	return status, firstError(failure, err)
+}
+
+func (p *Placer) cancel(j *job) {
+	if j.over() {
+		return
+	}
+	j.cancelled = true
+	switch {
+	case j.evicting || j.launching:
+		// The launch or the reclaim under way ends it.
+	case j.status.State == api.Running:
+		p.requeue(j, "cancelled")
+	default:
+		p.unqueue(j)
+		p.ended(j, api.Cancelled, "caller")
+	}
+}
+
+// Jobs lists the jobs that the placer knows.
+func (p *Placer) Jobs(ctx context.Context) (api.JobList, error) {
+	var out api.JobList
+	err := p.ask(ctx, func() {
+		for _, j := range p.jobs {
+			out.Jobs = append(out.Jobs, j.status)
+		}
+	})
+	sort.Slice(out.Jobs, func(i, k int) bool { return out.Jobs[i].Job.ID < out.Jobs[k].Job.ID })
+	return out, err
+}
+
+// Workers lists the zone's workers.
+func (p *Placer) Workers(ctx context.Context) (api.WorkerList, error) {
+	var out api.WorkerList
+	err := p.ask(ctx, func() {
+		used := map[string]int{}
+		leases := map[string]int{}
+		for _, j := range p.jobs {
+			if !j.placed() {
+				continue
+			}
+			for _, name := range j.members {
+				leases[name]++
+				used[name] += len(j.refs) * cell.Size(j.level) / len(j.members)
+			}
+		}
+		for _, r := range p.layout.Racks {
+			for _, w := range r.Workers {
+				out.Workers = append(out.Workers, api.Worker{
+					Name: w.Name, Zone: p.cfg.Zone, State: p.stateOf(w.Name), Accelerators: w.Accelerators,
+					Used: used[w.Name], Leases: leases[w.Name],
+				})
+			}
+		}
+	})
+	return out, err
+}
+
+func (p *Placer) stateOf(name string) string {
+	w := p.workers[name]
+	switch {
+	case w == nil:
+		return "absent"
+	case time.Now().Before(w.banned):
+		return "quarantined"
+	case w.down:
+		return "lost"
+	case w.doubt:
+		return "doubtful"
+	}
+	return "live"
+}
+
+// Customers lists the zone's customers with what they hold of their guarantees.
+func (p *Placer) Customers(ctx context.Context) (api.CustomerList, error) {
+	var out api.CustomerList
+	err := p.ask(ctx, func() {
+		at := map[string]int{}
+		for _, name := range sortedNames(p.jobsMax) {
+			at[name] = len(out.Customers)
+			out.Customers = append(out.Customers, api.Customer{Name: name, Zone: p.cfg.Zone})
+		}
+		for _, u := range p.tree.Units() {
+			i, ok := at[u.Customer()]
+			if !ok {
+				continue
+			}
+			c := &out.Customers[i]
+			c.Guaranteed += cell.Size(u.Level())
+			if _, bound := u.Bound(); bound {
+				c.Bound += cell.Size(u.Level())
+			}
+			if u.Suspended() {
+				c.Suspended += cell.Size(u.Level())
+			}
+		}
+	})
+	return out, err
+}
+
+// Stray returns, once, the jobs that a lost office left with this process only.
+func (p *Placer) Stray(ctx context.Context) []api.Job {
+	var out []api.Job
+	_ = p.ask(ctx, func() {
+		out = p.stray
+		p.stray = nil
+	})
+	return out
+}
+
+// Summary tells what the zone could take, and how many jobs wait. It reports
+// false without office.
+func (p *Placer) Summary(ctx context.Context) (cell.Summary, int, bool) {
+	var s cell.Summary
+	waiting, ok := 0, false
+	err := p.ask(ctx, func() {
+		if !p.office || !p.ready {
+			return
+		}
+		ok = true
+		s = p.tree.Summary()
+		for _, q := range p.queues {
+			waiting += len(q.jobs)
+		}
+	})
+	return s, waiting, ok && err == nil
+}
+
+// Ready reports whether this VM holds office and has rebuilt its state.
+func (p *Placer) Ready(ctx context.Context) bool {
+	_, _, ok := p.Summary(ctx)
+	return ok
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,286 @@
+// Package route chooses the backend server of a request and limits what this
+// VM asks of each.
+//
+// Slots and connections of a backend server are shared by all entry VMs, which
+// don't talk about it. Each keeps to its share of the connections, and for the
+// slots finds its limit by itself: a refusal for lack of a slot halves it, full
+// use without refusal raises it.
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Tuning of the router.
+const (
+	minLimit      = 1.0
+	backoff       = 0.5
+	raise         = 0.25
+	smoothing     = 0.2
+	firstLatency  = 0.05
+	failThreshold = 0.5
+	poolThreshold = 0.25
+	minSamples    = 8
+	firstEjection = 2 * time.Second
+	maxEjection   = time.Minute
+	maxEjected    = 0.5
+)
+
+// Server is one backend server as this VM knows it. The queue's goroutine owns
+// it.
+type Server struct {
+	name     string
+	address  string
+	zone     string
+	leaving  bool
+	inflight int
+	limit    float64
+	latency  float64
+	failures float64
+	samples  int
+	ejected  time.Time
+	times    int
+}
+
+// Name returns the server's name in the platform's list.
+func (s *Server) Name() string { return s.name }
+
+// Address returns the URL that requests are sent to.
+func (s *Server) Address() string { return s.address }
+
+// Listed is a backend server as the platform lists it.
+type Listed struct {
+	Name    string
+	Address string
+	Zone    string
+	Leaving bool
+}
+
+// Result is how an attempt ended, as far as routing is concerned.
+type Result int
+
+// The results of an attempt.
+const (
+	// OK: a whole answer came.
+	OK Result = iota
+	// Failed: the server reported a failure.
+	Failed
+	// Busy: the server had no slot.
+	Busy
+	// Leaving: the server takes nothing new.
+	Leaving
+	// Lost: no usable answer came.
+	Lost
+)
+
+// Config constructs a Router. Connections is this VM's share of a server's
+// connections.
+type Config struct {
+	Zone        string
+	Slots       int
+	Connections int
+}
+
+// Router holds the servers of one service.
+type Router struct {
+	cfg     Config
+	servers []*Server
+	byName  map[string]*Server
+	random  bool
+}
+
+// New returns a router that knows no server yet.
+func New(cfg Config) *Router { return &Router{cfg: cfg, byName: map[string]*Server{}} }
+
+// SetLimits changes what a server offers to this VM.
+func (r *Router) SetLimits(slots, connections int) {
+	r.cfg.Slots, r.cfg.Connections = slots, max(1, connections)
+}
+
+// Update takes over the platform's list. A server known to be leaving stays so
+// even if the list, which lags, still shows it as live.
+func (r *Router) Update(all []Listed) {
+	seen := map[string]bool{}
+	for _, l := range all {
+		seen[l.Name] = true
+		s := r.byName[l.Name]
+		if s == nil || s.address != l.Address {
+			s = &Server{name: l.Name, address: l.Address, zone: l.Zone, limit: minLimit, latency: firstLatency}
+			r.byName[l.Name] = s
+		}
+		s.leaving = s.leaving || l.Leaving
+	}
+	r.servers = r.servers[:0]
+	for _, l := range all {
+		r.servers = append(r.servers, r.byName[l.Name])
+	}
+	for name := range r.byName {
+		if !seen[name] {
+			delete(r.byName, name)
+		}
+	}
+}
+
+// MarkLeaving stops new work for the server at once. It reports whether that
+// was news.
+func (r *Router) MarkLeaving(name string) bool {
+	s := r.byName[name]
+	if s == nil || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// cap is the most requests that this VM may have under way at the server.
+func (r *Router) cap(s *Server) int {
+	return max(1, min(int(s.limit), r.cfg.Slots, r.cfg.Connections))
+}
+
+func (r *Router) open(s *Server, now time.Time) bool {
+	return !s.leaving && now.After(s.ejected) && s.inflight < r.cap(s)
+}
+
+// Pick takes the better of two servers drawn at random, this zone's first.
+// Servers in tried are left out unless there is no other.
+func (r *Router) Pick(now time.Time, tried []string) *Server {
+	for _, own := range []bool{true, false} {
+		if s := r.pickIn(now, tried, own); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func (r *Router) pickIn(now time.Time, tried []string, own bool) *Server {
+	var best *Server
+	found := 0
+	n := len(r.servers)
+	if n == 0 {
+		return nil
+	}
+	start := rand.IntN(n)
+	step := coprime(n)
+	for i := 0; i < n && found < 2; i++ {
+		s := r.servers[(start+i*step)%n]
+		if (s.zone == r.cfg.Zone) != own || !r.open(s, now) || contains(tried, s.name) {
+			continue
+		}
+		found++
+		if best == nil || !r.random && score(s) < score(best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// coprime draws a step that visits every index of a ring of n once.
+func coprime(n int) int {
+	for {
+		step := 1 + rand.IntN(n)
+		if gcd(step, n) == 1 {
+			return step
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func contains(list []string, name string) bool {
+	for _, v := range list {
+		if v == name {
+			return true
+		}
+	}
+	return false
+}
+
+// score is the expected wait at the server: the lower, the better.
+func score(s *Server) float64 { return float64(s.inflight+1) / s.limit * s.latency }
+
+// Begin counts an attempt under way.
+func (r *Router) Begin(s *Server) { s.inflight++ }
+
+// End counts the attempt as over and learns from it.
+func (r *Router) End(s *Server, result Result, took time.Duration, now time.Time) {
+	full := s.inflight >= r.cap(s)
+	s.inflight--
+	switch result {
+	case Busy:
+		s.limit = max(minLimit, s.limit*backoff)
+		return
+	case Leaving:
+		s.leaving = true
+		return
+	case OK, Failed:
+		s.latency += smoothing * (took.Seconds() - s.latency)
+		if full {
+			s.limit = min(float64(r.cfg.Slots), s.limit+raise)
+		}
+	case Lost:
+	}
+	r.judge(s, result, now)
+}
+
+// judge ejects a server that fails much more than the pool does.
+func (r *Router) judge(s *Server, result Result, now time.Time) {
+	failed := 0.0
+	if result != OK {
+		failed = 1
+	}
+	s.samples++
+	s.failures += smoothing * (failed - s.failures)
+	if s.samples < minSamples || s.failures < failThreshold || !r.mayEject(s, now) {
+		return
+	}
+	pause := min(maxEjection, firstEjection<<min(s.times, 10))
+	s.times++
+	s.ejected = now.Add(pause/2 + rand.N(pause/2))
+	s.limit = minLimit
+	s.failures = 0
+	s.samples = 0
+}
+
+// mayEject keeps at least half of the servers and spares them all if the whole
+// pool fails.
+func (r *Router) mayEject(s *Server, now time.Time) bool {
+	out, rest := 1, 0.0
+	for _, o := range r.servers {
+		if o == s {
+			continue
+		}
+		rest += o.failures
+		if now.Before(o.ejected) {
+			out++
+		}
+	}
+	n := len(r.servers)
+	return n > 1 && float64(out) <= maxEjected*float64(n) && rest/float64(n-1) < poolThreshold
+}
+
+// Capacity is the number of requests that this VM may have under way in all.
+func (r *Router) Capacity(now time.Time) int {
+	n := 0
+	for _, s := range r.servers {
+		if !s.leaving && now.After(s.ejected) {
+			n += r.cap(s)
+		}
+	}
+	return n
+}
+
+// Free reports whether any server could take a request now.
+func (r *Router) Free(now time.Time) bool {
+	for _, s := range r.servers {
+		if r.open(s, now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,162 @@
+// Package settings is a process's own settings: its addresses, its availability
+// zone, its logs and its deadlines. What customers get is configuration, which
+// is published and lives in package config.
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/pelletier/go-toml/v2"
+
+	"rhubarbshore/internal/config"
+)
+
+// ErrInvalid is matched by every error about the text of a settings file.
+var ErrInvalid = errorx.NewType(errorx.NewNamespace("settings"), "invalid").New("the settings are not valid")
+
+// Settings are the settings of one entry VM's daemon.
+type Settings struct {
+	Name   string `toml:"name"`
+	Zone   string `toml:"zone"`
+	Region string `toml:"region"`
+	// Listen is the address to listen on, Address the one that others use.
+	Listen  string `toml:"listen"`
+	Address string `toml:"address"`
+	// Log and List are the URLs of the platform's services.
+	Log  string `toml:"log"`
+	List string `toml:"list"`
+	// Peers are addresses of other entry VMs, for when the list is out.
+	Peers     []Peer    `toml:"peers"`
+	Logging   Logging   `toml:"logging"`
+	Deadlines Deadlines `toml:"deadlines"`
+	Limits    Limits    `toml:"limits"`
+}
+
+// Peer is another entry VM.
+type Peer struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+	Zone    string `toml:"zone"`
+}
+
+// Logging selects what is logged and how.
+type Logging struct {
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
+}
+
+// Deadlines bounds how long things take.
+type Deadlines struct {
+	Probe      config.Duration `toml:"probe"`
+	Suspect    config.Duration `toml:"suspect"`
+	Term       config.Duration `toml:"term"`
+	Renew      config.Duration `toml:"renew"`
+	Hold       config.Duration `toml:"hold"`
+	Checkpoint config.Duration `toml:"checkpoint"`
+	Lost       config.Duration `toml:"lost"`
+	Drift      config.Duration `toml:"drift"`
+	Poll       config.Duration `toml:"poll"`
+	Restate    config.Duration `toml:"restate"`
+	List       config.Duration `toml:"list"`
+	Ticket     config.Duration `toml:"ticket"`
+	Keep       config.Duration `toml:"keep"`
+	Drain      config.Duration `toml:"drain"`
+	Stop       config.Duration `toml:"stop"`
+}
+
+// Limits bounds tables.
+type Limits struct {
+	Keys    int `toml:"keys"`
+	Bytes   int `toml:"bytes"`
+	Claims  int `toml:"claims"`
+	Callers int `toml:"callers"`
+}
+
+// Default returns settings that suit an entry VM, without names and addresses.
+func Default() Settings {
+	return Settings{
+		Logging: Logging{Level: "info", Format: "text"},
+		Deadlines: Deadlines{
+			Probe:      config.Duration(500 * time.Millisecond),
+			Suspect:    config.Duration(2 * time.Second),
+			Term:       config.Duration(time.Minute),
+			Renew:      config.Duration(20 * time.Second),
+			Hold:       config.Duration(6 * time.Second),
+			Checkpoint: config.Duration(2 * time.Second),
+			Lost:       config.Duration(10 * time.Second),
+			Drift:      config.Duration(time.Second),
+			Poll:       config.Duration(time.Second),
+			Restate:    config.Duration(10 * time.Minute),
+			List:       config.Duration(2 * time.Second),
+			Ticket:     config.Duration(10 * time.Minute),
+			Keep:       config.Duration(24 * time.Hour),
+			Drain:      config.Duration(2 * time.Second),
+			Stop:       config.Duration(time.Minute),
+		},
+		Limits: Limits{Keys: 200_000, Bytes: 16 << 20, Claims: 200_000, Callers: 20_000},
+	}
+}
+
+// Load reads a settings file over the defaults.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(filepath.Clean(path))
+	if err != nil {
+		return Settings{}, errorx.Decorate(err, "settings")
+	}
+	return Parse(path, string(text))
+}
+
+// Parse reads the text of a settings file over the defaults.
+func Parse(name, text string) (Settings, error) {
+	s := Default()
+	d := toml.NewDecoder(strings.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, errors.Join(ErrInvalid, errorx.Decorate(locate(err), "%s", name))
+	}
+	return s, s.Check()
+}
+
+// locate makes an error of the decoder tell lines and keys.
+func locate(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return errorx.IllegalArgument.New("unknown keys:\n%s", strict.String())
+	}
+	var syntax *toml.DecodeError
+	if errors.As(err, &syntax) {
+		return errorx.IllegalArgument.New("%s", syntax.String())
+	}
+	return err
+}
+
+// Check reports all settings that are missing or don't fit together.
+func (s Settings) Check() error {
+	var faults []string
+	need := func(ok bool, text string) {
+		if !ok {
+			faults = append(faults, text)
+		}
+	}
+	need(s.Name != "" && !strings.ContainsAny(s.Name, ".~"), "name: a name without . and ~ is needed")
+	need(s.Zone != "", "zone: the availability zone is needed")
+	need(s.Listen != "", "listen: an address to listen on is needed")
+	need(s.Address != "", "address: the address that others use is needed")
+	need(s.Log != "", "log: the URL of the platform's log is needed")
+	need(s.List != "", "list: the URL of the platform's list is needed")
+	d := s.Deadlines
+	need(d.Renew > 0 && 2*d.Renew <= d.Term, "deadlines.renew: above 0, at most half of deadlines.term")
+	need(d.Lost+d.Renew+d.Drift < d.Term, "deadlines.lost: with renew and drift it must be below deadlines.term")
+	need(d.Hold >= config.Duration(2*time.Second), "deadlines.hold: at least 2s")
+	need(d.Probe > 0 && d.Suspect >= 2*d.Probe, "deadlines.suspect: at least twice deadlines.probe")
+	need(d.Keep >= 2*d.Ticket, "deadlines.keep: at least twice deadlines.ticket")
+	need(s.Limits.Keys > 0 && s.Limits.Claims > 0 && s.Limits.Callers > 0, "limits: all above 0")
+	if len(faults) == 0 {
+		return nil
+	}
+	return errors.Join(ErrInvalid, errorx.IllegalArgument.New("%s", strings.Join(faults, "\n")))
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,284 @@
+// Package site runs a whole small site on loopback inside one process: the
+// platform, workers and minions as stand-ins, and real entry VM daemons. The
+// demo and the tests use it.
+package site
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/daemon"
+	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/settings"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// Config constructs a Site. Each overlay of Files is an availability zone with
+// VMs entry VMs and Minions minions.
+type Config struct {
+	Files     config.Files
+	VMs       int
+	Minions   int
+	Work      time.Duration
+	Logger    *slog.Logger
+	Deadlines settings.Deadlines
+}
+
+// Site is a running site.
+type Site struct {
+	Platform *standin.Platform
+	Workers  map[string]*standin.Worker
+	Minions  map[string]*standin.Minion
+	VMs      map[string]*daemon.Daemon
+
+	cfg     Config
+	zones   []string
+	log     string
+	servers []*http.Server
+}
+
+// Deadlines are short ones, for a site on one machine.
+func Deadlines() settings.Deadlines {
+	d := settings.Default().Deadlines
+	d.Probe = config.Duration(100 * time.Millisecond)
+	d.Suspect = config.Duration(600 * time.Millisecond)
+	d.Term = config.Duration(6 * time.Second)
+	d.Renew = config.Duration(500 * time.Millisecond)
+	d.Hold = config.Duration(3 * time.Second)
+	d.Lost = config.Duration(2 * time.Second)
+	d.Drift = config.Duration(200 * time.Millisecond)
+	d.Poll = config.Duration(200 * time.Millisecond)
+	d.List = config.Duration(300 * time.Millisecond)
+	d.Drain = config.Duration(200 * time.Millisecond)
+	d.Stop = config.Duration(10 * time.Second)
+	return d
+}
+
+// Start runs the site's stand-ins and daemons.
+func Start(cfg Config) (*Site, error) {
+	s := &Site{
+		Platform: standin.NewPlatform(standin.PlatformConfig{}), Workers: map[string]*standin.Worker{},
+		Minions: map[string]*standin.Minion{}, VMs: map[string]*daemon.Daemon{}, cfg: cfg,
+	}
+	for zone := range cfg.Files.Overlays {
+		s.zones = append(s.zones, zone)
+	}
+	sort.Strings(s.zones)
+	address, err := s.serve(s.Platform.Handler(), nil)
+	if err != nil {
+		return nil, err
+	}
+	s.log = "http://" + address
+	for _, zone := range s.zones {
+		if err := s.startZone(zone); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// listen opens a free port of the loopback interface.
+func listen() (net.Listener, error) {
+	var c net.ListenConfig
+	listener, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errorx.Decorate(err, "listen")
+	}
+	return listener, nil
+}
+
+// serve listens on a free port of the loopback interface.
+func (s *Site) serve(h http.Handler, track func(net.Conn, http.ConnState)) (string, error) {
+	listener, err := listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ConnState: track, ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (s *Site) startZone(zone string) error {
+	cfg, err := s.cfg.Files.Site(zone)
+	if err != nil {
+		return err
+	}
+	if err := s.startWorkers(zone, cfg); err != nil {
+		return err
+	}
+	if err := s.startMinions(zone, cfg); err != nil {
+		return err
+	}
+	for i := range s.cfg.VMs {
+		if err := s.StartVM(zone, fmt.Sprintf("%s-vm%d", zone, i+1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startWorkers(zone string, cfg *config.Config) error {
+	var all []*standin.Worker
+	var names []string
+	for _, rack := range cfg.Site.Racks(zone) {
+		for _, w := range rack.Workers {
+			v := standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: w.Accelerators})
+			s.Workers[w.Name] = v
+			all = append(all, v)
+			names = append(names, w.Name)
+		}
+	}
+	address, err := s.serve(standin.NewWorkers(all).Handler(), nil)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		s.Platform.Put(platform.Instance{
+			Name: name, Role: platform.RoleWorker, Zone: zone, Address: "http://" + address + "/workers/" + name, State: platform.StateLive,
+		})
+	}
+	return nil
+}
+
+func (s *Site) startMinions(zone string, cfg *config.Config) error {
+	for name, service := range cfg.Services {
+		for i := range s.cfg.Minions {
+			m := standin.NewMinion(standin.MinionConfig{
+				Name: fmt.Sprintf("%s-%s%d", zone, name, i+1), Slots: service.Slots, Connections: service.Connections, Work: s.cfg.Work,
+			})
+			address, err := s.serve(m.Handler(), m.Track)
+			if err != nil {
+				return err
+			}
+			s.Minions[m.Name()] = m
+			s.Platform.Put(platform.Instance{
+				Name: m.Name(), Role: platform.RoleMinion, Zone: zone, Service: name, Address: "http://" + address, State: platform.StateLive,
+			})
+		}
+	}
+	return nil
+}
+
+// StartVM starts one more entry VM.
+func (s *Site) StartVM(zone, name string) error {
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	set := settings.Default()
+	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
+	set.Log, set.List = s.log, s.log
+	set.Deadlines = s.cfg.Deadlines
+	d, err := daemon.New(set, s.cfg.Logger)
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	s.VMs[name] = d
+	s.Platform.Put(platform.Instance{Name: name, Role: platform.RoleEntry, Zone: zone, Address: address, State: platform.StateLive})
+	return nil
+}
+
+// Zones lists the availability zones.
+func (s *Site) Zones() []string { return s.zones }
+
+// URL is the platform's, for daemons that run outside this process.
+func (s *Site) URL() string { return s.log }
+
+// Addresses lists the daemons' addresses by VM name.
+func (s *Site) Addresses() []string {
+	var names []string
+	for name := range s.VMs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var out []string
+	for _, name := range names {
+		out = append(out, s.VMs[name].Address())
+	}
+	return out
+}
+
+// Client returns a client that knows all daemons.
+func (s *Site) Client() *client.Client { return client.New(client.Config{Addresses: s.Addresses()}) }
+
+// Publish brings the site's files into force on all daemons.
+func (s *Site) Publish(ctx context.Context, c *client.Client) (api.Published, error) {
+	out, err := c.Publish(ctx, api.Publish{Author: "site", Base: s.cfg.Files.Base, Overlays: s.cfg.Files.Overlays})
+	if err != nil {
+		return out, err
+	}
+	return out, s.AwaitConfig(ctx, c, out.Number)
+}
+
+// AwaitConfig waits until every daemon reports the configuration's number.
+func (s *Site) AwaitConfig(ctx context.Context, c *client.Client, number int64) error {
+	for ctx.Err() == nil {
+		behind := 0
+		for _, address := range s.Addresses() {
+			v, err := c.ConfigAt(ctx, address)
+			if err != nil || v.Number < number {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// Spans returns the workers' ledger.
+func (s *Site) Spans() []standin.Span {
+	var out []standin.Span
+	for _, w := range s.Workers {
+		out = append(out, w.Ledger()...)
+	}
+	return out
+}
+
+// Runs returns the minions' ledger.
+func (s *Site) Runs() []standin.Run {
+	var out []standin.Run
+	for _, m := range s.Minions {
+		out = append(out, m.Ledger()...)
+	}
+	return out
+}
+
+// Close ends everything at once.
+func (s *Site) Close() {
+	for _, d := range s.VMs {
+		d.Kill()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// Sub returns the files of one of the embedded examples.
+func Sub(files fs.FS, name string) (config.Files, error) {
+	dir, err := fs.Sub(files, name)
+	if err != nil {
+		return config.Files{}, errorx.Decorate(err, "example")
+	}
+	return config.ReadDir(dir)
+}
--- /dev/null
+++ b/internal/standin/minion.go
@@ -0,0 +1,191 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/minion"
+	"rhubarbshore/pkg/api"
+)
+
+// Run is one execution of a request by a minion.
+type Run struct {
+	Minion   string `json:"minion"`
+	Request  string `json:"request"`
+	Attempt  string `json:"attempt"`
+	Customer string `json:"customer"`
+	Kind     string `json:"kind"`
+	Body     string `json:"body"`
+}
+
+// MinionFault switches failures of one minion on or off.
+type MinionFault struct {
+	// Fail answers at once that the request failed.
+	Fail bool `json:"fail"`
+	// Mute runs requests and drops their answers.
+	Mute bool `json:"mute"`
+	// Cut sends half of each answer.
+	Cut bool `json:"cut"`
+	// Cross answers with another request's id.
+	Cross bool `json:"cross"`
+	// Leaving refuses new requests as a leaving backend server does.
+	Leaving bool `json:"leaving"`
+}
+
+// MinionConfig constructs a Minion. Work is how long a request takes.
+type MinionConfig struct {
+	Name        string
+	Slots       int
+	Connections int
+	Work        time.Duration
+}
+
+// Minion is the stand-in of one backend server.
+type Minion struct {
+	cfg   MinionConfig
+	mu    sync.Mutex
+	runs  []Run
+	busy  int
+	peak  int
+	conns int
+	most  int
+	over  int
+	fault MinionFault
+}
+
+// NewMinion returns an idle minion.
+func NewMinion(cfg MinionConfig) *Minion { return &Minion{cfg: cfg} }
+
+// SetFault replaces the fault in force.
+func (m *Minion) SetFault(f MinionFault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// Ledger returns what the minion has run.
+func (m *Minion) Ledger() []Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Run(nil), m.runs...)
+}
+
+// Peaks returns the most slots and connections that were ever in use.
+func (m *Minion) Peaks() (slots, connections int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peak, m.most
+}
+
+// Track counts connections, for use as http.Server.ConnState.
+func (m *Minion) Track(_ net.Conn, state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		m.conns++
+		m.most = max(m.most, m.conns)
+	case http.StateClosed, http.StateHijacked:
+		m.conns--
+	default:
+	}
+}
+
+// Handler serves the minion's interface, its ledger and its faults.
+func (m *Minion) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/run", m.handleRun).Methods(http.MethodPost)
+	r.HandleFunc("/ledger", m.handleLedger).Methods(http.MethodGet)
+	r.HandleFunc("/fault", m.handleFault).Methods(http.MethodPost)
+	return r
+}
+
+func (m *Minion) handleLedger(w http.ResponseWriter, _ *http.Request) {
+	httpjson.Write(w, http.StatusOK, m.Ledger())
+}
+
+func (m *Minion) handleFault(w http.ResponseWriter, r *http.Request) {
+	f, err := httpjson.Read[MinionFault](w, r, httpjson.MaxBody)
+	if err == nil {
+		m.SetFault(f)
+	}
+	httpjson.Write(w, http.StatusOK, f)
+}
+
+// begin takes a slot, or says why there is none.
+func (m *Minion) begin(run Run) (MinionFault, string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault.Leaving {
+		return m.fault, minion.ReasonLeaving
+	}
+	if m.busy >= m.cfg.Slots {
+		m.over++
+		return m.fault, minion.ReasonBusy
+	}
+	m.busy++
+	m.peak = max(m.peak, m.busy)
+	if !m.fault.Fail {
+		m.runs = append(m.runs, run)
+	}
+	return m.fault, ""
+}
+
+func (m *Minion) done() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.busy--
+}
+
+func (m *Minion) handleRun(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpjson.MaxBody))
+	if err != nil {
+		httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	run := Run{
+		Minion: m.cfg.Name, Request: r.Header.Get(api.HeaderRequest), Attempt: r.Header.Get(api.HeaderAttempt),
+		Customer: r.Header.Get(minion.HeaderCustomer), Kind: r.Header.Get(minion.HeaderKind), Body: string(body),
+	}
+	f, refusal := m.begin(run)
+	if refusal != "" {
+		httpjson.Refuse(w, http.StatusServiceUnavailable, refusal, "not run")
+		return
+	}
+	defer m.done()
+	if m.cfg.Work > 0 {
+		time.Sleep(m.cfg.Work)
+	}
+	m.answer(w, f, run)
+}
+
+func (m *Minion) answer(w http.ResponseWriter, f MinionFault, run Run) {
+	if f.Mute {
+		panic(http.ErrAbortHandler)
+	}
+	out := []byte(run.Customer + " " + run.Kind + " " + run.Body)
+	h := w.Header()
+	h["Date"] = nil
+	h.Set(api.HeaderRequest, run.Request)
+	h.Set(api.HeaderAttempt, run.Attempt)
+	h.Set(api.HeaderHash, httpjson.Hash(out))
+	if f.Cross {
+		h.Set(api.HeaderRequest, "another")
+	}
+	if f.Fail {
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	}
+	if f.Cut {
+		out = out[:len(out)/2]
+	}
+	_, _ = w.Write(out)
+}
+
+// Name returns the minion's name.
+func (m *Minion) Name() string { return m.cfg.Name }
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,325 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/worker"
+)
+
+// Span is one stretch of time in which a worker ran a job's tasks.
+type Span struct {
+	Worker     string    `json:"worker"`
+	Job        string    `json:"job"`
+	Generation uint64    `json:"generation"`
+	Members    int       `json:"members"`
+	Begin      time.Time `json:"begin"`
+	End        time.Time `json:"end,omitzero"`
+	Reason     string    `json:"reason,omitempty"`
+}
+
+// WorkerFault switches failures of one worker on or off.
+type WorkerFault struct {
+	// Fail makes every started task fail at once.
+	Fail bool `json:"fail"`
+	// Hang makes checkpoints never end.
+	Hang bool `json:"hang"`
+}
+
+// WorkerConfig constructs a Worker.
+type WorkerConfig struct {
+	Name         string
+	Accelerators int
+}
+
+// Worker is the stand-in of one worker.
+type Worker struct {
+	cfg    WorkerConfig
+	mu     sync.Mutex
+	fence  worker.Fence
+	leases map[string]*grant
+	spans  []Span
+	fault  WorkerFault
+}
+
+// grant is a lease with its deadline by the worker's own clock.
+type grant struct {
+	lease    worker.Lease
+	deadline time.Time
+	finish   time.Time
+	span     int
+}
+
+// NewWorker returns an idle worker.
+func NewWorker(cfg WorkerConfig) *Worker {
+	return &Worker{cfg: cfg, leases: map[string]*grant{}}
+}
+
+// SetFault replaces the fault in force.
+func (w *Worker) SetFault(f WorkerFault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Ledger returns the stretches of time in which tasks ran.
+func (w *Worker) Ledger() []Span {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(time.Now())
+	return append([]Span(nil), w.spans...)
+}
+
+// Busy returns the number of accelerators under lease.
+func (w *Worker) Busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(time.Now())
+	n := 0
+	for _, g := range w.leases {
+		n += len(g.lease.Accelerators)
+	}
+	return n
+}
+
+// expire ends what has run to its end and what has outlived its lease.
+func (w *Worker) expire(now time.Time) {
+	for job, g := range w.leases {
+		if g.lease.State == worker.Running && !g.finish.IsZero() && !now.Before(g.finish) && g.finish.Before(g.deadline) {
+			w.end(g, g.finish, "finished")
+			g.lease.State = worker.Finished
+		}
+		if !now.Before(g.deadline) {
+			w.end(g, g.deadline, "lapsed")
+			delete(w.leases, job)
+		}
+	}
+}
+
+func (w *Worker) end(g *grant, at time.Time, reason string) {
+	if g.lease.State == worker.Running {
+		w.spans[g.span].End = at
+		w.spans[g.span].Reason = reason
+	}
+}
+
+// enter locks the worker and checks the fence.
+func (w *Worker) enter(f worker.Fence) error {
+	w.mu.Lock()
+	w.expire(time.Now())
+	if f.Less(w.fence) {
+		w.mu.Unlock()
+		return worker.ErrFenced
+	}
+	w.fence = f
+	return nil
+}
+
+// Fence raises the fence and lists the leases. Below a fence that is in force
+// it changes nothing and tells that fence.
+func (w *Worker) Fence(_ context.Context, f worker.Fence) (worker.Table, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(time.Now())
+	if f.Less(w.fence) {
+		return worker.Table{Fence: w.fence}, nil
+	}
+	w.fence = f
+	t := worker.Table{Fence: f}
+	for _, g := range w.leases {
+		t.Leases = append(t.Leases, g.lease)
+	}
+	return t, nil
+}
+
+// Hold grants the lease if its accelerators are free.
+func (w *Worker) Hold(_ context.Context, f worker.Fence, l worker.Lease, term time.Duration) error {
+	if err := w.enter(f); err != nil {
+		return err
+	}
+	defer w.mu.Unlock()
+	if g := w.leases[l.Job]; g != nil && g.lease.Generation == l.Generation && g.lease.State == worker.Held {
+		return nil
+	}
+	taken := map[int]bool{}
+	for _, g := range w.leases {
+		for _, a := range g.lease.Accelerators {
+			taken[a] = true
+		}
+	}
+	for _, a := range l.Accelerators {
+		if a < 0 || a >= w.cfg.Accelerators || taken[a] {
+			return worker.ErrRefused
+		}
+	}
+	l.State = worker.Held
+	w.leases[l.Job] = &grant{lease: l, deadline: time.Now().Add(term)}
+	return nil
+}
+
+// Start runs a held lease.
+func (w *Worker) Start(_ context.Context, f worker.Fence, job string, generation uint64, term time.Duration) error {
+	if err := w.enter(f); err != nil {
+		return err
+	}
+	defer w.mu.Unlock()
+	g := w.leases[job]
+	if g == nil || g.lease.Generation != generation {
+		return worker.ErrRefused
+	}
+	if g.lease.State == worker.Running {
+		return nil
+	}
+	now := time.Now()
+	g.lease.State = worker.Running
+	g.lease.Since = now
+	g.deadline = now.Add(term)
+	g.span = len(w.spans)
+	if g.lease.Spec.Seconds > 0 {
+		g.finish = now.Add(time.Duration(g.lease.Spec.Seconds * float64(time.Second)))
+	}
+	w.spans = append(w.spans, Span{Worker: w.cfg.Name, Job: job, Generation: generation, Members: len(g.lease.Members), Begin: now})
+	if w.fault.Fail {
+		w.end(g, now, "failed")
+		g.lease.State = worker.Failed
+	}
+	return nil
+}
+
+// Renew prolongs the running leases.
+func (w *Worker) Renew(_ context.Context, f worker.Fence, term time.Duration) (worker.Renewal, error) {
+	if err := w.enter(f); err != nil {
+		return worker.Renewal{}, err
+	}
+	defer w.mu.Unlock()
+	var out worker.Renewal
+	for _, g := range w.leases {
+		switch g.lease.State {
+		case worker.Running:
+			out.Running++
+			g.deadline = time.Now().Add(term)
+		case worker.Held:
+		default:
+			out.Changes = append(out.Changes, worker.Change{Job: g.lease.Job, Generation: g.lease.Generation, State: g.lease.State})
+		}
+	}
+	return out, nil
+}
+
+// Checkpoint saves the job's work.
+func (w *Worker) Checkpoint(ctx context.Context, f worker.Fence, job string, generation uint64) error {
+	if err := w.enter(f); err != nil {
+		return err
+	}
+	hang := w.fault.Hang
+	if g := w.leases[job]; g != nil && g.lease.Generation == generation && !hang {
+		g.lease.Since = time.Now()
+	}
+	w.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return worker.ErrDoubt
+	}
+	return nil
+}
+
+// Stop ends the job's tasks and releases its lease.
+func (w *Worker) Stop(_ context.Context, f worker.Fence, job string, generation uint64) error {
+	if err := w.enter(f); err != nil {
+		return err
+	}
+	defer w.mu.Unlock()
+	if g := w.leases[job]; g != nil && g.lease.Generation == generation {
+		w.end(g, time.Now(), "stopped")
+		delete(w.leases, job)
+	}
+	return nil
+}
+
+// Workers serves many workers from one address, each under /workers/NAME.
+type Workers struct {
+	byName map[string]*Worker
+}
+
+// NewWorkers returns a server of the workers.
+func NewWorkers(all []*Worker) *Workers {
+	out := &Workers{byName: map[string]*Worker{}}
+	for _, w := range all {
+		out.byName[w.cfg.Name] = w
+	}
+	return out
+}
+
+// Handler serves the workers' interface, their ledger and their faults.
+func (s *Workers) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/workers/{name}/{op}", s.handle).Methods(http.MethodPost)
+	r.HandleFunc("/ledger", s.handleLedger).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Workers) handleLedger(w http.ResponseWriter, _ *http.Request) {
+	var out []Span
+	for _, v := range s.byName {
+		out = append(out, v.Ledger()...)
+	}
+	httpjson.Write(w, http.StatusOK, out)
+}
+
+func (s *Workers) handle(w http.ResponseWriter, r *http.Request) {
+	v := s.byName[mux.Vars(r)["name"]]
+	if v == nil {
+		httpjson.Refuse(w, http.StatusNotFound, worker.ReasonAbsent, "no such worker")
+		return
+	}
+	if mux.Vars(r)["op"] == "fault" {
+		f, err := httpjson.Read[WorkerFault](w, r, httpjson.MaxBody)
+		if err == nil {
+			v.SetFault(f)
+		}
+		httpjson.Write(w, http.StatusOK, f)
+		return
+	}
+	in, err := httpjson.Read[worker.Grant](w, r, httpjson.MaxBody)
+	if err != nil {
+		httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
+		return
+	}
+	out, err := v.serve(r.Context(), mux.Vars(r)["op"], in)
+	switch {
+	case err == nil:
+		httpjson.Write(w, http.StatusOK, out)
+	case errors.Is(err, worker.ErrFenced):
+		httpjson.Refuse(w, http.StatusConflict, worker.ReasonFenced, err.Error())
+	default:
+		httpjson.Refuse(w, http.StatusConflict, worker.ReasonHeld, err.Error())
+	}
+}
+
+func (w *Worker) serve(ctx context.Context, op string, in worker.Grant) (any, error) {
+	term := time.Duration(in.Term) * time.Millisecond
+	switch op {
+	case "fence":
+		return w.Fence(ctx, in.Fence)
+	case "hold":
+		if in.Lease == nil {
+			return nil, worker.ErrRefused
+		}
+		return struct{}{}, w.Hold(ctx, in.Fence, *in.Lease, term)
+	case "start":
+		return struct{}{}, w.Start(ctx, in.Fence, in.Job, in.Generation, term)
+	case "renew":
+		return w.Renew(ctx, in.Fence, term)
+	case "checkpoint":
+		return struct{}{}, w.Checkpoint(ctx, in.Fence, in.Job, in.Generation)
+	case "stop":
+		return struct{}{}, w.Stop(ctx, in.Fence, in.Job, in.Generation)
+	}
+	return nil, worker.ErrRefused
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,199 @@
+// Package worker speaks to the workers that run tasks: leases under a fence,
+// start, renewal, checkpoint and stop.
+//
+// Of a worker the project assumes that it refuses a fence lower than the
+// highest it has seen, that it grants an accelerator to one job at a time, that
+// it lists its leases, and that it stops a task whose lease has lapsed. Terms
+// travel as durations: each side counts from its own clock, the worker from
+// when it grants and the holder from before it asked.
+package worker
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/httpjson"
+)
+
+// Errors of a call to a worker. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("worker")
+	// ErrFenced: the worker has seen a higher fence. The call had no effect.
+	ErrFenced = errorx.NewType(namespace, "fenced").New("a higher fence is in force")
+	// ErrRefused: the worker did not do it. The call had no effect.
+	ErrRefused = errorx.NewType(namespace, "refused").New("the worker refused")
+	// ErrUnsent: the worker was not reached. The call had no effect.
+	ErrUnsent = errorx.NewType(namespace, "unsent").New("the worker was not reached")
+	// ErrDoubt: the call may have taken effect, now or later.
+	ErrDoubt = errorx.NewType(namespace, "doubt").New("the worker's answer was lost")
+)
+
+// Reasons that a worker gives with a refusal.
+const (
+	ReasonFenced = "fenced"
+	ReasonHeld   = "held"
+	ReasonAbsent = "absent"
+	ReasonBroken = "broken"
+)
+
+// Fence orders the holders of a zone's workers.
+type Fence struct {
+	Epoch  uint64 `json:"epoch"`
+	Holder string `json:"holder"`
+}
+
+// Less orders fences by epoch, then by holder.
+func (f Fence) Less(g Fence) bool {
+	if f.Epoch != g.Epoch {
+		return f.Epoch < g.Epoch
+	}
+	return f.Holder < g.Holder
+}
+
+// Ref names a cell by its level and first accelerator, independent of any
+// process's numbering.
+type Ref struct {
+	Level  int    `json:"level"`
+	Worker string `json:"worker"`
+	Index  int    `json:"index"`
+}
+
+// Part is one cell of a job: the cell and, for guaranteed work, the guaranteed
+// cell around it.
+type Part struct {
+	Cell Ref  `json:"cell"`
+	Home *Ref `json:"home,omitempty"`
+}
+
+// State is the state of a lease.
+type State string
+
+// The states of a lease.
+const (
+	Held     State = "held"
+	Running  State = "running"
+	Finished State = "finished"
+	Failed   State = "failed"
+)
+
+// Spec tells a worker what to run.
+type Spec struct {
+	Tasks   int     `json:"tasks"`
+	Seconds float64 `json:"seconds"`
+	Command string  `json:"command,omitempty"`
+}
+
+// Lease is one job's hold on accelerators of one worker. Job is kept whole, so
+// that a placer that lost its memory can rebuild its state from the workers.
+type Lease struct {
+	Job          string    `json:"job"`
+	Generation   uint64    `json:"generation"`
+	Customer     string    `json:"customer"`
+	Class        string    `json:"class"`
+	Wanted       string    `json:"wanted,omitempty"`
+	Durable      bool      `json:"durable,omitempty"`
+	Worth        float64   `json:"worth"`
+	Tasks        int       `json:"tasks"`
+	Parts        []Part    `json:"parts"`
+	Members      []string  `json:"members"`
+	Accelerators []int     `json:"accelerators"`
+	Spec         Spec      `json:"spec"`
+	State        State     `json:"state"`
+	Since        time.Time `json:"since"`
+}
+
+// Grant asks for a lease or for a change of one. Term is how long the worker
+// keeps it, in milliseconds.
+type Grant struct {
+	Fence      Fence  `json:"fence"`
+	Job        string `json:"job,omitempty"`
+	Generation uint64 `json:"generation,omitempty"`
+	Term       int64  `json:"term,omitempty"`
+	Lease      *Lease `json:"lease,omitempty"`
+}
+
+// Table lists a worker's leases and the highest fence it has seen.
+type Table struct {
+	Fence  Fence   `json:"fence"`
+	Leases []Lease `json:"leases,omitempty"`
+}
+
+// Change is a lease whose state differs from running since the last renewal.
+type Change struct {
+	Job        string `json:"job"`
+	Generation uint64 `json:"generation"`
+	State      State  `json:"state"`
+}
+
+// Renewal answers a renewal: the leases that no longer run, and how many do.
+type Renewal struct {
+	Running int      `json:"running"`
+	Changes []Change `json:"changes,omitempty"`
+}
+
+// Client is the HTTP client of one worker.
+type Client struct {
+	client *http.Client
+	url    string
+}
+
+// NewClient returns a client of the worker at url.
+func NewClient(client *http.Client, url string) *Client { return &Client{client: client, url: url} }
+
+// Fence raises the worker's fence and reads its lease table. If the table comes
+// back with a higher fence, that one stays in force and nothing changed.
+func (c *Client) Fence(ctx context.Context, f Fence) (Table, error) {
+	return call[Table](ctx, c, "/fence", Grant{Fence: f})
+}
+
+// Hold reserves the lease's accelerators without running anything.
+func (c *Client) Hold(ctx context.Context, f Fence, l Lease, term time.Duration) error {
+	_, err := call[struct{}](ctx, c, "/hold", Grant{Fence: f, Lease: &l, Term: term.Milliseconds()})
+	return err
+}
+
+// Start runs the tasks of a held lease.
+func (c *Client) Start(ctx context.Context, f Fence, job string, generation uint64, term time.Duration) error {
+	_, err := call[struct{}](ctx, c, "/start", Grant{Fence: f, Job: job, Generation: generation, Term: term.Milliseconds()})
+	return err
+}
+
+// Renew prolongs all running leases of the worker.
+func (c *Client) Renew(ctx context.Context, f Fence, term time.Duration) (Renewal, error) {
+	return call[Renewal](ctx, c, "/renew", Grant{Fence: f, Term: term.Milliseconds()})
+}
+
+// Checkpoint asks the job's tasks to save their work and waits for it.
+func (c *Client) Checkpoint(ctx context.Context, f Fence, job string, generation uint64) error {
+	_, err := call[struct{}](ctx, c, "/checkpoint", Grant{Fence: f, Job: job, Generation: generation})
+	return err
+}
+
+// Stop ends the job's tasks, if any, and releases its lease, if any.
+func (c *Client) Stop(ctx context.Context, f Fence, job string, generation uint64) error {
+	_, err := call[struct{}](ctx, c, "/stop", Grant{Fence: f, Job: job, Generation: generation})
+	return err
+}
+
+func call[Out any](ctx context.Context, c *Client, path string, in Grant) (Out, error) {
+	out, err := httpjson.Call[Grant, Out](ctx, c.client, http.MethodPost, c.url+path, &in)
+	return out, classify(err)
+}
+
+func classify(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, httpjson.ErrUnsent):
+		return ErrUnsent
+	case httpjson.Reason(err) == ReasonFenced:
+		return ErrFenced
+	case httpjson.Reason(err) != "":
+		return ErrRefused
+	}
+	return ErrDoubt
+}
