--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,371 @@
+// Package client is the Go client of rhubarbshore's entry VMs.
+//
+// Send gives every request a ticket, so that it can be repeated through any
+// entry VM without running twice, and answers with what became of the request.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/pkg/api"
+)
+
+// Tuning of the client.
+const (
+	conns       = 32
+	dialTimeout = time.Second
+	firstPause  = 20 * time.Millisecond
+	maxPause    = time.Second
+	block       = 100
+	margin      = 30 * time.Second
+)
+
+// Errors of the client. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("client")
+	// ErrUnreachable: no entry VM answered. Nothing was accepted.
+	ErrUnreachable = errorx.NewType(namespace, "unreachable").New("no entry VM could be reached")
+	// ErrUnsettled: whether it was accepted can't be told.
+	ErrUnsettled = errorx.NewType(namespace, "unsettled").New("whether it was accepted can't be told")
+	// ErrRefused: the entry VM refused; nothing was accepted.
+	ErrRefused = errorx.NewType(namespace, "refused").New("refused")
+)
+
+// RefusedError is a refusal with its reason and details. It matches ErrRefused.
+type RefusedError struct {
+	Status int
+	Reason string
+	Text   string
+	Detail []string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Reason + ": " + e.Text }
+
+// Is makes errors.Is(err, ErrRefused) true.
+func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
+
+// Config constructs a Client. Addresses are those of entry VMs or of a
+// balancer in front of them. Tickets is the size of a block of tickets.
+type Config struct {
+	Addresses []string
+	HTTP      *http.Client
+	Tickets   int
+}
+
+// Client talks to entry VMs. It is safe for concurrent use.
+type Client struct {
+	cfg Config
+
+	mu      sync.Mutex
+	tickets []string
+	until   time.Time
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.HTTP == nil {
+		cfg.HTTP = httpjson.NewClient(conns, dialTimeout)
+	}
+	if cfg.Tickets == 0 {
+		cfg.Tickets = block
+	}
+	return &Client{cfg: cfg}
+}
+
+// Options change how Send identifies a request.
+type Options struct {
+	// Key is the caller's own key. Without one Send takes a ticket.
+	Key string
+	// Once sends a single copy with neither key nor ticket.
+	Once bool
+}
+
+// Send runs the request and returns its outcome. It repeats the copy through
+// other entry VMs, under the same key, until the outcome is known or ctx ends;
+// then the outcome is Retry if no copy can have been taken in, and Unknown
+// otherwise.
+func (c *Client) Send(ctx context.Context, in api.Request, o Options) (api.Response, error) {
+	if in.ID == "" {
+		in.ID = uuid.NewString()
+	}
+	if o.Once {
+		resp, err := c.post(ctx, c.pick(0), "/v1/requests", in, nil)
+		return settleOnce(in, resp, err)
+	}
+	return c.repeat(ctx, in, o)
+}
+
+func settleOnce(in api.Request, resp api.Response, err error) (api.Response, error) {
+	switch {
+	case err == nil:
+		return resp, nil
+	case errors.Is(err, httpjson.ErrUnsent):
+		return api.Response{Outcome: api.Retry, Reason: "unreachable", Request: in.ID}, nil
+	case errors.Is(err, httpjson.ErrDoubt):
+		return api.Response{Outcome: api.Unknown, Reason: "lost", Request: in.ID}, nil
+	}
+	return resp, err
+}
+
+// repeat asks until the outcome is known.
+func (c *Client) repeat(ctx context.Context, in api.Request, o Options) (api.Response, error) {
+	last := api.Response{Outcome: api.Retry, Reason: "unreachable", Request: in.ID}
+	doubt := false
+	start := rand.IntN(len(c.cfg.Addresses))
+	header := http.Header{}
+	for n := 0; ctx.Err() == nil; n++ {
+		if n > 0 {
+			wait(ctx, n)
+		}
+		if len(header) == 0 || o.Key == "" && !doubt {
+			h, err := c.identify(ctx, o)
+			if err != nil {
+				continue
+			}
+			header = h
+		}
+		resp, err := c.post(ctx, c.pick(start+n), "/v1/requests", in, header)
+		switch {
+		case err == nil && resp.Outcome != api.Retry:
+			return resp, nil
+		case err == nil:
+			last = resp
+			c.Forget()
+		case errors.Is(err, httpjson.ErrUnsent):
+		case errors.Is(err, httpjson.ErrDoubt):
+			doubt = true
+		default:
+			return last, err
+		}
+	}
+	if doubt {
+		return api.Response{Outcome: api.Unknown, Reason: "lost", Request: in.ID}, nil
+	}
+	return last, nil
+}
+
+// Settle asks what became of a keyed request. If it has not run, it never will.
+func (c *Client) Settle(ctx context.Context, in api.Request, o Options) (api.Response, error) {
+	header := http.Header{}
+	header.Set(api.HeaderKey, o.Key)
+	for n := 0; ctx.Err() == nil; n++ {
+		if n > 0 {
+			wait(ctx, n)
+		}
+		resp, err := c.post(ctx, c.pick(n), "/v1/requests/settle", in, header)
+		if err == nil && resp.Outcome != api.Retry {
+			return resp, nil
+		}
+		if errors.Is(err, ErrRefused) {
+			return resp, err
+		}
+	}
+	return api.Response{Outcome: api.Unknown, Reason: "lost", Request: in.ID}, nil
+}
+
+// identify returns the headers that make copies of a request one.
+func (c *Client) identify(ctx context.Context, o Options) (http.Header, error) {
+	h := http.Header{}
+	if o.Key != "" {
+		h.Set(api.HeaderKey, o.Key)
+		return h, nil
+	}
+	ticket, err := c.ticket(ctx)
+	if err != nil {
+		return nil, err
+	}
+	h.Set(api.HeaderTicket, ticket)
+	return h, nil
+}
+
+// ticket takes one from the block, which is fetched anew when it is used up,
+// close to its deadline, or was fetched from an entry VM that has gone.
+func (c *Client) ticket(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.tickets) == 0 || time.Now().After(c.until) {
+		if err := c.fetch(ctx); err != nil {
+			return "", err
+		}
+	}
+	t := c.tickets[0]
+	c.tickets = c.tickets[1:]
+	return t, nil
+}
+
+func (c *Client) fetch(ctx context.Context) error {
+	start := rand.IntN(len(c.cfg.Addresses))
+	for i := range c.cfg.Addresses {
+		path := fmt.Sprintf("/v1/tickets?count=%d", c.cfg.Tickets)
+		out, err := httpjson.Call[struct{}, api.Tickets](ctx, c.cfg.HTTP, http.MethodPost, "http://"+c.pick(start+i)+path, nil)
+		if err == nil && len(out.Tickets) > 0 {
+			c.tickets = out.Tickets
+			c.until = out.Deadline.Add(-margin)
+			return nil
+		}
+	}
+	return ErrUnreachable
+}
+
+// Forget drops the tickets in store, for example after their entry VM failed.
+func (c *Client) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tickets = nil
+}
+
+func (c *Client) pick(n int) string { return c.cfg.Addresses[n%len(c.cfg.Addresses)] }
+
+func wait(ctx context.Context, n int) {
+	pause := rand.N(min(firstPause<<min(n, 10), maxPause))
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
+// post sends one copy and takes only a whole answer to it.
+func (c *Client) post(ctx context.Context, address, path string, in api.Request, header http.Header) (api.Response, error) {
+	resp, err := httpjson.Post[api.Request, api.Response](ctx, c.cfg.HTTP, "http://"+address+path, &in, header)
+	if err != nil {
+		return resp, refused(err)
+	}
+	if resp.Outcome == "" || resp.Request != in.ID && resp.Request != "" || resp.Hash != "" && resp.Hash != httpjson.Hash(resp.Body) {
+		return resp, httpjson.ErrDoubt
+	}
+	return resp, nil
+}
+
+func refused(err error) error {
+	var status *httpjson.StatusError
+	if errors.As(err, &status) {
+		return &RefusedError{Status: status.Status, Reason: status.Reason, Text: status.Text, Detail: status.Detail}
+	}
+	return err
+}
+
+// get asks the entry VMs in turn until one answers.
+func get[Out any](ctx context.Context, c *Client, path string) (Out, error) {
+	var out Out
+	err := error(ErrUnreachable)
+	for _, address := range c.cfg.Addresses {
+		out, err = httpjson.Get[Out](ctx, c.cfg.HTTP, "http://"+address+path)
+		if err == nil {
+			return out, nil
+		}
+	}
+	return out, refused(err)
+}
+
+// Submit hands a job in. The zone is chosen first, if the job names none, so
+// that the job can be handed in again after a lost answer without being
+// accepted twice.
+func (c *Client) Submit(ctx context.Context, j api.Job) (api.JobStatus, error) {
+	if j.ID == "" {
+		j.ID = uuid.NewString()
+	}
+	if j.Zone == "" {
+		v, err := get[api.VM](ctx, c, fmt.Sprintf("/v1/zone?accelerators=%d", j.Accelerators))
+		if err != nil {
+			return api.JobStatus{Job: j}, err
+		}
+		j.Zone = v.Zone
+	}
+	doubt := false
+	for n := 0; ctx.Err() == nil; n++ {
+		if n > 0 {
+			wait(ctx, n)
+		}
+		status, err := httpjson.Call[api.Job, api.JobStatus](ctx, c.cfg.HTTP, http.MethodPost, "http://"+c.pick(n)+"/v1/jobs", &j)
+		var refusal *httpjson.StatusError
+		switch {
+		case err == nil:
+			return status, nil
+		case errors.As(err, &refusal) && refusal.Status == api.Retry.Status():
+		case errors.As(err, &refusal) && refusal.Status == api.NotRun.Status():
+			return api.JobStatus{Job: j, State: api.Refused, Zone: j.Zone, Reason: refusal.Reason}, nil
+		case errors.As(err, &refusal) && refusal.Status != api.Unknown.Status():
+			return api.JobStatus{Job: j}, refused(err)
+		case errors.Is(err, httpjson.ErrUnsent):
+		default:
+			doubt = true
+		}
+	}
+	if doubt {
+		return api.JobStatus{Job: j}, ErrUnsettled
+	}
+	return api.JobStatus{Job: j}, ErrUnreachable
+}
+
+// Cancel ends a job.
+func (c *Client) Cancel(ctx context.Context, zone, id string) (api.JobStatus, error) {
+	path := "/v1/jobs/" + url.PathEscape(zone) + "/" + url.PathEscape(id)
+	var status api.JobStatus
+	err := error(ErrUnreachable)
+	for _, address := range c.cfg.Addresses {
+		status, err = httpjson.Call[struct{}, api.JobStatus](ctx, c.cfg.HTTP, http.MethodDelete, "http://"+address+path, nil)
+		if err == nil {
+			return status, nil
+		}
+	}
+	return status, refused(err)
+}
+
+// Jobs lists the jobs of all zones that answer.
+func (c *Client) Jobs(ctx context.Context) (api.JobList, error) {
+	return get[api.JobList](ctx, c, "/v1/jobs")
+}
+
+// Workers lists the workers of all zones that answer.
+func (c *Client) Workers(ctx context.Context) (api.WorkerList, error) {
+	return get[api.WorkerList](ctx, c, "/v1/workers")
+}
+
+// Customers lists what customers hold of their guarantees.
+func (c *Client) Customers(ctx context.Context) (api.CustomerList, error) {
+	return get[api.CustomerList](ctx, c, "/v1/customers")
+}
+
+// VMs lists the entry VMs as one of them sees them.
+func (c *Client) VMs(ctx context.Context) (api.VMList, error) {
+	return get[api.VMList](ctx, c, "/v1/vms")
+}
+
+// Config returns the configuration accepted last.
+func (c *Client) Config(ctx context.Context) (api.ConfigView, error) {
+	return get[api.ConfigView](ctx, c, "/v1/config")
+}
+
+// ConfigAt returns the configuration accepted last as one entry VM knows it.
+func (c *Client) ConfigAt(ctx context.Context, address string) (api.ConfigView, error) {
+	return httpjson.Get[api.ConfigView](ctx, c.cfg.HTTP, "http://"+address+"/v1/config")
+}
+
+// Publish offers a configuration. It is in force once Publish returns without
+// an error; after ErrUnsettled it may come into force.
+func (c *Client) Publish(ctx context.Context, in api.Publish) (api.Published, error) {
+	for _, address := range c.cfg.Addresses {
+		out, err := httpjson.Call[api.Publish, api.Published](ctx, c.cfg.HTTP, http.MethodPost, "http://"+address+"/v1/config", &in)
+		if errors.Is(err, httpjson.ErrUnsent) {
+			continue
+		}
+		var refusal *httpjson.StatusError
+		if errors.Is(err, httpjson.ErrDoubt) || errors.As(err, &refusal) && refusal.Status == api.Unknown.Status() {
+			return out, ErrUnsettled
+		}
+		return out, refused(err)
+	}
+	return api.Published{}, ErrUnreachable
+}
