Requests that can't be done in their window no longer eject servers

A dump of the servers showed four of the five left ejected: requests were sent just before their window ended, were cut, and counted against the server.

Ruled out: the limits (all at 8 of 8 slots), the draw of two servers, admission.

Change: a request that can't be done in its window is not sent; an attempt that this VM cuts says nothing of the server.

--- /dev/null
+++ b/internal/queue/measure_test.go
@@ -0,0 +1,237 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/minion"
+	"rhubarbshore/internal/request"
+	"rhubarbshore/internal/route"
+	"rhubarbshore/pkg/api"
+)
+
+// Sizes of the measured pool.
+const (
+	servers  = 10
+	slots    = 8
+	service  = 20 * time.Millisecond
+	playTime = 4 * time.Second
+)
+
+// pool is a set of minions in virtual time.
+type pool struct {
+	mu       sync.Mutex
+	busy     map[string]int
+	peak     int
+	slow     map[string]time.Duration
+	mute     map[string]bool
+	leaving  map[string]bool
+	newAfter int
+	rng      *rand.Rand
+}
+
+func newPool() *pool {
+	return &pool{
+		busy: map[string]int{}, slow: map[string]time.Duration{}, mute: map[string]bool{}, leaving: map[string]bool{},
+		rng: rand.New(rand.NewPCG(1, 1)),
+	}
+}
+
+// Send implements Sender.
+func (p *pool) Send(ctx context.Context, url string, a minion.Attempt) (minion.Answer, error) {
+	p.mu.Lock()
+	if p.leaving[url] {
+		p.newAfter++
+		p.mu.Unlock()
+		return minion.Answer{}, minion.ErrLeaving
+	}
+	if p.busy[url] >= slots {
+		p.mu.Unlock()
+		return minion.Answer{}, minion.ErrBusy
+	}
+	p.busy[url]++
+	p.peak = max(p.peak, p.busy[url])
+	took := service/2 + time.Duration(p.rng.Int64N(int64(service))) + p.slow[url]
+	mute := p.mute[url]
+	p.mu.Unlock()
+	if mute {
+		took = 2 * time.Millisecond
+	}
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		err = minion.ErrDoubt
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[url]--
+	if mute || err != nil {
+		return minion.Answer{}, minion.ErrDoubt
+	}
+	return minion.Answer{Body: a.Body}, nil
+}
+
+// do runs a request and returns its outcome.
+type do func(ctx context.Context, r *request.Request) api.Response
+
+// startQueue runs a Queue over the pool.
+func startQueue(ctx context.Context, p *pool) do {
+	r := route.New(route.Config{Zone: "z", Slots: slots, Connections: slots})
+	var listed []route.Listed
+	for i := range servers {
+		listed = append(listed, route.Listed{Name: fmt.Sprint("m", i), Address: fmt.Sprint("m", i), Zone: "z"})
+	}
+	r.Update(listed)
+	q := New(Config{Service: "s", Zone: "z", Size: 5000, Sender: p, Router: r, Logger: slog.New(slog.DiscardHandler)})
+	q.SetShares(map[string]float64{"a": 1, "b": 1})
+	go q.Run(ctx)
+	return q.Do
+}
+
+// startNaive runs requests in the order of arrival on servers drawn at random,
+// without admission and without looking at windows.
+func startNaive(ctx context.Context, p *pool) do {
+	type waiting struct {
+		r     *request.Request
+		reply chan api.Response
+	}
+	fifo := make(chan waiting, 5000)
+	for range servers * slots {
+		go func() {
+			for {
+				select {
+				case w := <-fifo:
+					w.reply <- naiveSend(ctx, p, w.r)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+	return func(_ context.Context, r *request.Request) api.Response {
+		w := waiting{r: r, reply: make(chan api.Response, 1)}
+		select {
+		case fifo <- w:
+			return <-w.reply
+		default:
+			return r.Refuse(api.NotRun, request.ReasonFull)
+		}
+	}
+}
+
+func naiveSend(ctx context.Context, p *pool, r *request.Request) api.Response {
+	for range 8 {
+		call, cancel := context.WithTimeout(ctx, r.Timeout)
+		_, err := p.Send(call, fmt.Sprint("m", rand.IntN(servers)), minion.Attempt{Request: r.ID})
+		cancel()
+		if err == nil {
+			return r.Refuse(api.Done, "")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return r.Refuse(api.Unknown, "")
+}
+
+// score is the worth that was done within its window, by customer.
+type score struct {
+	mu      sync.Mutex
+	done    map[string]float64
+	offered map[string]float64
+}
+
+// offer sends requests of the customer at the given rate for the play time.
+func (s *score) offer(ctx context.Context, wg *sync.WaitGroup, run do, customer string, rate float64) {
+	rng := rand.New(rand.NewPCG(uint64(len(customer)), uint64(rate)))
+	wg.Go(func() {
+		for begin := time.Now(); time.Since(begin) < playTime; {
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / rate))
+			r := &request.Request{
+				ID: "r", Customer: customer, Kind: "small", Worth: 1, Idempotent: true, Timeout: 500 * time.Millisecond, Deadline: time.Now().Add(time.Second),
+			}
+			if rng.IntN(4) == 0 {
+				r.Kind, r.Worth = "precious", 5
+			}
+			wg.Go(func() {
+				resp := run(ctx, r)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.offered[customer] += r.Worth
+				if resp.Outcome == api.Done && !time.Now().After(r.Deadline) {
+					s.done[customer] += r.Worth
+				}
+			})
+		}
+	})
+}
+
+// play offers the rates, in multiples of the pool's capacity, and returns the
+// worth done per second, and the share of customer a's that was done.
+func play(t *testing.T, start func(ctx context.Context, p *pool) do, p *pool, rates map[string]float64) (worth, shareOfA float64) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &score{done: map[string]float64{}, offered: map[string]float64{}}
+		run := start(ctx, p)
+		capacity := float64(servers*slots) / service.Seconds()
+		var wg sync.WaitGroup
+		for _, customer := range []string{"a", "b"} {
+			s.offer(ctx, &wg, run, customer, rates[customer]*capacity)
+		}
+		wg.Wait()
+		cancel()
+		synctest.Wait()
+		worth = (s.done["a"] + s.done["b"]) / playTime.Seconds()
+		shareOfA = s.done["a"] / s.offered["a"]
+	})
+	return worth, shareOfA
+}
+
+// TestRoutingMeasures compares the queue and router with first in, first out to
+// servers drawn at random, on the same seeded load.
+func TestRoutingMeasures(t *testing.T) {
+	faults := map[string]func(p *pool){
+		"none":    func(*pool) {},
+		"slow":    func(p *pool) { p.slow["m0"] = 400 * time.Millisecond },
+		"mute":    func(p *pool) { p.mute["m0"] = true },
+		"leaving": func(p *pool) { p.leaving["m0"] = true },
+		"half": func(p *pool) {
+			p.leaving["m0"], p.leaving["m1"], p.leaving["m2"], p.leaving["m3"], p.leaving["m4"] = true, true, true, true, true
+		},
+	}
+	var table strings.Builder
+	for _, name := range []string{"none", "slow", "mute", "leaving", "half"} {
+		for _, load := range []float64{0.7, 2, 5} {
+			rates := map[string]float64{"a": 0.3, "b": load - 0.3}
+			ours, naive := newPool(), newPool()
+			faults[name](ours)
+			faults[name](naive)
+			worth, a := play(t, startQueue, ours, rates)
+			naiveWorth, naiveA := play(t, startNaive, naive, rates)
+			fmt.Fprintf(&table, "%-8s load %.1f  naive worth/s %-6.0f a %.3f   queue worth/s %-6.0f a %.3f  peak %d  to leaving %d / %d\n",
+				name, load, naiveWorth, naiveA, worth, a, ours.peak, naive.newAfter, ours.newAfter)
+			assert.Check(t, ours.peak <= slots)
+			assert.Check(t, worth >= naiveWorth*0.98, "%s load %.1f: %.0f against %.0f", name, load, worth, naiveWorth)
+			if name == "none" {
+				assert.Check(t, a > 0.95, "customer a within its share was harmed: %.3f", a)
+			}
+			if name == "leaving" {
+				assert.Check(t, ours.newAfter <= slots, "%d requests to a leaving server", ours.newAfter)
+			}
+		}
+	}
+	if os.Getenv("VERBOSE") != "" || testing.Verbose() {
+		t.Log("\n" + table.String())
+	}
+}
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -40,10 +40,6 @@
 // done within its window.
 func (q *Queue) admit(it *item) {
 	now := time.Now()
-	if q.fifo {
-		q.push(it)
-		return
-	}
 	wait := q.expectedWait(it, now)
 	if now.Add(time.Duration((wait + q.cost(it.req)) * float64(time.Second))).After(it.req.Deadline) {
 		q.giveUp(it, request.ReasonWindow)
@@ -135,13 +131,14 @@
 	return nil
 }
 
-// late finishes a request that can't be done any more.
+// late finishes a request that can't be done within its window any more.
 func (q *Queue) late(it *item, now time.Time) bool {
 	if it.ctx.Err() != nil && it.req.Key == "" {
 		q.giveUp(it, request.ReasonCancelled)
 		return true
 	}
-	if now.Before(it.req.Deadline) {
+	cost := time.Duration(q.cost(it.req) * float64(time.Second))
+	if now.Add(cost).Before(it.req.Deadline) {
 		return false
 	}
 	q.giveUp(it, request.ReasonWindow)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -69,10 +69,6 @@
 	under     int
 	budget    float64
 	delayed   []*item
-	attempts  uint64
-
-	// fifo drops the order and the admission, for comparison.
-	fifo bool
 }
 
 // item is a request in the queue.
@@ -199,7 +195,6 @@
 		q.push(it)
 		return
 	}
-	q.attempts++
 	it.attempts++
 	q.under++
 	q.cfg.Router.Begin(s)
@@ -245,6 +240,8 @@
 
 func resultOf(e ending) route.Result {
 	switch {
+	case e.err != nil && e.took < e.item.req.Timeout && !time.Now().Before(e.item.req.Deadline):
+		return route.Cut
 	case e.err == nil && e.answer.Failed:
 		return route.Failed
 	case e.err == nil:
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -72,6 +72,9 @@
 	Leaving
 	// Lost: no usable answer came.
 	Lost
+	// Cut: this VM gave up because the request's window ended, which says
+	// nothing of the server.
+	Cut
 )
 
 // Config constructs a Router. Connections is this VM's share of a server's
@@ -87,7 +90,6 @@
 	cfg     Config
 	servers []*Server
 	byName  map[string]*Server
-	random  bool
 }
 
 // New returns a router that knows no server yet.
@@ -168,7 +170,7 @@
 			continue
 		}
 		found++
-		if best == nil || !r.random && score(s) < score(best) {
+		if best == nil || score(s) < score(best) {
 			best = s
 		}
 	}
@@ -223,6 +225,8 @@
 		if full {
 			s.limit = min(float64(r.cfg.Slots), s.limit+raise)
 		}
+	case Cut:
+		return
 	case Lost:
 	}
 	r.judge(s, result, now)
@@ -284,3 +288,4 @@
 	}
 	return false
 }
+
