--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -28,7 +28,7 @@
 	maxBatch    = 256
 	gather      = 2 * time.Millisecond
 	callTimeout = 2 * time.Second
-	tail        = time.Second
+	tail        = 5 * time.Second
 )
 
 // Errors of a claim. Callers test for them with errors.Is.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,7 +118,7 @@
 	d.members = peer.NewMembers(peer.Config{
 		Self:  peer.Self{Name: set.Name, Address: set.Address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation},
 		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
-		Client: httpjson.NewClient("peer", peerConns, dialTimeout), Logger: d.logger, LeftServer: d.serverLeft,
+		Connect: peer.HTTP(httpjson.NewClient("peer", peerConns, dialTimeout)), Logger: d.logger, LeftServer: d.serverLeft,
 	})
 	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Home()} })
 	for _, p := range set.Peers {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -24,8 +24,7 @@
 
 // Probe implements rpc.Peer.
 func (s *peerServer) Probe(_ context.Context, g *rpc.Gossip) (*rpc.Gossip, error) {
-	s.d.members.Hear(g)
-	return &rpc.Gossip{Self: s.d.members.Self()}, nil
+	return s.d.members.Answer(g), nil
 }
 
 // Forward implements rpc.Peer.
--- /dev/null
+++ b/internal/idempotency/bench_test.go
@@ -0,0 +1,41 @@
+package idempotency
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"rhubarbshore/pkg/api"
+)
+
+// inUse returns the bytes in use after a collection.
+func inUse() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkKeys measures the memory of a key with a kept answer of 64 bytes.
+func BenchmarkKeys(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := inUse()
+				t := NewTable(Limits{Keys: n, Bytes: n * 64})
+				m, _ := NewMinter(Home("vm", 1), nil)
+				deadline := time.Now().Add(time.Hour)
+				for range n {
+					c, err := t.Begin(m.Mint(deadline), 1, deadline)
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Finish(api.Response{Outcome: api.Done, Body: make([]byte, 64)})
+				}
+				b.ReportMetric((inUse()-before)/float64(n), "B/key")
+				runtime.KeepAlive(t)
+			}
+		})
+	}
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -34,7 +34,8 @@
 	forgetAfter  = time.Minute
 	maxFailed    = 3
 	nearFailed   = 2
-	farEvery     = 4
+	othersEvery  = 4
+	slowSuspect  = 5
 	keepLeaving  = 30 * time.Second
 	maxMembers   = 1024
 )
@@ -51,8 +52,9 @@
 // Config constructs Members. Probe is the time between two probes, Suspect how
 // long a VM of the own zone may be silent before it counts as failed.
 type Config struct {
-	Self    Self
-	Client  *http.Client
+	Self Self
+	// Connect returns the way to the VM at an address.
+	Connect func(address string) rpc.Peer
 	Probe   time.Duration
 	Suspect time.Duration
 	Logger  *slog.Logger
@@ -60,6 +62,11 @@
 	LeftServer func(name string)
 }
 
+// HTTP returns a Connect that speaks twirp over the client.
+func HTTP(c *http.Client) func(address string) rpc.Peer {
+	return func(address string) rpc.Peer { return rpc.NewPeerProtobufClient("http://"+address, c) }
+}
+
 // member is another VM, or this one.
 type member struct {
 	info    *rpc.Member
@@ -67,6 +74,8 @@
 	heard   time.Time
 	changed time.Time
 	failed  int
+	// acked is the revision of this VM that the other one knows.
+	acked uint64
 }
 
 // Members is what this VM knows of all VMs.
@@ -77,8 +86,7 @@
 	all     map[string]*member
 	leaving map[string]time.Time
 	turn    int
-	near    int
-	far     int
+	next    int
 }
 
 // NewMembers returns a membership of this VM alone.
@@ -100,12 +108,14 @@
 	if name == m.cfg.Self.Name || m.all[name] != nil || len(m.all) >= maxMembers {
 		return
 	}
-	m.add(&rpc.Member{Name: name, Address: address, Zone: zone}, time.Time{})
+	v := m.add(&rpc.Member{Name: name, Address: address, Zone: zone}, time.Time{})
+	if zone == m.cfg.Self.Zone {
+		go m.probe(context.Background(), v)
+	}
 }
 
 func (m *Members) add(info *rpc.Member, heard time.Time) *member {
-	client := rpc.NewPeerProtobufClient("http://"+info.GetAddress(), m.cfg.Client)
-	v := &member{info: info, client: client, heard: heard, changed: time.Now()}
+	v := &member{info: info, client: m.cfg.Connect(info.GetAddress()), heard: heard, changed: time.Now()}
 	m.all[info.GetName()] = v
 	return v
 }
@@ -158,36 +168,33 @@
 	}
 }
 
-// target is the VM whose turn it is: one of the own zone, now and then another.
+// target is the VM whose turn it is: the zone's placer, whose failure has to be
+// noticed soon, and now and then another. The placer itself is probed by all.
 func (m *Members) target() *member {
+	placer := m.Placer(m.cfg.Self.Zone)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var near, far []*member
+	now := time.Now()
+	var others []*member
 	for _, name := range m.names() {
 		v := m.all[name]
-		if v.stale(time.Now()) {
+		if v.stale(now) {
 			delete(m.all, name)
 			continue
 		}
-		if v.info.GetState() == Gone {
-			continue
-		}
-		if v.info.GetZone() == m.cfg.Self.Zone {
-			near = append(near, v)
-		} else {
-			far = append(far, v)
+		if v.info.GetState() != Gone && name != placer {
+			others = append(others, v)
 		}
 	}
 	m.turn++
-	if len(far) > 0 && (len(near) == 0 || m.turn%farEvery == 0) {
-		m.far++
-		return far[m.far%len(far)]
+	if v := m.all[placer]; v != nil && (m.turn%othersEvery != 0 || len(others) == 0) {
+		return v
 	}
-	if len(near) == 0 {
+	if len(others) == 0 || m.turn%othersEvery != 0 && len(others) < m.turn {
 		return nil
 	}
-	m.near++
-	return near[m.near%len(near)]
+	m.next++
+	return others[m.next%len(others)]
 }
 
 // stale reports a VM that has not been reached for long.
@@ -217,7 +224,7 @@
 func (m *Members) probe(ctx context.Context, v *member) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	reply, err := v.client.Probe(ctx, m.gossip())
+	reply, err := v.client.Probe(ctx, m.gossip(v))
 	if err != nil {
 		m.Failed(v.info.GetName())
 		metric.Count("peer_probes_failed_total")
@@ -226,15 +233,19 @@
 	m.Hear(reply)
 }
 
-// gossip is this VM's state and what it learned lately.
-func (m *Members) gossip() *rpc.Gossip {
+// gossip is this VM's state and what it learned lately, less what the receiver
+// knows already.
+func (m *Members) gossip(to *member) *rpc.Gossip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	out := &rpc.Gossip{Self: m.copySelf()}
+	out := &rpc.Gossip{Self: m.copySelf(), Incarnation: to.info.GetIncarnation(), Seen: to.info.GetRevision()}
+	if to.acked == m.self.GetRevision() {
+		out.Self = m.brief()
+	}
 	for _, name := range m.names() {
 		v := m.all[name]
-		if len(out.Members) < maxGossip && now.Sub(v.changed) < gossipFor && v.info.GetIncarnation() != 0 {
+		if v != to && len(out.Members) < maxGossip && now.Sub(v.changed) < gossipFor && v.info.GetIncarnation() != 0 {
 			out.Members = append(out.Members, v.info)
 		}
 	}
@@ -250,16 +261,43 @@
 	return out
 }
 
+// brief names this VM's state without telling it.
+func (m *Members) brief() *rpc.Member {
+	return &rpc.Member{Name: m.self.GetName(), Incarnation: m.self.GetIncarnation(), Revision: m.self.GetRevision()}
+}
+
+// Answer takes a peer's gossip in and answers with this VM's state, or briefly
+// if the peer knows it.
+func (m *Members) Answer(g *rpc.Gossip) *rpc.Gossip {
+	m.Hear(g)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := &rpc.Gossip{Self: m.copySelf()}
+	if v := m.all[g.GetSelf().GetName()]; v != nil {
+		out.Incarnation, out.Seen = v.info.GetIncarnation(), v.info.GetRevision()
+	}
+	if g.GetIncarnation() == m.self.GetIncarnation() && g.GetSeen() == m.self.GetRevision() {
+		out.Self = m.brief()
+	}
+	return out
+}
+
 // Hear takes a peer's gossip in.
 func (m *Members) Hear(g *rpc.Gossip) {
 	now := time.Now()
 	m.mu.Lock()
 	if self := g.GetSelf(); self != nil && self.GetName() != m.cfg.Self.Name {
-		v := m.learn(self)
+		v := m.all[self.GetName()]
+		if self.GetAddress() != "" {
+			v = m.learn(self)
+		}
 		if v != nil && v.info.GetIncarnation() == self.GetIncarnation() {
 			v.heard = now
 			v.failed = 0
 		}
+		if v != nil && g.GetIncarnation() == m.cfg.Self.Incarnation {
+			v.acked = g.GetSeen()
+		}
 	}
 	for _, info := range g.GetMembers() {
 		m.learn(info)
@@ -335,13 +373,18 @@
 	return out
 }
 
-// suspect reports a VM that seems to have failed. A VM of the own zone is heard
-// often; of another zone, any call that did not reach it counts.
+// suspect reports a VM that seems to have failed. The placer of the own zone is
+// heard often, others of the zone now and then; of another zone, any call that
+// did not reach it counts.
 func (m *Members) suspect(v *member, now time.Time) bool {
-	if v.info.GetZone() == m.cfg.Self.Zone {
-		return v.failed >= nearFailed || now.Sub(v.heard) > m.cfg.Suspect
+	if v.info.GetZone() != m.cfg.Self.Zone {
+		return v.failed > 0
+	}
+	patience := slowSuspect * m.cfg.Suspect
+	if v.info.GetSummary() != nil {
+		patience = m.cfg.Suspect
 	}
-	return v.failed > 0
+	return v.failed >= nearFailed || now.Sub(v.heard) > patience
 }
 
 // All lists every VM known, without this one.
--- /dev/null
+++ b/internal/placer/bench_test.go
@@ -0,0 +1,44 @@
+package placer
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"rhubarbshore/internal/worker"
+	"rhubarbshore/pkg/api"
+)
+
+// BenchmarkJobs measures the memory of a running gang of a placer and the size
+// of its lease on the wire.
+func BenchmarkJobs(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p := New(Config{VM: "vm", Zone: "z"})
+				var lease []byte
+				for i := range n {
+					j := newJob(api.Job{ID: fmt.Sprintf("job-%032d", i), Customer: "c", Zone: "z", Accelerators: 2, Cells: 1, Tasks: 20, Worth: 1, Seconds: 3600}, "z")
+					j.members = []string{fmt.Sprint("z-r1-w", i), fmt.Sprint("z-r1-w", i+1)}
+					j.refs = []worker.Part{{Cell: worker.Ref{Level: 1, Worker: j.members[0]}}}
+					for _, name := range j.members {
+						l := worker.Lease{Job: j.status.Job.ID, Generation: 1, Customer: "c", Class: "spare", Tasks: 20, Parts: j.refs, Members: j.members, Accelerators: []int{0}, Since: time.Now()}
+						j.seats = append(j.seats, seat{name: name, lease: l})
+						lease, _ = json.Marshal(l)
+					}
+					p.enqueue(j)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/job")
+				b.ReportMetric(float64(len(lease)), "B/lease")
+				runtime.KeepAlive(p)
+			}
+		})
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -288,4 +288,3 @@
 	}
 	return false
 }
-
