A doubtful worker is looked at before its fence is raised

A trace showed the first placer outbidding its rival on a worker whose call it doubted, so that neither knew of the member that ran there.

Change: after doubt the fence is read first and raised only if no other placer's is in force; stops of any former generation hold the job back.

Conclusion: a living rival is outbid only on taking office.

--- /dev/null
+++ b/internal/cell/reserve.go
@@ -0,0 +1,66 @@
+package cell
+
+// SetShy makes a worker's accelerators the last choice for guaranteed work and
+// no choice for spare work, without touching what runs there.
+func (t *Tree) SetShy(worker string, shy bool) {
+	if t.shy[worker] == shy {
+		return
+	}
+	t.shy[worker] = shy
+	for _, leaf := range t.byName[worker] {
+		t.adjust(leaf, func(n *node, size int32) {
+			if shy {
+				n.shy += size
+			} else {
+				n.shy -= size
+			}
+		})
+	}
+}
+
+// Keep reserves a cell for a large job that waits, so that smaller spare jobs
+// don't fill it up again; Unkeep lifts it.
+func (t *Tree) Keep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept += size }) }
+
+// Unkeep ends a reservation made with Keep.
+func (t *Tree) Unkeep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept -= size }) }
+
+// Nearest finds the cell that a waiting large job should reserve: the one with
+// the fewest accelerators held by guaranteed work, which is not moved, and then
+// by spare work.
+func (t *Tree) Nearest(level int) (ID, bool) {
+	best := ID(none)
+	for _, id := range t.byLevel[level] {
+		n := &t.cells[id]
+		if n.down == 0 && n.kept == 0 && n.shy == 0 && (best == none || nearer(n, &t.cells[best])) {
+			best = id
+		}
+	}
+	return best, best != none
+}
+
+func nearer(a, b *node) bool {
+	if a.firm != b.firm {
+		return a.firm < b.firm
+	}
+	return a.spare < b.spare
+}
+
+// Movable lists the spare jobs on a cell, if nothing else holds it and all
+// that they hold would fit on idle accelerators elsewhere.
+func (t *Tree) Movable(id ID) ([]string, bool) {
+	n := &t.cells[id]
+	if n.firm > 0 || n.down > 0 || n.spare == 0 {
+		return nil, false
+	}
+	names := t.sparesIn(id)
+	moved := 0
+	for _, name := range names {
+		moved += t.size(t.jobs[name])
+	}
+	idle := 0
+	for k, list := range t.idle.levels {
+		idle += len(list) * Size(k)
+	}
+	return names, moved <= idle
+}
--- a/internal/cmd/config/status/status.go
+++ b/internal/cmd/config/status/status.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/pkg/api"
 )
 
 // Options are the command's flags.
@@ -20,18 +21,14 @@
 
 // Run prints a line for each entry VM.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	ctx, cancel := f.Context()
-	defer cancel()
-	list, err := f.Client.VMs(ctx)
-	if err != nil {
-		return err
-	}
-	if o.JSON {
-		return f.IO.WriteJSON(list)
-	}
-	var rows [][]string
+	listing := cmdutil.Listing[api.VMList]{Wait: "asking an entry VM", Fetch: f.Client.VMs, Header: []string{"VM", "ZONE", "STATE", "NUMBER", "VERSION"}, Rows: rows}
+	return listing.Print(f, o.JSON)
+}
+
+func rows(list api.VMList) [][]string {
+	var out [][]string
 	for _, v := range list.VMs {
-		rows = append(rows, []string{v.Name, v.Zone, v.State, strconv.FormatInt(v.Number, 10), v.Version})
+		out = append(out, []string{v.Name, v.Zone, v.State, strconv.FormatInt(v.Number, 10), v.Version})
 	}
-	return f.IO.Table([]string{"VM", "ZONE", "STATE", "NUMBER", "VERSION"}, rows)
+	return out
 }
--- a/internal/cmd/customer/list/list.go
+++ b/internal/cmd/customer/list/list.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/pkg/api"
 )
 
 // Options are the command's flags.
@@ -23,18 +24,14 @@
 
 // Run lists the customers.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	ctx, cancel := f.Context()
-	defer cancel()
-	list, err := f.Client.Customers(ctx)
-	if err != nil {
-		return err
-	}
-	if o.JSON {
-		return f.IO.WriteJSON(list)
-	}
-	var rows [][]string
+	listing := cmdutil.Listing[api.CustomerList]{Wait: "asking the placers", Fetch: f.Client.Customers, Header: []string{"CUSTOMER", "ZONE", "GUARANTEED", "BOUND", "SUSPENDED"}, Rows: rows}
+	return listing.Print(f, o.JSON)
+}
+
+func rows(list api.CustomerList) [][]string {
+	var out [][]string
 	for _, c := range list.Customers {
-		rows = append(rows, []string{c.Name, c.Zone, strconv.Itoa(c.Guaranteed), strconv.Itoa(c.Bound), strconv.Itoa(c.Suspended)})
+		out = append(out, []string{c.Name, c.Zone, strconv.Itoa(c.Guaranteed), strconv.Itoa(c.Bound), strconv.Itoa(c.Suspended)})
 	}
-	return f.IO.Table([]string{"CUSTOMER", "ZONE", "GUARANTEED", "BOUND", "SUSPENDED"}, rows)
+	return out
 }
--- a/internal/cmd/job/list/list.go
+++ b/internal/cmd/job/list/list.go
@@ -2,6 +2,7 @@
 package list
 
 import (
+	"context"
 	"strconv"
 
 	"rhubarbshore/internal/cmdutil"
@@ -23,23 +24,25 @@
 
 // Run lists the jobs.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	ctx, cancel := f.Context()
-	defer cancel()
-	defer f.Progress("asking the placers")()
-	list, err := f.Client.Jobs(ctx)
-	if err != nil {
-		return err
+	listing := cmdutil.Listing[api.JobList]{
+		Wait:   "asking the placers",
+		Fetch:  func(ctx context.Context) (api.JobList, error) { return o.fetch(ctx, f.Client) },
+		Header: []string{"JOB", "CUSTOMER", "ZONE", "SHAPE", "STATE", "CLASS", "REASON"},
+		Rows:   rows,
 	}
+	return listing.Print(f, o.JSON)
+}
+
+// fetch keeps the jobs that the flags ask for.
+func (o *Options) fetch(ctx context.Context, c cmdutil.Client) (api.JobList, error) {
+	list, err := c.Jobs(ctx)
 	kept := api.JobList{Jobs: []api.JobStatus{}}
 	for _, j := range list.Jobs {
 		if (o.Customer == "" || o.Customer == j.Job.Customer) && (o.State == "" || o.State == string(j.State)) {
 			kept.Jobs = append(kept.Jobs, j)
 		}
 	}
-	if o.JSON {
-		return f.IO.WriteJSON(kept)
-	}
-	return f.IO.Table([]string{"JOB", "CUSTOMER", "ZONE", "SHAPE", "STATE", "CLASS", "REASON"}, rows(kept))
+	return kept, err
 }
 
 func rows(list api.JobList) [][]string {
--- a/internal/cmd/vm/list/list.go
+++ b/internal/cmd/vm/list/list.go
@@ -3,6 +3,7 @@
 
 import (
 	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/pkg/api"
 )
 
 // Options are the command's flags.
@@ -18,22 +19,18 @@
 
 // Run lists the entry VMs.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	ctx, cancel := f.Context()
-	defer cancel()
-	list, err := f.Client.VMs(ctx)
-	if err != nil {
-		return err
-	}
-	if o.JSON {
-		return f.IO.WriteJSON(list)
-	}
-	var rows [][]string
+	listing := cmdutil.Listing[api.VMList]{Wait: "asking an entry VM", Fetch: f.Client.VMs, Header: []string{"VM", "ADDRESS", "ZONE", "STATE", "OFFICE"}, Rows: rows}
+	return listing.Print(f, o.JSON)
+}
+
+func rows(list api.VMList) [][]string {
+	var out [][]string
 	for _, v := range list.VMs {
 		office := ""
 		if v.Placer {
 			office = "placer"
 		}
-		rows = append(rows, []string{v.Name, v.Address, v.Zone, v.State, office})
+		out = append(out, []string{v.Name, v.Address, v.Zone, v.State, office})
 	}
-	return f.IO.Table([]string{"VM", "ADDRESS", "ZONE", "STATE", "OFFICE"}, rows)
+	return out
 }
--- a/internal/cmd/worker/list/list.go
+++ b/internal/cmd/worker/list/list.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/pkg/api"
 )
 
 // Options are the command's flags.
@@ -20,19 +21,15 @@
 
 // Run lists the workers.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	ctx, cancel := f.Context()
-	defer cancel()
-	list, err := f.Client.Workers(ctx)
-	if err != nil {
-		return err
-	}
-	if o.JSON {
-		return f.IO.WriteJSON(list)
-	}
-	var rows [][]string
+	listing := cmdutil.Listing[api.WorkerList]{Wait: "asking the placers", Fetch: f.Client.Workers, Header: []string{"WORKER", "ZONE", "STATE", "USED", "LEASES"}, Rows: rows}
+	return listing.Print(f, o.JSON)
+}
+
+func rows(list api.WorkerList) [][]string {
+	var out [][]string
 	for _, w := range list.Workers {
 		used := strconv.Itoa(w.Used) + "/" + strconv.Itoa(w.Accelerators)
-		rows = append(rows, []string{w.Name, w.Zone, w.State, used, strconv.Itoa(w.Leases)})
+		out = append(out, []string{w.Name, w.Zone, w.State, used, strconv.Itoa(w.Leases)})
 	}
-	return f.IO.Table([]string{"WORKER", "ZONE", "STATE", "USED", "LEASES"}, rows)
+	return out
 }
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -14,10 +13,6 @@
 	"rhubarbshore/pkg/api"
 )
 
-// minLeft is the shortest run time that a reclaimed job starts again with, in
-// seconds.
-const minLeft = 0.001
-
 // firstLook is the time after which a gang's workers are first asked how it
 // does.
 const firstLook = 500 * time.Millisecond
@@ -33,14 +28,6 @@
 	lease  worker.Lease
 }
 
-// victim is a spare gang that has to make room.
-type victim struct {
-	id    string
-	seats []seat
-	// saved is set if every member saved its work.
-	saved bool
-}
-
 // launch carries a placement out on the workers.
 func (p *Placer) launch(j *job, placement cell.Placement, now time.Time) {
 	j.status.State = api.Starting
@@ -149,57 +136,6 @@
 	return out
 }
 
-// victims marks the jobs that make room as on their way out.
-func (p *Placer) victims(ids []string) []victim {
-	var out []victim
-	for _, id := range ids {
-		j := p.jobs[id]
-		if j == nil || j.evicting {
-			continue
-		}
-		j.evicting = true
-		v := victim{id: id}
-		for _, name := range j.members {
-			if p.workers[name] != nil {
-				v.seats = append(v.seats, p.seat(name, worker.Lease{Job: id, Generation: j.status.Generation}))
-			}
-		}
-		out = append(out, v)
-		p.reclaims++
-		metric.Count("placer_reclaims_total")
-	}
-	return out
-}
-
-// reclaim lets the victims save their work until the deadline and stops them.
-// A worker that does not confirm in time fails the launch.
-func (p *Placer) reclaim(victims []victim, deadline time.Time) error {
-	begun := time.Now()
-	errs := make([]error, len(victims))
-	var wg sync.WaitGroup
-	for i, v := range victims {
-		wg.Go(func() {
-			victims[i].saved = p.checkpoint(v, deadline)
-			errs[i] = p.stopSeats(v.seats)
-		})
-	}
-	wg.Wait()
-	if len(victims) > 0 {
-		metric.Observe("placer_reclaim_seconds", begun)
-	}
-	return errors.Join(errs...)
-}
-
-// checkpoint reports whether all members saved their work in time.
-func (p *Placer) checkpoint(v victim, deadline time.Time) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	errs := each(v.seats, func(s seat) error {
-		return s.client.Checkpoint(ctx, s.fence, s.lease.Job, s.lease.Generation)
-	})
-	return errors.Join(errs...) == nil
-}
-
 // each calls f for all seats at once and returns their errors by seat.
 func each(seats []seat, f func(s seat) error) []error {
 	errs := make([]error, len(seats))
@@ -211,46 +147,6 @@
 	return errs
 }
 
-// stopSeats stops the gang's members, and tells the placer about each worker
-// that did not confirm.
-func (p *Placer) stopSeats(seats []seat) error {
-	errs := each(seats, p.stop)
-	p.reportDoubt(seats, errs, func(err error) bool { return err != nil })
-	return errors.Join(errs...)
-}
-
-func (p *Placer) stop(s seat) error {
-	ctx, cancel := call(callTimeout)
-	defer cancel()
-	return s.client.Stop(ctx, s.fence, s.lease.Job, s.lease.Generation)
-}
-
-// reportDoubt marks the workers whose state is not known for certain.
-func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) {
-	var names []string
-	for i, err := range errs {
-		if matters(err) {
-			names = append(names, seats[i].name)
-		}
-	}
-	if len(names) > 0 {
-		p.post(func() { p.doubt(names) })
-	}
-}
-
-// doubt has the workers fenced again at once, which shuts out calls that are
-// still under way, and their tables read.
-func (p *Placer) doubt(names []string) {
-	for _, name := range names {
-		if w := p.workers[name]; w != nil && p.office {
-			metric.Count("placer_doubts_total")
-			w.doubt = true
-			w.next = time.Now()
-			p.avoid(w, time.Now())
-		}
-	}
-}
-
 // startGang holds all seats, and starts them only if every hold was granted
 // with time to spare; else it releases all. With an error it returns the workers
 // on which a member may run all the same.
@@ -273,21 +169,6 @@
 	return p.undo(seats, errs), err
 }
 
-// undo stops all seats after a failed launch. It returns the workers on which a
-// member may have started and did not confirm the stop.
-func (p *Placer) undo(seats []seat, started []error) []string {
-	stopped := each(seats, p.stop)
-	p.reportDoubt(seats, stopped, func(err error) bool { return err != nil })
-	var loose []string
-	for i, s := range seats {
-		begun := len(started) > 0 && !errors.Is(started[i], worker.ErrUnsent) && !errors.Is(started[i], worker.ErrRefused) && !errors.Is(started[i], worker.ErrFenced)
-		if begun && stopped[i] != nil {
-			loose = append(loose, s.name)
-		}
-	}
-	return loose
-}
-
 func (p *Placer) hold(seats []seat) error {
 	if p.cfg.Unsafe.NoHold {
 		each(seats, p.holdOne)
@@ -321,31 +202,6 @@
 	return false
 }
 
-// onReclaimed lets the victims wait again.
-func (p *Placer) onReclaimed(victims []victim, stopped bool, began time.Time) {
-	now := time.Now()
-	if !p.office || !began.Equal(p.since) {
-		return
-	}
-	for _, v := range victims {
-		j := p.jobs[v.id]
-		if j == nil || !j.evicting {
-			continue
-		}
-		ran := now.Sub(j.status.Started).Seconds()
-		if v.saved {
-			j.left = max(minLeft, j.left-ran)
-		} else {
-			metric.Add("placer_work_lost_accelerator_seconds_total", ran*float64(len(j.refs)*cell.Size(j.level)))
-		}
-		if stopped {
-			p.tree.Release(v.id)
-			j.members = nil
-		}
-		p.requeue(j, "reclaimed")
-	}
-}
-
 // onLaunched records that the gang runs whole, or that it does not run.
 func (p *Placer) onLaunched(j *job, loose []string, err error) {
 	now := time.Now()
@@ -365,7 +221,9 @@
 		j.members = nil
 		p.requeue(j, "not started")
 		j.backOff(now)
-		p.awaitLapse(j, loose)
+		if len(loose) > 0 {
+			p.awaitLapse(p.haltOf(j.status.Job.ID), loose)
+		}
 		return
 	}
 	if j.cancelled || j.abort != "" {
@@ -392,55 +250,3 @@
 		}
 	}
 }
-
-// stopGang stops the job's members in the background. The job does not start
-// again before all have confirmed or their leases have lapsed.
-func (p *Placer) stopGang(j *job) {
-	var seats []seat
-	for _, name := range j.members {
-		if p.workers[name] != nil {
-			seats = append(seats, p.seat(name, worker.Lease{Job: j.status.Job.ID, Generation: j.status.Generation}))
-		}
-	}
-	if len(seats) == 0 {
-		return
-	}
-	begun := time.Now()
-	j.stops++
-	go func() {
-		err := p.stopSeats(seats)
-		if err == nil {
-			metric.Observe("gang_stop_seconds", begun)
-		}
-		p.post(func() { p.onStopped(j, seats, err) })
-	}()
-}
-
-// onStopped lets the job start again, at once or when its leases have lapsed.
-func (p *Placer) onStopped(j *job, seats []seat, err error) {
-	j.stops--
-	p.dirty = true
-	if err == nil {
-		return
-	}
-	p.awaitLapse(j, seatNames(seats))
-}
-
-// awaitLapse keeps the job from starting until no lease on the workers can last.
-func (p *Placer) awaitLapse(j *job, workers []string) {
-	for _, name := range workers {
-		if w := p.workers[name]; w != nil && w.lapse.Add(p.cfg.Drift).After(j.notBefore) {
-			j.notBefore = w.lapse.Add(p.cfg.Drift)
-		}
-	}
-}
-
-// stopOn stops one member of a gang that should not run.
-func (p *Placer) stopOn(name, id string, generation uint64) {
-	w := p.workers[name]
-	if w == nil {
-		return
-	}
-	s := p.seat(name, worker.Lease{Job: id, Generation: generation})
-	go func() { _ = p.stopSeats([]seat{s}) }()
-}
--- /dev/null
+++ b/internal/placer/halt.go
@@ -0,0 +1,236 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/worker"
+)
+
+// minLeft is the shortest run time that a reclaimed job starts again with, in
+// seconds.
+const minLeft = 0.001
+
+// victim is a spare gang that has to make room.
+type victim struct {
+	id    string
+	seats []seat
+	// saved is set if every member saved its work.
+	saved bool
+}
+
+// victims marks the jobs that make room as on their way out.
+func (p *Placer) victims(ids []string) []victim {
+	var out []victim
+	for _, id := range ids {
+		j := p.jobs[id]
+		if j == nil || j.evicting {
+			continue
+		}
+		j.evicting = true
+		v := victim{id: id}
+		for _, name := range j.members {
+			if p.workers[name] != nil {
+				v.seats = append(v.seats, p.seat(name, worker.Lease{Job: id, Generation: j.status.Generation}))
+			}
+		}
+		out = append(out, v)
+		p.reclaims++
+		metric.Count("placer_reclaims_total")
+	}
+	return out
+}
+
+// reclaim lets the victims save their work until the deadline and stops them.
+// A worker that does not confirm in time fails the launch.
+func (p *Placer) reclaim(victims []victim, deadline time.Time) error {
+	begun := time.Now()
+	errs := make([]error, len(victims))
+	var wg sync.WaitGroup
+	for i, v := range victims {
+		wg.Go(func() {
+			victims[i].saved = p.checkpoint(v, deadline)
+			errs[i] = p.stopSeats(v.seats)
+		})
+	}
+	wg.Wait()
+	if len(victims) > 0 {
+		metric.Observe("placer_reclaim_seconds", begun)
+	}
+	return errors.Join(errs...)
+}
+
+// checkpoint reports whether all members saved their work in time.
+func (p *Placer) checkpoint(v victim, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	errs := each(v.seats, func(s seat) error {
+		return s.client.Checkpoint(ctx, s.fence, s.lease.Job, s.lease.Generation)
+	})
+	return errors.Join(errs...) == nil
+}
+
+// stopSeats stops the gang's members, and tells the placer about each worker
+// that did not confirm.
+func (p *Placer) stopSeats(seats []seat) error {
+	errs := each(seats, p.stop)
+	p.reportDoubt(seats, errs, func(err error) bool { return err != nil })
+	return errors.Join(errs...)
+}
+
+func (p *Placer) stop(s seat) error {
+	ctx, cancel := call(callTimeout)
+	defer cancel()
+	return s.client.Stop(ctx, s.fence, s.lease.Job, s.lease.Generation)
+}
+
+// reportDoubt marks the workers whose state is not known for certain.
+func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) {
+	var names []string
+	for i, err := range errs {
+		if matters(err) {
+			names = append(names, seats[i].name)
+		}
+	}
+	if len(names) > 0 {
+		p.post(func() { p.doubt(names) })
+	}
+}
+
+// doubt has the workers fenced again at once, which shuts out calls that are
+// still under way, and their tables read.
+func (p *Placer) doubt(names []string) {
+	for _, name := range names {
+		if w := p.workers[name]; w != nil && p.office {
+			metric.Count("placer_doubts_total")
+			w.doubt = true
+			w.rival = true
+			w.next = time.Now()
+			p.avoid(w, time.Now())
+		}
+	}
+}
+
+// undo stops all seats after a failed launch. It returns the workers on which a
+// member may have started and did not confirm the stop.
+func (p *Placer) undo(seats []seat, started []error) []string {
+	stopped := each(seats, p.stop)
+	p.reportDoubt(seats, stopped, func(err error) bool { return err != nil })
+	var loose []string
+	for i, s := range seats {
+		begun := len(started) > 0 && !errors.Is(started[i], worker.ErrUnsent) && !errors.Is(started[i], worker.ErrRefused) && !errors.Is(started[i], worker.ErrFenced)
+		if begun && stopped[i] != nil {
+			loose = append(loose, s.name)
+		}
+	}
+	return loose
+}
+
+// onReclaimed lets the victims wait again.
+func (p *Placer) onReclaimed(victims []victim, stopped bool, began time.Time) {
+	now := time.Now()
+	if !p.office || !began.Equal(p.since) {
+		return
+	}
+	for _, v := range victims {
+		j := p.jobs[v.id]
+		if j == nil || !j.evicting {
+			continue
+		}
+		ran := now.Sub(j.status.Started).Seconds()
+		if v.saved {
+			j.left = max(minLeft, j.left-ran)
+		} else {
+			metric.Add("placer_work_lost_accelerator_seconds_total", ran*float64(len(j.refs)*cell.Size(j.level)))
+		}
+		if stopped {
+			p.tree.Release(v.id)
+			j.members = nil
+		}
+		p.requeue(j, "reclaimed")
+	}
+}
+
+// halt is what is known of the former generations of a job: the stops under way
+// and, where one was not confirmed, when the last lease has lapsed.
+type halt struct {
+	stops int
+	until time.Time
+}
+
+// halted reports whether a former generation of the job may still run.
+func (p *Placer) halted(id string, now time.Time) bool {
+	h := p.halts[id]
+	if h == nil {
+		return false
+	}
+	if h.stops > 0 {
+		return true
+	}
+	if now.Before(h.until) {
+		p.pauseUntil(h.until)
+		return true
+	}
+	delete(p.halts, id)
+	return false
+}
+
+func (p *Placer) haltOf(id string) *halt {
+	h := p.halts[id]
+	if h == nil {
+		h = &halt{}
+		p.halts[id] = h
+	}
+	return h
+}
+
+// stopGang stops the job's members in the background. The job does not start
+// again before all have confirmed or their leases have lapsed.
+func (p *Placer) stopGang(j *job) {
+	p.stopMembers(j.status.Job.ID, j.status.Generation, j.members)
+}
+
+// stopMembers stops a generation of a job on the workers.
+func (p *Placer) stopMembers(id string, generation uint64, workers []string) {
+	var seats []seat
+	for _, name := range workers {
+		if p.workers[name] != nil {
+			seats = append(seats, p.seat(name, worker.Lease{Job: id, Generation: generation}))
+		}
+	}
+	if len(seats) == 0 {
+		return
+	}
+	begun := time.Now()
+	h := p.haltOf(id)
+	h.stops++
+	go func() {
+		err := p.stopSeats(seats)
+		if err == nil {
+			metric.Observe("gang_stop_seconds", begun)
+		}
+		p.post(func() { p.onStopped(h, seats, err) })
+	}()
+}
+
+// onStopped lets the job start again, at once or when its leases have lapsed.
+func (p *Placer) onStopped(h *halt, seats []seat, err error) {
+	h.stops--
+	p.dirty = true
+	if err != nil {
+		p.awaitLapse(h, seatNames(seats))
+	}
+}
+
+// awaitLapse keeps a job from starting until no lease on the workers can last.
+func (p *Placer) awaitLapse(h *halt, workers []string) {
+	for _, name := range workers {
+		if w := p.workers[name]; w != nil && w.lapse.Add(p.cfg.Drift).After(h.until) {
+			h.until = w.lapse.Add(p.cfg.Drift)
+		}
+	}
+}
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -29,8 +29,6 @@
 	// launching is set while a launch is under way; abort then says why it has
 	// to be undone.
 	launching bool
-	// stops counts the stops of former generations that are under way.
-	stops     int
 	abort     string
 	cancelled bool
 	queued    bool
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -111,6 +111,7 @@
 	jobs    map[string]*job
 	queues  map[string]*queue
 	found   map[string]*gang
+	halts   map[string]*halt
 	kept    *reservation
 	reading bool
 	read    bool
@@ -138,6 +139,7 @@
 	p.jobs = map[string]*job{}
 	p.queues = map[string]*queue{}
 	p.found = map[string]*gang{}
+	p.halts = map[string]*halt{}
 	p.kept = nil
 	p.tree = cell.NewTree(p.layout)
 	for _, w := range p.workers {
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -54,6 +54,7 @@
 	if r.Running > p.runningOn(w) || r.Running+len(r.Changes) < p.settledOn(w, asked) {
 		// An old call came late, or the worker has lost its table.
 		w.doubt = true
+		w.rival = true
 		w.next = now
 	}
 }
@@ -91,7 +92,7 @@
 	j := p.jobs[c.Job]
 	if j == nil || j.status.Generation != c.Generation || j.status.State != api.Running {
 		if j == nil || !j.placed() {
-			p.stopOn(w.name, c.Job, c.Generation)
+			p.stopMembers(c.Job, c.Generation, []string{w.name})
 		}
 		return
 	}
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -129,7 +129,7 @@
 
 // may reports whether the job's pause is over and it can't be running already.
 func (p *Placer) may(j *job, now time.Time) bool {
-	if j.stops > 0 {
+	if p.halted(j.status.Job.ID, now) {
 		return false
 	}
 	if now.Before(j.notBefore) {
--- /dev/null
+++ b/internal/placer/zone_test.go
@@ -0,0 +1,434 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/internal/worker"
+	"rhubarbshore/pkg/api"
+)
+
+// zone is a small availability zone: stand-in workers and the placers of its
+// entry VMs, in virtual time.
+type zone struct {
+	t       *testing.T
+	workers map[string]*standin.Worker
+	vms     []*vm
+	unsafe  Unsafe
+	layout  cell.Config
+	journal *memoryJournal
+	logger  *slog.Logger
+
+	mu      sync.Mutex
+	strikes []strike
+	armed   bool
+	cuts    map[string]time.Time
+}
+
+// strike is a fault that is to hit a step, once.
+type strike struct {
+	step, fault string
+	fired       bool
+}
+
+// vm is one entry VM's placer.
+type vm struct {
+	zone   *zone
+	name   string
+	placer *Placer
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	dead   bool
+	frozen time.Time
+	// split is the prefix of the workers that this VM can't reach.
+	split string
+}
+
+// memoryJournal is a journal that never fails.
+type memoryJournal struct {
+	mu   sync.Mutex
+	jobs []api.Job
+	over map[string]bool
+}
+
+func (m *memoryJournal) Accept(_ context.Context, j api.Job) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.jobs = append(m.jobs, j)
+	return nil
+}
+
+func (m *memoryJournal) End(_ context.Context, id string, _ api.State) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.over[id] = true
+	return nil
+}
+
+func (m *memoryJournal) Open(context.Context) ([]api.Job, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []api.Job
+	for _, j := range m.jobs {
+		if !m.over[j.ID] {
+			out = append(out, j)
+		}
+	}
+	return out, nil
+}
+
+func newZone(t *testing.T, unsafe Unsafe) *zone {
+	z := &zone{t: t, workers: map[string]*standin.Worker{}, cuts: map[string]time.Time{}, unsafe: unsafe, journal: &memoryJournal{over: map[string]bool{}}}
+	z.layout = cell.Config{
+		Levels:     cell.Levels{Worker: 3, Rack: 5},
+		Guarantees: []cell.Guarantee{{Customer: "a", Level: 4, Count: 1}, {Customer: "b", Level: 3, Count: 1}},
+	}
+	for r := range 2 {
+		rack := cell.Rack{Name: fmt.Sprint("r", r)}
+		for i := range 4 {
+			w := cell.Worker{Name: fmt.Sprintf("r%d-w%d", r, i), Accelerators: 8}
+			rack.Workers = append(rack.Workers, w)
+			z.workers[w.Name] = standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: 8})
+		}
+		z.layout.Racks = append(z.layout.Racks, rack)
+	}
+	return z
+}
+
+// boot starts the placer of an entry VM and gives it office.
+func (z *zone) boot(name string) *vm {
+	v := &vm{zone: z, name: name}
+	v.placer = New(Config{
+		VM: name, Zone: "z", Term: testTerm, Renew: 20 * time.Second, Hold: 6 * time.Second, Checkpoint: 2 * time.Second,
+		Lost: 10 * time.Second, Drift: testDrift, Logger: z.log(name), Journal: z.journal, Unsafe: z.unsafe, Holds: z.holds,
+	})
+	ctx, cancel := context.WithCancel(z.t.Context())
+	v.cancel = cancel
+	z.mu.Lock()
+	z.vms = append(z.vms, v)
+	z.mu.Unlock()
+	go v.placer.Run(ctx)
+	var listed []Listed
+	for n, w := range z.workers {
+		listed = append(listed, Listed{Name: n, Client: &faulty{vm: v, name: n, worker: w}})
+	}
+	v.placer.SetLayout(z.layout, map[string]int{"a": 100, "b": 100, "c": 100})
+	v.placer.SetWorkers(listed)
+	v.placer.SetOffice(true)
+	return v
+}
+
+// holds is what membership tells about a VM's office.
+func (z *zone) holds(name string) bool {
+	for _, v := range z.all() {
+		if v.name == name {
+			return !v.isDead() && v.placer.Holding()
+		}
+	}
+	return false
+}
+
+func (v *vm) kill() {
+	v.mu.Lock()
+	v.dead = true
+	v.mu.Unlock()
+	v.cancel()
+}
+
+// faulty is one VM's connection to a worker.
+type faulty struct {
+	vm     *vm
+	name   string
+	worker *standin.Worker
+}
+
+// do carries a call out, with the fault if it is its turn.
+func (f *faulty) do(step string, call func() error) error {
+	f.vm.pass()
+	if f.vm.isDead() || f.vm.zone.isCut(f.name) || f.vm.isSplit(f.name) {
+		time.Sleep(dialTimeout)
+		return worker.ErrUnsent
+	}
+	err := f.vm.zone.strike(f, step, call)
+	f.vm.pass()
+	return err
+}
+
+// pass holds a frozen VM's calls back until it wakes.
+func (v *vm) pass() {
+	v.mu.Lock()
+	until := v.frozen
+	v.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+func (v *vm) isDead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dead
+}
+
+func (v *vm) isSplit(worker string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.split != "" && strings.HasPrefix(worker, v.split)
+}
+
+func (v *vm) setSplit(prefix string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.split = prefix
+}
+
+func (v *vm) isFrozen() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Now().Before(v.frozen)
+}
+
+// all lists the VMs booted so far.
+func (z *zone) all() []*vm {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return slices.Clone(z.vms)
+}
+
+func (z *zone) isCut(name string) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return time.Now().Before(z.cuts[name])
+}
+
+// strike brings the fault about at the first call of its step.
+func (z *zone) strike(f *faulty, step string, call func() error) error {
+	z.mu.Lock()
+	fault := z.take(step)
+	z.mu.Unlock()
+	switch fault {
+	case "cut":
+		z.cut(f.name, 90*time.Second)
+		time.Sleep(dialTimeout)
+		return worker.ErrUnsent
+	case "lost":
+		_ = call()
+		time.Sleep(callTimeout)
+		return worker.ErrDoubt
+	case "dropped":
+		time.Sleep(callTimeout)
+		return worker.ErrDoubt
+	case "late":
+		go func() { time.Sleep(1500 * time.Millisecond); _ = call() }()
+		time.Sleep(callTimeout)
+		return worker.ErrDoubt
+	case "duplicate":
+		go func() { time.Sleep(1500 * time.Millisecond); _ = call() }()
+	case "slow":
+		time.Sleep(900 * time.Millisecond)
+	case "crash":
+		f.worker.Crash()
+	case "failing":
+		f.worker.SetFault(standin.WorkerFault{Fail: true, Hang: true})
+	case "kill":
+		f.vm.kill()
+		go func() { time.Sleep(2500 * time.Millisecond); z.boot("vm-next") }()
+		return worker.ErrUnsent
+	case "freeze":
+		f.vm.freeze(testTerm + 30*time.Second)
+		f.vm.pass()
+	case "rival":
+		go func() {
+			rival := z.boot("vm-rival")
+			time.Sleep(3 * time.Second)
+			rival.placer.SetOffice(false)
+			z.passStray(rival)
+		}()
+	}
+	return call()
+}
+
+// take returns the fault whose turn it is at the step. Steps that also happen
+// while the zone is filled wait until the guaranteed gang comes.
+func (z *zone) take(step string) string {
+	for i := range z.strikes {
+		s := &z.strikes[i]
+		if s.step == step && !s.fired && (z.armed || step == "fence") {
+			s.fired = true
+			return s.fault
+		}
+	}
+	return ""
+}
+
+func (z *zone) cut(name string, d time.Duration) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.cuts[name] = time.Now().Add(d)
+}
+
+// freeze stops the VM: its calls and its goroutine wait, time goes on. Another
+// VM takes office meanwhile.
+func (v *vm) freeze(d time.Duration) {
+	v.mu.Lock()
+	v.frozen = time.Now().Add(d)
+	v.mu.Unlock()
+	go v.placer.post(func() { time.Sleep(d) })
+	go func() { time.Sleep(2500 * time.Millisecond); v.zone.boot("vm-next") }()
+	go func() { time.Sleep(d + 500*time.Millisecond); v.placer.SetOffice(false); v.zone.passStray(v) }()
+}
+
+// passStray hands on the jobs of a lost office, as the daemon does.
+func (z *zone) passStray(from *vm) {
+	for _, j := range from.placer.Stray(z.t.Context()) {
+		for _, v := range z.all() {
+			if v != from && !v.isDead() {
+				_, _ = v.placer.Submit(z.t.Context(), j)
+			}
+		}
+	}
+}
+
+// answer carries out a call that returns more than an error. A call that comes
+// late must not touch the answer given before.
+func answer[Out any](f *faulty, step string, call func() (Out, error)) (Out, error) {
+	var mu sync.Mutex
+	var out Out
+	err := f.do(step, func() error {
+		got, err := call()
+		mu.Lock()
+		defer mu.Unlock()
+		out = got
+		return err
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	return out, err
+}
+
+// Fence implements Worker.
+func (f *faulty) Fence(ctx context.Context, fence worker.Fence) (worker.Table, error) {
+	return answer(f, "fence", func() (worker.Table, error) { return f.worker.Fence(ctx, fence) })
+}
+
+// Hold implements Worker.
+func (f *faulty) Hold(ctx context.Context, fence worker.Fence, l worker.Lease, term time.Duration) error {
+	return f.do("hold", func() error { return f.worker.Hold(ctx, fence, l, term) })
+}
+
+// Start implements Worker.
+func (f *faulty) Start(ctx context.Context, fence worker.Fence, job string, g uint64, term time.Duration) error {
+	return f.do("start", func() error { return f.worker.Start(ctx, fence, job, g, term) })
+}
+
+// Renew implements Worker.
+func (f *faulty) Renew(ctx context.Context, fence worker.Fence, term time.Duration) (worker.Renewal, error) {
+	return answer(f, "renew", func() (worker.Renewal, error) { return f.worker.Renew(ctx, fence, term) })
+}
+
+// Checkpoint implements Worker.
+func (f *faulty) Checkpoint(ctx context.Context, fence worker.Fence, job string, g uint64) error {
+	return f.do("checkpoint", func() error { return f.worker.Checkpoint(ctx, fence, job, g) })
+}
+
+// Stop implements Worker.
+func (f *faulty) Stop(ctx context.Context, fence worker.Fence, job string, g uint64) error {
+	return f.do("stop", func() error { return f.worker.Stop(ctx, fence, job, g) })
+}
+
+// submit hands a job to whichever VM takes it, as the daemon does.
+func (z *zone) submit(j api.Job) {
+	for range 2000 {
+		for _, v := range z.all() {
+			if v.isDead() || v.isFrozen() {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(z.t.Context(), time.Second)
+			status, err := v.placer.Submit(ctx, j)
+			cancel()
+			if err == nil {
+				assert.Assert(z.t, status.State != api.Refused, status.Reason)
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	z.t.Fatalf("job %s was never accepted", j.ID)
+}
+
+func (z *zone) spans() []standin.Span {
+	var out []standin.Span
+	for _, w := range z.workers {
+		out = append(out, w.Ledger()...)
+	}
+	return out
+}
+
+// started returns when all members of the job first ran.
+func (z *zone) started(job string, members int) (time.Time, bool) {
+	var begins []time.Time
+	for _, s := range z.spans() {
+		if s.Job == job && s.Reason != "failed" {
+			begins = append(begins, s.Begin)
+		}
+	}
+	if len(begins) < members {
+		return time.Time{}, false
+	}
+	sort.Slice(begins, func(i, k int) bool { return begins[i].Before(begins[k]) })
+	return begins[members-1], true
+}
+
+func (z *zone) spansOf(job string) []standin.Span {
+	return slices.DeleteFunc(z.spans(), func(s standin.Span) bool { return s.Job != job })
+}
+
+// check asks each living placer whether its guarantees are safe.
+func (z *zone) check() error {
+	for _, v := range z.all() {
+		if v.isDead() || v.isFrozen() {
+			continue
+		}
+		var err error
+		ctx, cancel := context.WithTimeout(z.t.Context(), time.Second)
+		_ = v.placer.ask(ctx, func() {
+			if v.placer.office && v.placer.ready {
+				err = v.placer.tree.Check()
+			}
+		})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// classes counts the running gangs of a placer by class.
+func (z *zone) classes(v *vm) map[string]int {
+	out := map[string]int{}
+	list, err := v.placer.Jobs(z.t.Context())
+	assert.NilError(z.t, err)
+	for _, j := range list.Jobs {
+		if j.State == api.Running {
+			out[j.Class]++
+		}
+	}
+	return out
+}
+
+func (z *zone) log(name string) *slog.Logger {
+	if z.logger == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return z.logger.With("vm", name)
+}
