Rival placers: fenced is not doubt, and gangs are read together

Traces: a refused stop counted as doubt, so that the first placer did not rebuild; it then took the workers of the rival that had gone one by one, two seconds apart, and dismissed a whole gang as partial. And a job was given up after three failures on two bad workers.

Ruled out: a longer grace for partial gangs (the urgent start after a placer's death would exceed 6.6 s).

Change: a call refused by a fence is known not to have happened and leads to a rebuild; when a rival seems gone, all its workers are read together; a job is at fault after failing on three different workers. Claims are paced so that all VMs together append 333 times a second at most.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -62,9 +62,13 @@
 
 // Config constructs a Claimer. Keep is how long an expired claim is still
 // remembered, so that a late copy of it is known for what it is.
+//
+// Pace is the least time between two appends of this VM, so that all VMs together
+// stay within what the log takes; nil asks for none.
 type Config struct {
 	Log     Log
 	Home    string
+	Pace    func() time.Duration
 	Waiting int
 	Known   int
 	Keep    time.Duration
@@ -84,6 +88,8 @@
 	known map[string]Won
 	order []string
 	next  int64
+	// appended is when this claimer last appended.
+	appended time.Time
 
 	// blind makes claims count without being read back, for tests that show
 	// what reading back prevents.
@@ -142,10 +148,15 @@
 	}
 }
 
-// batch gathers the asks that arrive within a moment of the first one.
+// batch gathers the asks that arrive within a moment of the first one, or until
+// the next append is due.
 func (c *Claimer) batch(first ask) []ask {
 	asks := []ask{first}
-	timer := time.NewTimer(gather)
+	wait := gather
+	if c.cfg.Pace != nil {
+		wait = max(wait, time.Until(c.appended.Add(c.cfg.Pace())))
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for len(asks) < maxBatch {
 		select {
@@ -180,6 +191,7 @@
 		}
 		records = append(records, data)
 	}
+	c.appended = time.Now()
 	if c.blind {
 		return c.appendBlind(ctx, asks, records)
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -134,6 +134,28 @@
 	})
 }
 
+// TestPace sends claims faster than a VM may append.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New(Config{Log: log, Home: "h", Waiting: 100, Known: 1000, Keep: time.Hour, Pace: func() time.Duration { return 180 * time.Millisecond }})
+		go c.Run(ctx)
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				_, err := c.Claim(ctx, fmt.Sprint(i), time.Now().Add(time.Minute))
+				assert.NilError(t, err)
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		wg.Wait()
+		assert.Assert(t, log.appends <= 13, "%d appends in two seconds", log.appends)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestForgetsAfterKeep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,10 @@
 	maxHeader     = 16 << 10
 	officeEvery   = 250 * time.Millisecond
 	claimWaiting  = 4096
-	maxHomes      = 64
+	// appendShare times the number of VMs is the time between two appends of
+	// claims by one VM: 333 appends a second by all of them.
+	appendShare = 3 * time.Millisecond
+	maxHomes    = 64
 )
 
 // ErrStop is returned by Stop when requests were cut by its deadline.
@@ -129,7 +132,7 @@
 		Logger: d.logger, Applied: d.applied,
 	})
 	d.claims = claim.New(claim.Config{
-		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
+		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Pace: d.claimPace, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
 	})
 	d.placer = placer.New(placer.Config{
 		Holds: d.members.HoldsOffice,
@@ -139,6 +142,9 @@
 	})
 }
 
+// claimPace shares the log's appends out among the VMs known.
+func (d *Daemon) claimPace() time.Duration { return time.Duration(d.vms()) * appendShare }
+
 // Start begins to serve. It returns once the daemon listens.
 func (d *Daemon) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -45,13 +45,18 @@
 
 // connectionShare is this VM's part of a backend server's connections.
 func (d *Daemon) connectionShare(connections int) int {
-	vms := 1
+	return max(1, connections/(d.vms()+reserve))
+}
+
+// vms is the number of entry VMs that this one knows of, itself included.
+func (d *Daemon) vms() int {
+	n := 1
 	for _, p := range d.members.All() {
 		if p.Info.GetState() != peer.Gone {
-			vms++
+			n++
 		}
 	}
-	return max(1, connections/(vms+reserve))
+	return n
 }
 
 // queueFor returns the service's queue, which is made on first use.
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/internal/peer/rpc"
@@ -22,6 +23,7 @@
 	vms   map[string]*Members
 	dead  map[string]bool
 	calls map[string]int
+	bytes map[string]int
 }
 
 // link is the way to one VM. Only Probe is used.
@@ -44,7 +46,15 @@
 		time.Sleep(500 * time.Millisecond)
 		return nil, errCut
 	}
-	return to.Answer(g), nil
+	reply := to.Answer(g)
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	if l.net.bytes != nil {
+		size := proto.Size(g) + proto.Size(reply)
+		l.net.bytes[g.GetSelf().GetName()] += size
+		l.net.bytes[l.to] += size
+	}
+	return reply, nil
 }
 
 func (n *network) boot(ctx context.Context, name, zone string, incarnation int64) *Members {
@@ -123,7 +133,7 @@
 		}
 		t.Log("new placer after", time.Since(began))
 		cancel()
-		synctest.Wait()
+		time.Sleep(5 * time.Second)
 	})
 }
 
@@ -144,3 +154,67 @@
 	_, ok = m.Serving("1/5")
 	assert.Assert(t, !ok)
 }
+
+// TestGossipBytes bounds what gossip costs a VM at the design size: one of 60
+// VMs, five to a zone, while a configuration is published every 12 s. Bytes are those of the messages,
+// to which the transport adds its headers.
+func TestGossipBytes(t *testing.T) {
+	for _, vms := range []int{9, 30, 60} {
+		t.Run(fmt.Sprint("vms=", vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				n := &network{vms: map[string]*Members{}, dead: map[string]bool{}, calls: map[string]int{}}
+				var names, zones []string
+				for i := range vms {
+					names = append(names, fmt.Sprintf("zone%02d-vm%d", i/5, i%5))
+					zones = append(zones, fmt.Sprint("zone", i/5))
+					n.boot(ctx, names[i], zones[i], int64(i+1))
+				}
+				for _, m := range n.vms {
+					for i, name := range names {
+						m.Seed(name, name, zones[i])
+					}
+				}
+				n.churn(60*time.Second, names)
+				n.mu.Lock()
+				n.bytes = map[string]int{}
+				n.mu.Unlock()
+				n.churn(15*time.Minute, names)
+				worst := 0
+				n.mu.Lock()
+				for _, b := range n.bytes {
+					worst = max(worst, b/900)
+				}
+				n.mu.Unlock()
+				t.Logf("%d VMs: at most %d B/s of gossip at one VM", vms, worst)
+				assert.Assert(t, worst < 1500)
+				cancel()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// restartEvery is the time between failures and restarts of VMs, of which the
+// design size has 199 a day, in seconds.
+const restartEvery = 434
+
+// churn lets versions change and VMs restart for some time.
+func (n *network) churn(d time.Duration, names []string) {
+	for i := range int(d / time.Second) {
+		time.Sleep(time.Second)
+		for zone := range len(names) / 5 {
+			n.lead(fmt.Sprint("zone", zone))
+		}
+		if i%12 == 0 {
+			for _, m := range n.vms {
+				m.Change(func(self *rpc.Member) {
+					self.Number, self.Upto, self.Version = int64(i), int64(i), "0123456789abcdef0123456789abcdef0123"
+				})
+			}
+		}
+		if i%restartEvery == 0 {
+			n.vms[names[i/restartEvery%len(names)]].Change(func(self *rpc.Member) { self.Homes = append(self.Homes[:0], fmt.Sprint("home~", i)) })
+		}
+	}
+}
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -14,8 +14,8 @@
 // BenchmarkJobs measures the memory of a running gang of a placer and the size
 // of its lease on the wire.
 func BenchmarkJobs(b *testing.B) {
-	for _, n := range []int{100, 1000, 10_000} {
-		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+	for _, n := range []int{50, 500, 1350} {
+		b.Run(fmt.Sprintf("tasks=%d", 20*n), func(b *testing.B) {
 			for b.Loop() {
 				var before, after runtime.MemStats
 				runtime.GC()
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -165,7 +165,7 @@
 		metric.Observe("gang_start_seconds", begun)
 		return nil, nil
 	}
-	p.reportDoubt(seats, errs, troubled)
+	p.reportDoubt(seats, errs)
 	return p.undo(seats, errs), err
 }
 
@@ -175,7 +175,7 @@
 		return nil
 	}
 	errs := each(seats, p.holdOne)
-	p.reportDoubt(seats, errs, troubled)
+	p.reportDoubt(seats, errs)
 	return errors.Join(errs...)
 }
 
@@ -191,11 +191,12 @@
 	return s.client.Start(ctx, s.fence, s.lease.Job, s.lease.Generation, p.cfg.Term)
 }
 
-// fencedByOther reports whether a worker of the gang refused this placer's
-// newest fence, and not one that it has raised itself meanwhile.
-func (p *Placer) fencedByOther(j *job) bool {
-	for _, s := range j.seats {
+// onFenced rebuilds everything if a worker refused this placer's newest fence,
+// and not one that it has raised itself meanwhile. It reports whether it did.
+func (p *Placer) onFenced(seats []seat) bool {
+	for _, s := range seats {
 		if w := p.workers[s.name]; w != nil && w.fenced && !w.doubt && s.fence == p.fenceOf(w) {
+			p.recheck(time.Now())
 			return true
 		}
 	}
@@ -211,8 +212,7 @@
 		}
 	}
 	p.dirty = true
-	if errors.Is(err, worker.ErrFenced) && p.fencedByOther(j) {
-		p.recheck(now)
+	if errors.Is(err, worker.ErrFenced) && p.onFenced(j.seats) {
 		return
 	}
 	if err != nil {
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -78,8 +78,12 @@
 // that did not confirm.
 func (p *Placer) stopSeats(seats []seat) error {
 	errs := each(seats, p.stop)
-	p.reportDoubt(seats, errs, func(err error) bool { return err != nil })
-	return errors.Join(errs...)
+	p.reportDoubt(seats, errs)
+	err := errors.Join(errs...)
+	if errors.Is(err, worker.ErrFenced) {
+		p.post(func() { p.onFenced(seats) })
+	}
+	return err
 }
 
 func (p *Placer) stop(s seat) error {
@@ -89,10 +93,10 @@
 }
 
 // reportDoubt marks the workers whose state is not known for certain.
-func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) {
+func (p *Placer) reportDoubt(seats []seat, errs []error) {
 	var names []string
 	for i, err := range errs {
-		if matters(err) {
+		if troubled(err) {
 			names = append(names, seats[i].name)
 		}
 	}
@@ -119,7 +123,7 @@
 // member may have started and did not confirm the stop.
 func (p *Placer) undo(seats []seat, started []error) []string {
 	stopped := each(seats, p.stop)
-	p.reportDoubt(seats, stopped, func(err error) bool { return err != nil })
+	p.reportDoubt(seats, stopped)
 	var loose []string
 	for i, s := range seats {
 		begun := len(started) > 0 && !errors.Is(started[i], worker.ErrUnsent) && !errors.Is(started[i], worker.ErrRefused) && !errors.Is(started[i], worker.ErrFenced)
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -20,8 +20,10 @@
 	finished  map[string]bool
 	notBefore time.Time
 	// first is when the job first ran.
-	first    time.Time
-	failures int
+	first time.Time
+	// failedOn names the workers on which a member failed: on three different
+	// ones, the job is at fault.
+	failedOn map[string]bool
 	tries    int
 	// left is the run time that is not yet safe, in seconds.
 	left     float64
@@ -58,6 +60,7 @@
 		status:   api.JobStatus{Job: in, State: api.Queued, Zone: zone, Submitted: time.Now()},
 		level:    cell.Level(in.Accelerators),
 		finished: map[string]bool{},
+		failedOn: map[string]bool{},
 		left:     in.Seconds,
 	}
 }
--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -269,6 +269,8 @@
 	for _, p := range [][2]strike{
 		{{step: "stop", fault: "cut"}, {step: "hold", fault: "dropped"}},
 		{{step: "renew", fault: "rival"}, {step: "renew", fault: "crash"}},
+		{{step: "checkpoint", fault: "rival"}, {step: "checkpoint", fault: "slow"}},
+		{{step: "checkpoint", fault: "failing"}, {step: "checkpoint", fault: "failing"}},
 	} {
 		t.Run(p[0].step+"-"+p[0].fault+"+"+p[1].step+"-"+p[1].fault, func(t *testing.T) {
 			bad := playCell(t, Unsafe{}, p[0], p[1]).faults()
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -186,6 +186,17 @@
 	if gone || silence > p.cfg.Renew+p.cfg.Lost {
 		w.rival = false
 		w.next = now
+		p.lookAtRivals(now)
+	}
+}
+
+// lookAtRivals has all workers of a rival looked at together, since that placer
+// seems to have gone: its gangs can be told to be whole only if all are read.
+func (p *Placer) lookAtRivals(now time.Time) {
+	for _, w := range p.workers {
+		if w.rival {
+			w.next = now
+		}
 	}
 }
 
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -119,7 +119,7 @@
 // work from it for a while, longer each time.
 func (p *Placer) memberFailed(w *member, j *job, now time.Time) {
 	w.failed++
-	j.failures++
+	j.failedOn[w.name] = true
 	p.avoid(w, now)
 	alone := p.runningOn(w) <= 1
 	if alone && (w.failed >= maxFailures || w.times > 0) {
@@ -128,7 +128,7 @@
 		w.banned = now.Add(pause)
 		metric.Count("placer_quarantines_total")
 	}
-	if j.failures >= maxFailures && !now.Before(w.banned) {
+	if len(j.failedOn) >= maxFailures {
 		p.ended(j, api.JobFailed, "failed")
 		p.tree.Release(j.status.Job.ID)
 		p.stopGang(j)
