--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -57,7 +57,7 @@
 	return reply, nil
 }
 
-func (n *network) boot(ctx context.Context, name, zone string, incarnation int64) *Members {
+func (n *network) boot(ctx context.Context, name, zone string, incarnation int64) {
 	m := NewMembers(Config{
 		Self:  Self{Name: name, Address: name, Zone: zone, Region: "r", Incarnation: incarnation},
 		Probe: time.Second, Suspect: 2500 * time.Millisecond,
@@ -67,7 +67,6 @@
 	n.vms[name] = m
 	n.mu.Unlock()
 	go m.Run(ctx)
-	return m
 }
 
 // lead makes the VM that should hold the office claim it, as the daemon does.
