Fakes of the membership and configuration tests are read under their locks

Cause: the race detector found the tests reading their own fakes while daemons still used them.

Ruled out: races in the product: all reports name test files on one side.

Change: locks, and the stores are stopped before their notes are read.

Conclusion: checks unchanged.

--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -156,6 +156,8 @@
 					assert.Assert(t, !lost[id] || !stores[0].Accepted(id), "%s was told lost", id)
 				}
 				assert.Assert(t, accepted > 0)
+				cancel()
+				synctest.Wait()
 				for _, s := range stores {
 					assert.DeepEqual(t, s.Version().ID, stores[0].Version().ID)
 					for i, n := range s.numbers {
@@ -163,8 +165,6 @@
 						assert.Assert(t, i == 0 || n > s.numbers[i-1], "went back: %v", s.numbers)
 					}
 				}
-				cancel()
-				synctest.Wait()
 			})
 		})
 	}
@@ -183,7 +183,9 @@
 		}
 		late := follow(ctx, log, 2*time.Second)
 		time.Sleep(2 * time.Second)
-		assert.Assert(t, log.first > 20, "records were dropped")
+		page, err := log.Read(ctx, Stream, 0, 1)
+		assert.NilError(t, err)
+		assert.Assert(t, page.First > 20, "records were dropped")
 		assert.Equal(t, late.Version().ID, stores[0].Version().ID)
 		assert.Equal(t, late.Version().Number, stores[0].Version().Number)
 		cancel()
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -113,15 +113,19 @@
 			n.lead("a")
 		}
 		first := n.vms["vm0"].Placer("a")
+		n.mu.Lock()
 		n.calls = map[string]int{}
+		n.mu.Unlock()
 		for range 480 {
 			time.Sleep(250 * time.Millisecond)
 			assert.DeepEqual(t, n.lead("a"), map[string]bool{first: true})
 		}
+		n.mu.Lock()
 		for name, calls := range n.calls {
 			assert.Assert(t, calls <= 120*5, "%s takes part in %d probes in two minutes", name, calls)
 		}
 		n.dead[first] = true
+		n.mu.Unlock()
 		began := time.Now()
 		for {
 			time.Sleep(50 * time.Millisecond)
