--- /dev/null
+++ b/internal/site/edge_test.go
@@ -0,0 +1,82 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/pkg/api"
+)
+
+// post sends a body and returns the status code and the answer's reason.
+func post(t *testing.T, address, path string, body []byte) (int, string) {
+	t.Helper()
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(body))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var p api.Problem
+	_ = json.NewDecoder(resp.Body).Decode(&p)
+	return resp.StatusCode, p.Reason
+}
+
+// TestLimits sends what is over a limit, or unknown, and checks the refusals.
+func TestLimits(t *testing.T) {
+	s, _, _ := start(t)
+	address := s.Addresses()[0]
+	request := func(customer, kind string, size int) []byte {
+		data, err := json.Marshal(api.Request{Customer: customer, Kind: kind, Body: make([]byte, size)})
+		assert.NilError(t, err)
+		return data
+	}
+	cases := []struct {
+		path   string
+		body   []byte
+		status int
+		reason string
+	}{
+		{"/v1/requests", request("stock", "reminder", 16384), http.StatusOK, ""},
+		{"/v1/requests", request("stock", "reminder", 16385), api.NotRun.Status(), "size"},
+		{"/v1/requests", request("nobody", "reminder", 1), api.NotRun.Status(), "customer"},
+		{"/v1/requests", request("stock", "nothing", 1), api.NotRun.Status(), "kind"},
+		{"/v1/requests", bytes.Repeat([]byte("x"), 7<<20), http.StatusBadRequest, "malformed"},
+		{"/v1/requests", []byte("{"), http.StatusBadRequest, "malformed"},
+		{"/v1/requests/settle", request("stock", "reminder", 1), http.StatusBadRequest, "malformed"},
+		{"/v1/tickets?count=1001", nil, http.StatusBadRequest, "malformed"},
+		{"/v1/jobs", []byte(`{"id":"x"}`), http.StatusBadRequest, "malformed"},
+		{"/v1/jobs", []byte(`{"id":"` + strings.Repeat("x", 129) + `","zone":"si-a","accelerators":1,"cells":1}`), http.StatusBadRequest, "malformed"},
+		{"/v1/config", []byte(`{"base":"zoom = 1"}`), http.StatusUnprocessableEntity, "invalid"},
+	}
+	for _, c := range cases {
+		status, reason := post(t, address, c.path, c.body)
+		assert.Equal(t, status, c.status, "%s %.60s", c.path, c.body)
+		assert.Equal(t, reason, c.reason, "%s %.60s", c.path, c.body)
+	}
+}
+
+// TestHealthTurns stops a daemon and sees its health turn before it refuses.
+func TestHealthTurns(t *testing.T) {
+	s, _, _ := start(t)
+	address := s.VMs["si-a-vm1"].Address()
+	health := func() int {
+		resp, err := http.Get("http://" + address + "/health")
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	assert.Equal(t, health(), http.StatusOK)
+	done := make(chan error)
+	go func() { done <- s.VMs["si-a-vm1"].Stop() }()
+	for health() != http.StatusServiceUnavailable {
+		if health() == 0 {
+			t.Fatal("the daemon ended without turning its health")
+		}
+	}
+	assert.NilError(t, <-done)
+	delete(s.VMs, "si-a-vm1")
+}
