One loop for the room of zones, one name for a call that may have acted

Cause: read once more, the proposal of a zone walked over the members twice with the same tests, the undoing of a launch spelled out what counts as "may have acted" beside `troubled`, and the queue's Depth had no caller.

Ruled out: sharing the TestMain of two test packages and the two fake logs (they fail in different ways; a shared package for twelve lines is no gain).

Change: roomByZone and roomiest, mayHaveActed, Depth removed. Behaviour stays, but that zones with equal room are now taken in the order of their names.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -232,35 +234,38 @@
 		return
 	}
 	level := cell.Level(n)
-	best, room := d.set.Zone, 0
-	if s, _, ok := d.placer.Summary(r.Context()); ok {
-		room = s.Idle[level] + s.Slack[level]
+	room := d.roomByZone(level)
+	if sum, _, ok := d.placer.Summary(r.Context()); ok {
+		room[d.set.Zone] = max(room[d.set.Zone], sum.Idle[level]+sum.Slack[level])
 	}
-	for _, p := range d.members.All() {
-		s := p.Info.GetSummary()
-		if s == nil || p.Info.GetState() != peer.Alive || level >= len(s.GetIdle()) {
-			continue
-		}
-		there := int(s.GetIdle()[level] + s.GetSlack()[level])
-		if p.Info.GetZone() == d.set.Zone {
-			room = max(room, there)
-		}
-	}
-	if room == 0 {
-		best = d.roomiest(level)
+	best := d.set.Zone
+	if room[best] == 0 {
+		best = roomiest(room, best)
 	}
 	httpjson.Write(w, http.StatusOK, api.VM{Zone: best})
 }
 
-func (d *Daemon) roomiest(level int) string {
-	best, room := d.set.Zone, int32(0)
+// roomByZone is what the placers told last of the cells of a level that they
+// could give out.
+func (d *Daemon) roomByZone(level int) map[string]int {
+	room := map[string]int{}
 	for _, p := range d.members.All() {
 		s := p.Info.GetSummary()
 		if s == nil || p.Info.GetState() != peer.Alive || level >= len(s.GetIdle()) {
 			continue
 		}
-		if there := s.GetIdle()[level] + s.GetSlack()[level]; there > room {
-			best, room = p.Info.GetZone(), there
+		zone := p.Info.GetZone()
+		room[zone] = max(room[zone], int(s.GetIdle()[level]+s.GetSlack()[level]))
+	}
+	return room
+}
+
+// roomiest is the zone with the most room, the first by name among equals, or
+// the given one if none has any.
+func roomiest(room map[string]int, best string) string {
+	for _, zone := range slices.Sorted(maps.Keys(room)) {
+		if room[zone] > room[best] {
+			best = zone
 		}
 	}
 	return best
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -126,8 +126,7 @@
 	p.reportDoubt(seats, stopped)
 	var loose []string
 	for i, s := range seats {
-		begun := len(started) > 0 && !errors.Is(started[i], worker.ErrUnsent) && !errors.Is(started[i], worker.ErrRefused) && !errors.Is(started[i], worker.ErrFenced)
-		if begun && stopped[i] != nil {
+		if len(started) > 0 && mayHaveActed(started[i]) && stopped[i] != nil {
 			loose = append(loose, s.name)
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -288,6 +288,11 @@
 	return context.WithTimeout(context.Background(), timeout)
 }
 
+// mayHaveActed reports a call that took effect, or may have.
+func mayHaveActed(err error) bool {
+	return err == nil || troubled(err) && !errors.Is(err, worker.ErrUnsent)
+}
+
 // troubled reports a call that got no answer: it may have taken effect, or the
 // worker can't be reached.
 func troubled(err error) bool {
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -218,7 +218,3 @@
 		}
 	}
 }
-
-// Depth returns the number of requests that wait and that are under way. Call
-// it from Configure.
-func (q *Queue) Depth() (waiting, under int) { return q.waiting, q.under }
