Control matrix on real daemons; claims that the log has dropped are noticed

Cause: rows for claims, configuration, hand-over, jobs and peers were missing from the matrix. Change: internal/site brings 8 faults about at 19 calls, at the HTTP clients of real daemons, while callers, racing operators and jobs are at work and a VM is replaced. A claim says when it was made; a claimer that finds records missing answers no key that an earlier claim could have taken, but asks up to four other VMs, and refuses with 'gap' where none can tell. Marks on a quiet stream show how long the log keeps. Conclusion: too short a retention costs answers (retry), not truth. Freezes are not in this matrix; 1 cell (a second delivery to a backend server) can't happen.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -10,11 +10,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/platform"
 	"rhubarbshore/internal/ring"
 )
@@ -29,6 +31,11 @@
 	gather      = 2 * time.Millisecond
 	callTimeout = 2 * time.Second
 	tail        = 5 * time.Second
+	// lateness is the most by which a claim may reach the log after it was made.
+	lateness = time.Minute
+	// markEvery is how long the stream goes without a record before some VM adds
+	// a mark.
+	markEvery = 10 * time.Minute
 )
 
 // Errors of a claim. Callers test for them with errors.Is.
@@ -38,13 +45,18 @@
 	ErrOut = errorx.NewType(namespace, "out").New("the log is out of reach")
 	// ErrFull: too many claims wait or are known.
 	ErrFull = errorx.NewType(namespace, "full").New("too many claims")
+	// ErrGap: the log has dropped records that this claimer never read, and among
+	// them may be the first claim of the key.
+	ErrGap = errorx.NewType(namespace, "gap").New("an earlier claim may have been dropped by the log")
 )
 
-// Record is a claim in the log. Until is when the key may be forgotten, in
-// Unix milliseconds by the claiming VM's clock.
+// Record is a claim in the log. At is when it was made and Until when the key
+// may be forgotten, both in Unix milliseconds by the claiming VM's clock. A record
+// without a key is a mark: it shows how far back the log still reaches.
 type Record struct {
 	Key   string `json:"key"`
 	Home  string `json:"home"`
+	At    int64  `json:"at,omitempty"`
 	Until int64  `json:"until"`
 }
 
@@ -52,6 +64,8 @@
 type Won struct {
 	Home     string
 	Deadline time.Time
+	// gap is the claimer's gap when it read the claim.
+	gap time.Time
 }
 
 // Log is what a Claimer needs of the platform's log.
@@ -64,11 +78,13 @@
 // remembered, so that a late copy of it is known for what it is.
 //
 // Pace is the least time between two appends of this VM, so that all VMs together
-// stay within what the log takes; nil asks for none.
+// stay within what the log takes; nil asks for none. Window is the longest time
+// from a claim to its deadline.
 type Config struct {
 	Log     Log
 	Home    string
 	Pace    func() time.Duration
+	Window  func() time.Duration
 	Waiting int
 	Known   int
 	Keep    time.Duration
@@ -88,12 +104,20 @@
 	known map[string]Won
 	order []string
 	next  int64
+	// gap is before when all claims were made that the log dropped before this
+	// claimer read them, zero if there were none.
+	gap time.Time
+	// due is when this claimer marks the stream, unless a record comes first.
+	due time.Time
 	// appended is when this claimer last appended.
 	appended time.Time
 
 	// blind makes claims count without being read back, for tests that show
 	// what reading back prevents.
 	blind bool
+	// trusting makes dropped records go unnoticed, for tests that show what
+	// noticing them prevents.
+	trusting bool
 }
 
 // New returns a claimer that has read nothing yet.
@@ -101,12 +125,14 @@
 	return &Claimer{cfg: cfg, asks: ring.New[ask](cfg.Waiting), known: map[string]Won{}}
 }
 
-// Claim returns the key's home, claiming it for this one if nobody has.
+// Claim returns the key's home, claiming it for this one if nobody has. After
+// ErrGap a claimer that has read on without a gap can tell.
 func (c *Claimer) Claim(ctx context.Context, key string, deadline time.Time) (Won, error) {
-	if won, ok := c.lookup(key); ok {
-		return won, nil
+	if won, err := c.lookup(key); err == nil || errors.Is(err, ErrGap) {
+		return won, err
 	}
-	a := ask{record: Record{Key: key, Home: c.cfg.Home, Until: deadline.UnixMilli()}, reply: make(chan error, 1)}
+	now := time.Now()
+	a := ask{record: Record{Key: key, Home: c.cfg.Home, At: now.UnixMilli(), Until: deadline.UnixMilli()}, reply: make(chan error, 1)}
 	if err := c.asks.Put(a); err != nil {
 		return Won{}, ErrFull
 	}
@@ -118,23 +144,41 @@
 	case <-ctx.Done():
 		return Won{}, ErrOut
 	}
-	if won, ok := c.lookup(key); ok {
-		return won, nil
-	}
-	return Won{}, ErrOut
+	return c.lookup(key)
 }
 
-func (c *Claimer) lookup(key string) (Won, bool) {
+// lookup returns the first claim of the key, ErrGap if another one may have come
+// before it, or ErrOut if none is known.
+func (c *Claimer) lookup(key string) (Won, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	won, ok := c.known[key]
-	return won, ok
+	if ok && c.matters(won.gap) || !ok && c.matters(c.gap) {
+		return Won{}, ErrGap
+	}
+	if !ok {
+		return Won{}, ErrOut
+	}
+	return won, nil
+}
+
+// matters reports whether claims made before the gap could still be asked for.
+func (c *Claimer) matters(gap time.Time) bool {
+	if gap.IsZero() {
+		return false
+	}
+	lasts := c.cfg.Keep + lateness
+	if c.cfg.Window != nil {
+		lasts += c.cfg.Window()
+	}
+	return time.Now().Before(gap.Add(lasts))
 }
 
 // Run carries claims out until ctx ends.
 func (c *Claimer) Run(ctx context.Context) {
 	tick := time.NewTicker(tail)
 	defer tick.Stop()
+	c.postpone()
 	_ = c.sync(ctx)
 	for {
 		select {
@@ -142,12 +186,35 @@
 			c.carry(ctx, c.batch(a))
 		case <-tick.C:
 			_ = c.sync(ctx)
+			c.mark(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// mark appends a mark if the stream has had no record for long, so that a VM that
+// starts later can tell from the oldest record how long the log keeps them. More
+// than one does no harm.
+func (c *Claimer) mark(ctx context.Context) {
+	if time.Now().Before(c.due) {
+		return
+	}
+	data, err := json.Marshal(Record{At: time.Now().UnixMilli()})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := c.cfg.Log.Append(ctx, Stream, [][]byte{data}); err == nil {
+		c.postpone()
+	}
+}
+
+// postpone sets the next mark, by a drawn part later, so that VMs seldom add one
+// at once.
+func (c *Claimer) postpone() { c.due = time.Now().Add(markEvery + rand.N(markEvery)) }
+
 // batch gathers the asks that arrive within a moment of the first one, or until
 // the next append is due.
 func (c *Claimer) batch(first ask) []ask {
@@ -217,6 +284,12 @@
 		if err != nil {
 			return ErrOut
 		}
+		if page.First > c.next {
+			c.skipped(page)
+		}
+		if len(page.Records) > 0 {
+			c.postpone()
+		}
 		for _, r := range page.Records {
 			var record Record
 			if json.Unmarshal(r.Data, &record) == nil {
@@ -231,14 +304,33 @@
 	}
 }
 
+// skipped notes that records were dropped before they were read. They were made
+// before the oldest one that is left.
+func (c *Claimer) skipped(page platform.Page) {
+	if c.trusting {
+		return
+	}
+	metric.Count("claim_gaps_total")
+	made := time.Now()
+	var oldest Record
+	if len(page.Records) > 0 && json.Unmarshal(page.Records[0].Data, &oldest) == nil && oldest.At > 0 {
+		made = time.UnixMilli(oldest.At)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if made.After(c.gap) {
+		c.gap = made
+	}
+}
+
 // learn keeps the first claim of a key.
 func (c *Claimer) learn(r Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.known[r.Key]; ok {
+	if _, ok := c.known[r.Key]; ok || r.Key == "" {
 		return
 	}
-	c.known[r.Key] = Won{Home: r.Home, Deadline: time.UnixMilli(r.Until)}
+	c.known[r.Key] = Won{Home: r.Home, Deadline: time.UnixMilli(r.Until), gap: c.gap}
 	c.order = append(c.order, r.Key)
 }
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -18,6 +18,8 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	records [][]byte
+	// first is the offset of the oldest record that is kept.
+	first   int64
 	fault   string
 	appends int
 	rng     *rand.Rand
@@ -63,7 +65,7 @@
 	if f.fault == "out" && f.rng.IntN(2) == 0 {
 		return platform.Page{}, platform.ErrOut
 	}
-	p := platform.Page{End: int64(len(f.records)), Next: from}
+	p := platform.Page{First: f.first, End: int64(len(f.records)), Next: max(from, f.first)}
 	for p.Next < p.End && len(p.Records) < limit {
 		p.Records = append(p.Records, platform.Record{Offset: p.Next, Data: f.records[p.Next]})
 		p.Next++
@@ -172,3 +174,98 @@
 		synctest.Wait()
 	})
 }
+
+// drop makes the log forget all but its newest records.
+func (f *fakeLog) drop(keep int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first = max(f.first, int64(len(f.records)-keep))
+}
+
+func (f *fakeLog) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.records)
+}
+
+// claimAfterDrop claims a key, lets the log drop the claim, and returns what a VM
+// that starts then is told, at once and after the claim has lost its meaning.
+func claimAfterDrop(t *testing.T, trusting bool) (first, old, early, late error) {
+	log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+	ctx, cancel := context.WithCancel(t.Context())
+	cfg := Config{Log: log, Home: "old", Waiting: 10, Known: 100, Keep: time.Hour, Window: func() time.Duration { return time.Minute }}
+	a := New(cfg)
+	go a.Run(ctx)
+	_, first = a.Claim(ctx, "k", time.Now().Add(time.Minute))
+	for i := range 5 {
+		_, err := a.Claim(ctx, fmt.Sprint("other", i), time.Now().Add(time.Minute))
+		assert.NilError(t, err)
+	}
+	log.drop(2)
+	cfg.Home = "new"
+	b := New(cfg)
+	b.trusting = trusting
+	go b.Run(ctx)
+	time.Sleep(time.Second)
+	won, err := a.Claim(ctx, "k", time.Now().Add(time.Minute))
+	assert.Equal(t, won.Home, "old")
+	old = err
+	_, early = b.Claim(ctx, "k", time.Now().Add(time.Minute))
+	if early != nil {
+		// The claims that are left may not be the first ones of their keys.
+		_, other := b.Claim(ctx, "other4", time.Now().Add(time.Minute))
+		assert.ErrorIs(t, other, ErrGap)
+	}
+	time.Sleep(time.Hour + time.Minute + lateness)
+	_, late = b.Claim(ctx, "k", time.Now().Add(time.Minute))
+	cancel()
+	synctest.Wait()
+	return first, old, early, late
+}
+
+func TestDroppedClaimsAreNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, old, early, late := claimAfterDrop(t, false)
+		assert.NilError(t, first)
+		assert.NilError(t, old)
+		assert.ErrorIs(t, early, ErrGap)
+		assert.NilError(t, late)
+	})
+}
+
+// Without noticing the gap, the new VM claims the key a second time.
+func TestNoticingDroppedClaimsIsNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, early, _ := claimAfterDrop(t, true)
+		assert.NilError(t, early)
+	})
+}
+
+// TestMarksTellWhatTheLogKeeps lets a day pass without claims on a log that keeps
+// records for two hours: a VM that starts then need not wait.
+func TestMarksTellWhatTheLogKeeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		ctx, cancel := context.WithCancel(t.Context())
+		cfg := Config{Log: log, Home: "old", Waiting: 10, Known: 100, Keep: time.Hour}
+		for range 3 {
+			go New(cfg).Run(ctx)
+		}
+		_, err := New(cfg).lookup("k")
+		assert.ErrorIs(t, err, ErrOut)
+		sizes := []int{0}
+		for range 24 {
+			time.Sleep(time.Hour)
+			sizes = append(sizes, log.size())
+			log.drop(log.size() - sizes[max(0, len(sizes)-3)])
+		}
+		assert.Assert(t, log.size() > 24 && log.size() < 24*8, "%d marks", log.size())
+		fresh := New(cfg)
+		go fresh.Run(ctx)
+		time.Sleep(time.Second)
+		_, err = fresh.Claim(ctx, "k", time.Now().Add(time.Minute))
+		assert.NilError(t, err)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -46,7 +46,7 @@
 		o.signals = make(chan os.Signal, 1)
 		signal.Notify(o.signals, syscall.SIGTERM, os.Interrupt)
 	}
-	d, err := daemon.New(set, logger)
+	d, err := daemon.New(daemon.Config{Settings: set, Logger: logger})
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,9 +46,19 @@
 // ErrStop is returned by Stop when requests were cut by its deadline.
 var ErrStop = errorx.NewType(errorx.NewNamespace("daemon"), "stop").New("requests were cut by the stop deadline")
 
+// Config constructs a Daemon.
+type Config struct {
+	Settings settings.Settings
+	Logger   *slog.Logger
+	// Wrap is put around the transport of every client that the daemon uses; nil
+	// leaves them as they are. Tests bring faults about there.
+	Wrap func(next http.RoundTripper) http.RoundTripper
+}
+
 // Daemon is one entry VM's process.
 type Daemon struct {
 	set     settings.Settings
+	wrap    func(next http.RoundTripper) http.RoundTripper
 	logger  *slog.Logger
 	log     *platform.Log
 	list    *platform.List
@@ -87,20 +97,22 @@
 }
 
 // New builds a daemon that is not running yet.
-func New(set settings.Settings, logger *slog.Logger) (*Daemon, error) {
+func New(cfg Config) (*Daemon, error) {
+	set := cfg.Settings
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	logger = logger.With("vm", set.Name, "zone", set.Zone)
+	logger := cfg.Logger.With("vm", set.Name, "zone", set.Zone)
 	incarnation := time.Now().UnixMilli()
 	minter, err := idempotency.NewMinter(idempotency.Home(set.Name, incarnation), nil)
 	if err != nil {
 		return nil, err
 	}
 	d := &Daemon{
-		set: set, logger: logger, queues: map[string]*queue.Queue{}, homes: map[string]*home{},
-		clients: map[string]placer.Worker{}, workers: httpjson.NewClient("worker", peerConns, dialTimeout),
+		set: set, wrap: cfg.Wrap, logger: logger, queues: map[string]*queue.Queue{}, homes: map[string]*home{},
+		clients: map[string]placer.Worker{},
 	}
+	d.workers = d.client("worker", peerConns)
 	d.own = &home{minter: minter, table: idempotency.NewTable(idempotency.Limits{Keys: set.Limits.Keys, Bytes: set.Limits.Bytes})}
 	d.homes[minter.Home()] = d.own
 	d.connect(incarnation)
@@ -110,18 +122,18 @@
 // connect builds the adapters to the platform, the peers and the servers.
 func (d *Daemon) connect(incarnation int64) {
 	set := d.set
-	client := httpjson.NewClient("platform", peerConns, dialTimeout)
+	client := d.client("platform", peerConns)
 	d.log = platform.NewLog(client, set.Log)
 	d.list = platform.NewList(client, set.List)
 	servers := httpjson.NewClient("minion", minionConns, dialTimeout)
 	if t, ok := servers.Transport.(*http.Transport); ok {
 		d.minions = t
 	}
-	d.sender = minion.NewClient(servers)
+	d.sender = minion.NewClient(d.wrapped(servers))
 	d.members = peer.NewMembers(peer.Config{
 		Self:  peer.Self{Name: set.Name, Address: set.Address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation},
 		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
-		Connect: peer.HTTP(httpjson.NewClient("peer", peerConns, dialTimeout)), Logger: d.logger, LeftServer: d.serverLeft,
+		Connect: peer.HTTP(d.client("peer", peerConns)), Logger: d.logger, LeftServer: d.serverLeft,
 	})
 	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Home()} })
 	for _, p := range set.Peers {
@@ -132,7 +144,7 @@
 		Logger: d.logger, Applied: d.applied,
 	})
 	d.claims = claim.New(claim.Config{
-		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Pace: d.claimPace, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
+		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Pace: d.claimPace, Window: d.longestWindow, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
 	})
 	d.placer = placer.New(placer.Config{
 		Holds: d.members.HoldsOffice,
@@ -142,9 +154,32 @@
 	})
 }
 
+// client makes a client for the daemon's calls to one kind of peer.
+func (d *Daemon) client(role string, conns int) *http.Client {
+	return d.wrapped(httpjson.NewClient(role, conns, dialTimeout))
+}
+
+func (d *Daemon) wrapped(c *http.Client) *http.Client {
+	if d.wrap != nil {
+		c.Transport = d.wrap(c.Transport)
+	}
+	return c
+}
+
 // claimPace shares the log's appends out among the VMs known.
 func (d *Daemon) claimPace() time.Duration { return time.Duration(d.vms()) * appendShare }
 
+// longestWindow is the longest time that any kind in force gives a request.
+func (d *Daemon) longestWindow() time.Duration {
+	var longest time.Duration
+	if cfg, _ := d.store.Current(); cfg != nil {
+		for _, k := range cfg.Kinds {
+			longest = max(longest, time.Duration(k.Window))
+		}
+	}
+	return longest
+}
+
 // Start begins to serve. It returns once the daemon listens.
 func (d *Daemon) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,7 +31,7 @@
 func (s *peerServer) Forward(ctx context.Context, in *rpc.ForwardRequest) (*rpc.ForwardReply, error) {
 	a := arrival{
 		in:   api.Request{ID: in.GetRequest(), Customer: in.GetCustomer(), Kind: in.GetKind(), Body: in.GetBody()},
-		home: in.GetHome(), settle: in.GetSettle(),
+		home: in.GetHome(), settle: in.GetSettle(), asked: in.GetHome() == "",
 	}
 	if in.GetTicket() {
 		a.ticket = in.GetKey()
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rhubarbshore/internal/check"
+	"rhubarbshore/internal/claim"
 	"rhubarbshore/internal/httpjson"
 	"rhubarbshore/internal/idempotency"
 	"rhubarbshore/internal/metric"
@@ -19,14 +20,19 @@
 	"rhubarbshore/pkg/api"
 )
 
+// maxAsked is the most VMs that are asked in turn to settle a key's home.
+const maxAsked = 4
+
 // arrival is a caller's request before it is checked.
 type arrival struct {
 	in     api.Request
 	key    string
 	ticket string
 	settle bool
-	// home is set on a request that a peer forwarded here.
+	// home is set on a request that a peer forwarded to the home of its key.
 	home string
+	// asked is set on a request whose home a peer asks this VM to settle.
+	asked bool
 }
 
 // do takes a request through the pipe and returns its outcome.
@@ -64,7 +70,7 @@
 	case a.ticket != "":
 		return d.runTicket(ctx, r)
 	case a.key != "":
-		return d.runClaimed(ctx, r)
+		return d.runClaimed(ctx, r, a.asked)
 	}
 	q := d.queueOf(r)
 	if q == nil {
@@ -88,9 +94,18 @@
 	return d.runAt(ctx, r, home)
 }
 
-// runClaimed settles the home of the caller's own key through the log.
-func (d *Daemon) runClaimed(ctx context.Context, r *request.Request) api.Response {
+// runClaimed settles the home of the caller's own key through the log. A VM that
+// can't tell, since the log has dropped claims that it never read, asks one that
+// has read them.
+func (d *Daemon) runClaimed(ctx context.Context, r *request.Request, asked bool) api.Response {
 	won, err := d.claims.Claim(ctx, scoped(r), r.Deadline)
+	if errors.Is(err, claim.ErrGap) {
+		metric.Refusal("claim", request.ReasonGap)
+		if asked {
+			return r.Refuse(api.Retry, request.ReasonGap)
+		}
+		return d.askClaimed(ctx, r)
+	}
 	if err != nil {
 		metric.Refusal("claim", request.ReasonLog)
 		return r.Refuse(api.Retry, request.ReasonLog)
@@ -102,6 +117,22 @@
 	return d.runAt(ctx, r, won.Home)
 }
 
+// askClaimed passes the request to VMs in turn until one takes it in, or may have.
+func (d *Daemon) askClaimed(ctx context.Context, r *request.Request) api.Response {
+	tried := 0
+	for _, zone := range d.members.Zones() {
+		for _, p := range d.members.Live(zone) {
+			if tried++; tried > maxAsked {
+				return r.Refuse(api.Retry, request.ReasonGap)
+			}
+			if resp := d.forward(ctx, r, "", p); resp.Outcome != api.Retry {
+				return resp
+			}
+		}
+	}
+	return r.Refuse(api.Retry, request.ReasonGap)
+}
+
 // scoped keeps customers' keys apart.
 func scoped(r *request.Request) string { return r.Customer + "/" + r.Key }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -18,6 +18,7 @@
 	ReasonExpired   = "expired"
 	ReasonFull      = "full"
 	ReasonLog       = "log"
+	ReasonGap       = "gap"
 	ReasonHome      = "home"
 	ReasonTicket    = "ticket"
 	ReasonStopping  = "stopping"
--- /dev/null
+++ b/internal/site/fault_test.go
@@ -0,0 +1,206 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The calls of a daemon at which a fault is brought about, by the beginning or
+// end of their path.
+var calls = []struct{ step, method, prefix, suffix string }{
+	{"claim-append", http.MethodPost, "/streams/claims", ""},
+	{"claim-read", http.MethodGet, "/streams/claims", ""},
+	{"config-append", http.MethodPost, "/streams/config", ""},
+	{"config-read", http.MethodGet, "/streams/config", ""},
+	{"job-append", http.MethodPost, "/streams/jobs", ""},
+	{"job-read", http.MethodGet, "/streams/jobs", ""},
+	{"list", http.MethodGet, "/instances", ""},
+	{"send", http.MethodPost, "/run", ""},
+	{"probe", http.MethodPost, "", "/Probe"},
+	{"forward", http.MethodPost, "", "/Forward"},
+	{"hand-over", http.MethodPost, "", "/Adopt"},
+	{"version", http.MethodPost, "", "/Version"},
+	{"submit", http.MethodPost, "", "/Submit"},
+	{"fence", http.MethodPost, "/workers/", "/fence"},
+	{"hold", http.MethodPost, "/workers/", "/hold"},
+	{"start", http.MethodPost, "/workers/", "/start"},
+	{"renew", http.MethodPost, "/workers/", "/renew"},
+	{"checkpoint", http.MethodPost, "/workers/", "/checkpoint"},
+	{"stop", http.MethodPost, "/workers/", "/stop"},
+}
+
+func stepOf(r *http.Request) string {
+	for _, c := range calls {
+		if r.Method == c.method && strings.HasPrefix(r.URL.Path, c.prefix) && strings.HasSuffix(r.URL.Path, c.suffix) {
+			return c.step
+		}
+	}
+	return ""
+}
+
+// The faults of a call.
+var callFaults = []string{"cut", "lost", "dropped", "late", "duplicate", "slow", "kill", "isolate"}
+
+const (
+	// cutTime is how long a cut or an isolation lasts: above Suspect and Lost.
+	cutTime = 3 * time.Second
+	// lateTime is how much later a late or second copy of a call arrives.
+	lateTime = 700 * time.Millisecond
+	// strikes is the number of calls that the fault hits.
+	strikes = 2
+)
+
+// injector brings one fault about at one step, at the first calls after it has
+// been armed.
+type injector struct {
+	step, fault string
+
+	mu    sync.Mutex
+	left  int
+	fired int
+	cuts  map[string]time.Time
+	hosts map[string]string
+	kill  func(vm string)
+}
+
+// cut is the error of a call that was never sent.
+func cut() error { return &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded} }
+
+// arm lets the fault hit the next calls.
+func (i *injector) arm() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.left = strikes
+	if i.fault == "kill" || i.fault == "isolate" {
+		i.left = 1
+	}
+}
+
+// hits is the number of calls that the fault has hit.
+func (i *injector) hits() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.fired
+}
+
+func (i *injector) take(r *http.Request) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.left == 0 || stepOf(r) != i.step {
+		return false
+	}
+	i.left--
+	i.fired++
+	return true
+}
+
+// know notes a VM's address, for cuts on the way to it.
+func (i *injector) know(vm, address string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.hosts[address] = vm
+}
+
+func (i *injector) isCut(vm, host string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, key := range []string{vm + ">" + host, vm + ">", i.hosts[host] + ">"} {
+		if time.Now().Before(i.cuts[key]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *injector) cut(key string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cuts[key] = time.Now().Add(cutTime)
+}
+
+// wrap is what a VM's transports are wrapped in.
+func (i *injector) wrap(vm string) func(next http.RoundTripper) http.RoundTripper {
+	return func(next http.RoundTripper) http.RoundTripper { return &faultyTransport{i: i, vm: vm, next: next} }
+}
+
+type faultyTransport struct {
+	i    *injector
+	vm   string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *faultyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	struck := t.i.take(r)
+	switch {
+	case struck && t.i.fault == "cut":
+		t.i.cut(t.vm + ">" + r.URL.Host)
+	case struck && t.i.fault == "isolate":
+		t.i.cut(t.vm + ">")
+	}
+	if t.i.isCut(t.vm, r.URL.Host) {
+		return nil, cut()
+	}
+	if !struck {
+		return t.next.RoundTrip(r)
+	}
+	return t.strike(r)
+}
+
+func (t *faultyTransport) strike(r *http.Request) (*http.Response, error) {
+	again := copyOf(r)
+	switch t.i.fault {
+	case "lost":
+		t.discard(r)
+		return nil, io.ErrUnexpectedEOF
+	case "dropped":
+		connected(r)
+		return nil, io.ErrUnexpectedEOF
+	case "late":
+		connected(r)
+		go func() { time.Sleep(lateTime); t.discard(again) }()
+		return nil, io.ErrUnexpectedEOF
+	case "duplicate":
+		go func() { time.Sleep(lateTime); t.discard(again) }()
+	case "slow":
+		time.Sleep(lateTime)
+	case "kill":
+		go t.i.kill(t.vm)
+		return nil, io.ErrUnexpectedEOF
+	}
+	return t.next.RoundTrip(r)
+}
+
+// connected tells the caller that a connection was used, so that it has to take
+// the call for sent.
+func connected(r *http.Request) {
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+}
+
+func (t *faultyTransport) discard(r *http.Request) {
+	if resp, err := t.next.RoundTrip(r); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// copyOf makes the request once more, free of the caller's deadline.
+func copyOf(r *http.Request) *http.Request {
+	again := r.Clone(context.WithoutCancel(r.Context()))
+	if r.Body == nil {
+		return again
+	}
+	data, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	again.Body = io.NopCloser(bytes.NewReader(data))
+	return again
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -33,6 +33,10 @@
 	Work      time.Duration
 	Logger    *slog.Logger
 	Deadlines settings.Deadlines
+	// Keep is the number of records that a stream of the log retains, 0 for all.
+	Keep int
+	// Wrap, if set, returns what is put around the transports of a VM's clients.
+	Wrap func(vm string) func(next http.RoundTripper) http.RoundTripper
 }
 
 // Site is a running site.
@@ -68,7 +72,7 @@
 // Start runs the site's stand-ins and daemons.
 func Start(cfg Config) (*Site, error) {
 	s := &Site{
-		Platform: standin.NewPlatform(standin.PlatformConfig{}), Workers: map[string]*standin.Worker{},
+		Platform: standin.NewPlatform(standin.PlatformConfig{Keep: cfg.Keep}), Workers: map[string]*standin.Worker{},
 		Minions: map[string]*standin.Minion{}, VMs: map[string]*daemon.Daemon{}, cfg: cfg,
 	}
 	for zone := range cfg.Files.Overlays {
@@ -184,7 +188,11 @@
 	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
 	set.Log, set.List = s.log, s.log
 	set.Deadlines = s.cfg.Deadlines
-	d, err := daemon.New(set, s.cfg.Logger)
+	dc := daemon.Config{Settings: set, Logger: s.cfg.Logger}
+	if s.cfg.Wrap != nil {
+		dc.Wrap = s.cfg.Wrap(name)
+	}
+	d, err := daemon.New(dc)
 	if err != nil {
 		return err
 	}
