Late copies go by the claim's deadline; jobs of an outage reach the log after it

Cause: two faults that the control matrix showed. (1) One cell of 151 never settled: a job accepted while its append failed stayed out of the log for good, and was lost with its VM. (2) Under too many open files a non-idempotent request ran twice: a copy forwarded to its home went by the time of its arrival there, and the home had forgotten the key at the claim's deadline. Ruled out for (2): dropped claims (the VM that passed the copy on knew the claim). The home takes the deadline from the claim, by its own clock; without a claim only a copy that the table still knows is answered. In the matrix, a caller hands a job in until the answer says that it is durable, as the answer asks of it; its client is made once, since one for each try used up the open files. Before: TestForwardAfterTheDeadline was told done, a second run; TestJobsAreKeptAfterAnOutage found durable false.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -162,6 +162,14 @@
 	return won, nil
 }
 
+// Known returns the claim of the key that was read first, if any.
+func (c *Claimer) Known(key string) (Won, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	won, ok := c.known[key]
+	return won, ok
+}
+
 // matters reports whether claims made before the gap could still be asked for.
 func (c *Claimer) matters(gap time.Time) bool {
 	if gap.IsZero() {
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -174,9 +174,21 @@
 		r.Deadline = earlier(r.Deadline, deadline)
 		return d.begin(ctx, h, r, key, deadline)
 	}
+	r.Deadline = earlier(r.Deadline, d.claimedUntil(name, key))
 	return d.begin(ctx, h, r, key, r.Deadline)
 }
 
+// claimedUntil is the deadline that the home gave the key when it claimed it, by the
+// home's own clock. It has passed if no claim is known: then only a copy that the
+// table still knows is answered. A copy must not go by the time of its arrival, which
+// may be after the key was forgotten.
+func (d *Daemon) claimedUntil(home, key string) time.Time {
+	if won, ok := d.claims.Known(key); ok && won.Home == home {
+		return won.Deadline
+	}
+	return time.Time{}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -289,6 +289,38 @@
 	}
 }
 
+// TestJobsAreKeptAfterAnOutage accepts more than can run while the journal is out.
+// Once it is back they are written to it, so that the next placer knows them.
+func TestJobsAreKeptAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		first := z.boot("vm-first")
+		time.Sleep(10 * time.Second)
+		z.journal.setOut(true)
+		const n = keepBatch + 30
+		for i := range n {
+			j := api.Job{ID: fmt.Sprint("j", i), Customer: "c", Accelerators: 32, Cells: 1, Tasks: 32, Worth: 1, Seconds: 3600, Class: "spare"}
+			status, err := first.placer.Submit(t.Context(), j)
+			assert.NilError(t, err)
+			assert.Equal(t, status.Durable, false)
+		}
+		time.Sleep(time.Minute)
+		z.journal.setOut(false)
+		time.Sleep(10 * time.Second)
+		status, err := first.placer.Submit(t.Context(), api.Job{ID: "j0", Customer: "c"})
+		assert.NilError(t, err)
+		assert.Equal(t, status.Durable, true)
+		first.kill()
+		next := z.boot("vm-next")
+		time.Sleep(time.Minute)
+		list, err := next.placer.Jobs(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(list.Jobs), n)
+		next.kill()
+		time.Sleep(5 * time.Minute)
+	})
+}
+
 // TestSplitZone cuts a zone in two halves for minutes. Each half has a placer
 // that gives out the same guarantee; after the merge one of the two gangs goes on
 // as spare work, and the other customers' guarantees can be reclaimed.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -118,6 +118,9 @@
 	runs    *estimate.Estimator
 	reading bool
 	read    bool
+	// keeping is set while jobs are written to the journal, keepAt the next try.
+	keeping bool
+	keepAt  time.Time
 	// dirty is set when something may have become placeable.
 	dirty bool
 	// reclaims counts the jobs stopped to make room.
@@ -266,6 +269,7 @@
 	}
 	p.settle(now)
 	p.readJournal(now)
+	p.keepJobs(now)
 	p.sweep(now)
 	p.forgetEnded(now)
 }
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -56,13 +56,7 @@
 		return status, nil
 	}
 	status.Durable = true
-	err := p.ask(ctx, func() {
-		j.status.Durable = true
-		if j.over() {
-			p.journalEnd(j)
-		}
-	})
-	return status, err
+	return status, p.ask(ctx, func() { p.onKept(j) })
 }
 
 func firstError(errs ...error) error {
--- a/internal/placer/zone_test.go
+++ b/internal/placer/zone_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/platform"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
@@ -55,9 +56,10 @@
 	split string
 }
 
-// memoryJournal is a journal that never fails.
+// memoryJournal is a journal that fails while it is out.
 type memoryJournal struct {
 	mu   sync.Mutex
+	out  bool
 	jobs []api.Job
 	over map[string]bool
 }
@@ -65,10 +67,19 @@
 func (m *memoryJournal) Accept(_ context.Context, j api.Job) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.out {
+		return platform.ErrOut
+	}
 	m.jobs = append(m.jobs, j)
 	return nil
 }
 
+func (m *memoryJournal) setOut(out bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.out = out
+}
+
 func (m *memoryJournal) End(_ context.Context, id string, _ api.State) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -275,12 +275,23 @@
 	wg.Wait()
 }
 
+// submit hands a job in, again and again until the answer says that it is in the
+// log: until then it may be lost with the VMs that know it, as the answer says.
 func (d *day) submit(ctx context.Context, j api.Job) {
-	_, err := d.client().Submit(ctx, j)
+	c := d.client()
+	status, err := c.Submit(ctx, j)
+	taken := err == nil
+	for taken && !status.Durable && ctx.Err() == nil {
+		time.Sleep(samplePause)
+		c.Readdress(d.addresses())
+		if again, err := c.Submit(ctx, j); err == nil {
+			status = again
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case err == nil:
+	case taken:
 		d.owed = append(d.owed, j.ID)
 	case !errors.Is(err, client.ErrUnsettled):
 		d.never = append(d.never, j.ID)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/examples"
+	"rhubarbshore/internal/peer/rpc"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/pkg/api"
 	"rhubarbshore/pkg/client"
@@ -120,6 +123,34 @@
 	assert.NilError(t, s.AwaitConfig(ctx, alone, out.Number))
 }
 
+// TestForwardAfterTheDeadline has a copy of a claimed request arrive at its home
+// when the home has forgotten the key: it must not run a second time.
+func TestForwardAfterTheDeadline(t *testing.T) {
+	s, _, ctx := start(t)
+	base := strings.Replace(s.cfg.Files.Base, "window = \"1m\"", "window = \"2s\"", 1)
+	base = strings.Replace(base, "timeout = \"5s\"\nworth = 1.0", "timeout = \"1s\"\nworth = 1.0", 1)
+	address := s.VMs["si-a-vm1"].Address()
+	alone := client.New(client.Config{Addresses: []string{address}})
+	view, err := alone.Config(ctx)
+	assert.NilError(t, err)
+	_, err = alone.Publish(ctx, api.Publish{Parent: view.Version, Base: base, Overlays: view.Overlays})
+	assert.NilError(t, err)
+	in := api.Request{ID: "late", Customer: "stock", Kind: "reminder", Body: []byte("late")}
+	resp, err := alone.Send(ctx, in, client.Options{Key: "late"})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Outcome, api.Done, resp.Reason)
+	time.Sleep(2500 * time.Millisecond)
+	home := rpc.NewPeerProtobufClient("http://"+address, http.DefaultClient)
+	gossip, err := home.Probe(ctx, &rpc.Gossip{Self: &rpc.Member{}})
+	assert.NilError(t, err)
+	reply, err := home.Forward(ctx, &rpc.ForwardRequest{
+		Home: gossip.GetSelf().GetHomes()[0], Key: "late", Request: in.ID, Customer: in.Customer, Kind: in.Kind, Body: in.Body, Remaining: 100,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetOutcome(), string(api.Unknown), reply.GetReason())
+	assert.Equal(t, len(s.Runs()), 1)
+}
+
 // TestStopPassesOverDeadHeirs stops a VM while another one, killed a moment
 // before, still counts as live: the keys go to the third.
 func TestStopPassesOverDeadHeirs(t *testing.T) {
