Claims: what the log may have dropped has a file of its own

Cause: internal/claim/claim.go had grown to 361 lines with two duties. Ruled out: a package of its own; the gap is part of the claimer's state. Change: skipped, matters, mark and postpone move to gap.go; nothing else changes. Conclusion: none beyond the move.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -10,13 +10,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
-	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/platform"
 	"rhubarbshore/internal/ring"
 )
@@ -31,11 +29,6 @@
 	gather      = 2 * time.Millisecond
 	callTimeout = 2 * time.Second
 	tail        = 5 * time.Second
-	// lateness is the most by which a claim may reach the log after it was made.
-	lateness = time.Minute
-	// markEvery is how long the stream goes without a record before some VM adds
-	// a mark.
-	markEvery = 10 * time.Minute
 )
 
 // Errors of a claim. Callers test for them with errors.Is.
@@ -170,18 +163,6 @@
 	return won, ok
 }
 
-// matters reports whether claims made before the gap could still be asked for.
-func (c *Claimer) matters(gap time.Time) bool {
-	if gap.IsZero() {
-		return false
-	}
-	lasts := c.cfg.Keep + lateness
-	if c.cfg.Window != nil {
-		lasts += c.cfg.Window()
-	}
-	return time.Now().Before(gap.Add(lasts))
-}
-
 // Run carries claims out until ctx ends.
 func (c *Claimer) Run(ctx context.Context) {
 	tick := time.NewTicker(tail)
@@ -201,28 +182,6 @@
 	}
 }
 
-// mark appends a mark if the stream has had no record for long, so that a VM that
-// starts later can tell from the oldest record how long the log keeps them. More
-// than one does no harm.
-func (c *Claimer) mark(ctx context.Context) {
-	if time.Now().Before(c.due) {
-		return
-	}
-	data, err := json.Marshal(Record{At: time.Now().UnixMilli()})
-	if err != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := c.cfg.Log.Append(ctx, Stream, [][]byte{data}); err == nil {
-		c.postpone()
-	}
-}
-
-// postpone sets the next mark, by a drawn part later, so that VMs seldom add one
-// at once.
-func (c *Claimer) postpone() { c.due = time.Now().Add(markEvery + rand.N(markEvery)) }
-
 // batch gathers the asks that arrive within a moment of the first one, or until
 // the next append is due.
 func (c *Claimer) batch(first ask) []ask {
@@ -312,25 +271,6 @@
 	}
 }
 
-// skipped notes that records were dropped before they were read. They were made
-// before the oldest one that is left.
-func (c *Claimer) skipped(page platform.Page) {
-	if c.trusting {
-		return
-	}
-	metric.Count("claim_gaps_total")
-	made := time.Now()
-	var oldest Record
-	if len(page.Records) > 0 && json.Unmarshal(page.Records[0].Data, &oldest) == nil && oldest.At > 0 {
-		made = time.UnixMilli(oldest.At)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if made.After(c.gap) {
-		c.gap = made
-	}
-}
-
 // learn keeps the first claim of a key.
 func (c *Claimer) learn(r Record) {
 	c.mu.Lock()
