--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -1,6 +1,8 @@
 package estimate
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -76,3 +78,29 @@
 		e.Quantile(r, time.Hour, 0.7)
 	}
 }
+
+// BenchmarkHistories measures the memory of the histories, four sizes of job to a
+// customer.
+func BenchmarkHistories(b *testing.B) {
+	for _, customers := range []int{4, 40, 170} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var all []*Estimator
+			for b.Loop() {
+				e := New()
+				for i := range 4 * customers {
+					for range 2 * windowSize {
+						e.Observe(Run{Customer: fmt.Sprint("c", i/4), Level: i % 4, Declared: time.Hour}, time.Hour)
+					}
+				}
+				all = append(all, e)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(all)*customers), "B/customer")
+			runtime.KeepAlive(all)
+		})
+	}
+}
