Control matrix: a job that is over need not be in the log

Cause: a cell waited for good. A job whose append was lost ran for 1 s and was over before the placer wrote it to the log; such a job is never written, and the caller of the matrix asked on until the answer said durable. Ruled out: a loss of the job; the goroutines stood in the loop of submit, the job had finished. Change: the caller stops asking when the answer says that the job has finished. Before: several cells ran into the limit of 5 minutes. Conclusion: the answer's durable stays false for work that ended without the log.

--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -276,12 +276,13 @@
 }
 
 // submit hands a job in, again and again until the answer says that it is in the
-// log: until then it may be lost with the VMs that know it, as the answer says.
+// log or over: until then it may be lost with the VM that knows it, as the answer
+// says.
 func (d *day) submit(ctx context.Context, j api.Job) {
 	c := d.client()
 	status, err := c.Submit(ctx, j)
 	taken := err == nil
-	for taken && !status.Durable && ctx.Err() == nil {
+	for taken && !status.Durable && status.State != api.Finished && ctx.Err() == nil {
 		time.Sleep(samplePause)
 		c.Readdress(d.addresses())
 		if again, err := c.Submit(ctx, j); err == nil {
