--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -59,7 +60,7 @@
 func powerOfTwo(n int) bool { return n > 0 && bits.OnesCount(uint(n)) == 1 }
 
 func (s *source) checkServices(cfg *Config) {
-	for _, name := range sortedKeys(cfg.Services) {
+	for _, name := range slices.Sorted(maps.Keys(cfg.Services)) {
 		v, key := cfg.Services[name], "services."+name
 		s.need(v.Slots > 0, key+".slots", v.Slots, "1 or more")
 		s.need(v.Connections >= v.Slots, key+".connections", v.Connections, "not below slots")
@@ -68,10 +69,10 @@
 }
 
 func (s *source) checkKinds(cfg *Config) {
-	for _, name := range sortedKeys(cfg.Kinds) {
+	for _, name := range slices.Sorted(maps.Keys(cfg.Kinds)) {
 		v, key := cfg.Kinds[name], "kinds."+name
 		_, known := cfg.Services[v.Service]
-		s.need(known, key+".service", fmt.Sprintf("%q", v.Service), fmt.Sprintf("one of %v", sortedKeys(cfg.Services)))
+		s.need(known, key+".service", fmt.Sprintf("%q", v.Service), fmt.Sprintf("one of %v", slices.Sorted(maps.Keys(cfg.Services))))
 		window, timeout := time.Duration(v.Window), time.Duration(v.Timeout)
 		s.need(window > 0 && window <= maxWindow, key+".window", window, fmt.Sprintf("above 0s, up to %s", maxWindow))
 		s.need(timeout > 0 && timeout <= window, key+".timeout", timeout, "above 0s, not above window")
@@ -82,11 +83,11 @@
 
 func (s *source) checkCustomers(cfg *Config) {
 	s.need(len(cfg.Customers) > 0 && len(cfg.Customers) <= maxCustomers, "customers", len(cfg.Customers), fmt.Sprintf("1 to %d customers", maxCustomers))
-	for _, name := range sortedKeys(cfg.Customers) {
+	for _, name := range slices.Sorted(maps.Keys(cfg.Customers)) {
 		c, key := cfg.Customers[name], "customers."+name
 		s.need(c.Share > 0, key+".share", c.Share, "above 0")
 		s.need(c.Jobs > 0, key+".jobs", c.Jobs, "1 or more waiting jobs")
-		for _, shape := range sortedKeys(c.Guarantees) {
+		for _, shape := range slices.Sorted(maps.Keys(c.Guarantees)) {
 			g, at := c.Guarantees[shape], key+".guarantees."+shape
 			s.need(powerOfTwo(g.Accelerators), at+".accelerators", g.Accelerators, "a power of two")
 			s.need(g.Count >= 0, at+".count", g.Count, "0 or more")
@@ -102,10 +103,10 @@
 	if ok {
 		return
 	}
-	names := sortedKeys(cfg.Customers)
+	names := slices.Sorted(maps.Keys(cfg.Customers))
 	slices.SortStableFunc(names, func(a, b string) int { return cfg.Customers[b].Order - cfg.Customers[a].Order })
 	for _, name := range names {
-		for _, shape := range sortedKeys(cfg.Customers[name].Guarantees) {
+		for _, shape := range slices.Sorted(maps.Keys(cfg.Customers[name].Guarantees)) {
 			g := cfg.Customers[name].Guarantees[shape]
 			if g.Count > 0 && g.Accelerators >= cell.Size(level) {
 				found := fmt.Sprintf("%d x %d accelerators, for which the zone lacks %d cells of %d", g.Count, g.Accelerators, lacking, cell.Size(level))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"rhubarbshore/internal/cell"
@@ -135,9 +137,9 @@
 		Racks:  c.Site.Racks(zone),
 		Rank:   cell.Rank{Lost: c.Weights.Lost, Broken: c.Weights.Broken, Whole: time.Duration(c.Weights.Whole)},
 	}
-	for _, name := range sortedKeys(c.Customers) {
+	for _, name := range slices.Sorted(maps.Keys(c.Customers)) {
 		customer := c.Customers[name]
-		for _, shape := range sortedKeys(customer.Guarantees) {
+		for _, shape := range slices.Sorted(maps.Keys(customer.Guarantees)) {
 			g := customer.Guarantees[shape]
 			out.Guarantees = append(out.Guarantees, cell.Guarantee{
 				Customer: name, Order: customer.Order, Level: cell.Level(g.Accelerators), Count: g.Count,
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -220,7 +220,7 @@
 
 func leafKeys(t table, prefix string) []string {
 	var out []string
-	for _, name := range sortedKeys(t) {
+	for _, name := range slices.Sorted(maps.Keys(t)) {
 		key := joinKey(prefix, name)
 		if sub, ok := t[name].(table); ok {
 			out = append(out, leafKeys(sub, key)...)
@@ -290,10 +290,10 @@
 	for f := range want.Fields() {
 		fields[f.Tag.Get("toml")] = f.Type
 	}
-	for _, name := range sortedKeys(t) {
+	for _, name := range slices.Sorted(maps.Keys(t)) {
 		sub, ok := fields[name]
 		if !ok {
-			s.fail(joinKey(key, name), "an unknown key", strings.Join(sortedKeys(fields), ", "))
+			s.fail(joinKey(key, name), "an unknown key", strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
 			continue
 		}
 		s.verify(t[name], sub, joinKey(key, name))
@@ -306,7 +306,7 @@
 		s.fail(key, fmt.Sprintf("%#v", v), "a table")
 		return
 	}
-	for _, name := range sortedKeys(t) {
+	for _, name := range slices.Sorted(maps.Keys(t)) {
 		s.verify(t[name], elem, joinKey(key, name))
 	}
 }
@@ -350,12 +350,3 @@
 	}
 	return cfg, nil
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io/fs"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -35,7 +36,7 @@
 // Check parses every site that has an overlay, or the base alone if none has.
 func (f Files) Check() error {
 	var all Problems
-	for _, site := range sortedKeys(f.Overlays) {
+	for _, site := range slices.Sorted(maps.Keys(f.Overlays)) {
 		if _, err := f.Site(site); err != nil {
 			var problems Problems
 			if !errors.As(err, &problems) {
@@ -57,7 +58,7 @@
 func (f Files) sum() string {
 	h := xxhash.New()
 	_, _ = h.WriteString(f.Base)
-	for _, site := range sortedKeys(f.Overlays) {
+	for _, site := range slices.Sorted(maps.Keys(f.Overlays)) {
 		_, _ = h.WriteString("\x00" + site + "\x00" + f.Overlays[site])
 	}
 	return strconv.FormatUint(h.Sum64(), 16)
@@ -221,7 +222,7 @@
 			return nil, false
 		}
 	}
-	names := append([]string{""}, sortedKeys(to.Overlays)...)
+	names := append([]string{""}, slices.Sorted(maps.Keys(to.Overlays))...)
 	for _, name := range names {
 		_, existed := from.Overlays[name]
 		if s := splice(name, from.get(name), to.get(name)); s.Cut > 0 || s.Text != "" || name != "" && !existed {
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,7 +111,7 @@
 			total++
 		}
 	}
-	names := sortedNames(slots)
+	names := slices.Sorted(maps.Keys(slots))
 	var out []seat
 	for _, name := range names {
 		l := worker.Lease{
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rhubarbshore/internal/metric"
@@ -60,7 +62,7 @@
 	open := p.openJobs()
 	p.reset()
 	p.since = now
-	for _, name := range sortedNames(p.workers) {
+	for _, name := range slices.Sorted(maps.Keys(p.workers)) {
 		p.tree.SetDown(name, true)
 	}
 	for _, j := range open {
--- a/internal/placer/rebuild.go
+++ b/internal/placer/rebuild.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -105,7 +107,7 @@
 
 // dismiss stops the members of a gang that is not whole.
 func (p *Placer) dismiss(g *gang) {
-	p.stopMembers(g.first.Job, g.first.Generation, sortedNames(g.leases))
+	p.stopMembers(g.first.Job, g.first.Generation, slices.Sorted(maps.Keys(g.leases)))
 }
 
 // settle ends the rebuilding: once all workers have answered, or a moment has
@@ -291,12 +293,3 @@
 	})
 	return out
 }
-
-func sortedNames[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for name := range m {
-		out = append(out, name)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -110,7 +112,7 @@
 		}
 	}
 	var out []*queue
-	for _, name := range sortedNames(p.queues) {
+	for _, name := range slices.Sorted(maps.Keys(p.queues)) {
 		if len(p.queues[name].jobs) > 0 {
 			out = append(out, p.queues[name])
 		}
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -196,7 +198,7 @@
 	var out api.CustomerList
 	err := p.ask(ctx, func() {
 		at := map[string]int{}
-		for _, name := range sortedNames(p.jobsMax) {
+		for _, name := range slices.Sorted(maps.Keys(p.jobsMax)) {
 			at[name] = len(out.Customers)
 			out.Customers = append(out.Customers, api.Customer{Name: name, Zone: p.cfg.Zone})
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -8,9 +8,10 @@
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -75,10 +76,7 @@
 		Platform: standin.NewPlatform(standin.PlatformConfig{Keep: cfg.Keep}), Workers: map[string]*standin.Worker{},
 		Minions: map[string]*standin.Minion{}, VMs: map[string]*daemon.Daemon{}, cfg: cfg,
 	}
-	for zone := range cfg.Files.Overlays {
-		s.zones = append(s.zones, zone)
-	}
-	sort.Strings(s.zones)
+	s.zones = slices.Sorted(maps.Keys(cfg.Files.Overlays))
 	address, err := s.serve(s.Platform.Handler(), nil)
 	if err != nil {
 		return nil, err
@@ -217,13 +215,8 @@
 
 // Addresses lists the daemons' addresses by VM name.
 func (s *Site) Addresses() []string {
-	var names []string
-	for name := range s.VMs {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	var out []string
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(s.VMs)) {
 		out = append(out, s.VMs[name].Address())
 	}
 	return out
