Estimate error: taken before the estimate learns the run time

Cause: job_estimate_error_seconds compared a run time with an estimate that had already taken it in, which is not what docs/OPERATING.md says of it. Ruled out: the end expected at the start, which may be of an earlier run of the job. Change: the error is noted first. Before and after: placements do not use the metric; tests pass. Conclusion: the metric now tells how far off a prediction was.

--- a/internal/placer/expect.go
+++ b/internal/placer/expect.go
@@ -52,10 +52,10 @@
 // observe learns from a job that ran to its end.
 func (p *Placer) observe(j *job, now time.Time) {
 	took := j.ran(now)
-	p.runs.Observe(j.run(), took)
-	if declared := j.run().Declared; declared > 0 {
+	if j.status.Job.Seconds > 0 {
 		metric.Seconds("job_estimate_error_seconds", (p.runs.Quantile(j.run(), 0, likely) - took).Abs())
 	}
+	p.runs.Observe(j.run(), took)
 }
 
 // expectAgain moves the expected end of the jobs that have outlived it.
