Tests: one store for the fakes of the log, one fixed seed, one end of a zone

Cause: two fakes of the log kept and paged records as the stand-in does; two packages had the same TestMain; four tests of the placer ended their zone by the same lines; the term of the control matrix stood twice as a number. Ruled out: one fake for both; their faults differ in kind and chance. Change: the fakes keep records in standin.Platform, which can drop them on request (Retain); internal/rapidtest fixes the draws; zone.end; dayTerm.

Conclusion: none beyond the removal.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -10,20 +9,11 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
-)
 
-// seed makes every run draw the same cases; -rapid.seed draws others.
-const seed = "20261204"
+	"rhubarbshore/internal/rapidtest"
+)
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", seed)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Main(m)) }
 
 var epoch = time.Unix(1_700_000_000, 0)
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -12,26 +12,24 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/standin"
 )
 
 // fakeLog is a log in memory. Fault, if set, names what happens to appends.
 type fakeLog struct {
+	kept    *standin.Platform
 	mu      sync.Mutex
-	records [][]byte
-	// first is the offset of the oldest record that is kept.
-	first   int64
 	fault   string
 	appends int
 	rng     *rand.Rand
 }
 
-func (f *fakeLog) add(records [][]byte) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.records = append(f.records, records...)
-	return int64(len(f.records) - len(records))
+func newFakeLog(fault string) *fakeLog {
+	return &fakeLog{kept: standin.NewPlatform(standin.PlatformConfig{}), fault: fault, rng: rand.New(rand.NewPCG(1, 2))}
 }
 
+func (f *fakeLog) add(records [][]byte) int64 { return f.kept.Append(Stream, records) }
+
 func (f *fakeLog) Append(_ context.Context, _ string, records [][]byte) (int64, error) {
 	f.mu.Lock()
 	f.appends++
@@ -65,18 +63,13 @@
 	if f.fault == "out" && f.rng.IntN(2) == 0 {
 		return platform.Page{}, platform.ErrOut
 	}
-	p := platform.Page{First: f.first, End: int64(len(f.records)), Next: max(from, f.first)}
-	for p.Next < p.End && len(p.Records) < limit {
-		p.Records = append(p.Records, platform.Record{Offset: p.Next, Data: f.records[p.Next]})
-		p.Next++
-	}
-	return p, nil
+	return f.kept.Read(Stream, from, limit), nil
 }
 
 // race lets three homes claim the same keys, again and again, and returns the
 // homes that were told for each key, and the number of appends.
 func race(t *testing.T, fault string, blind bool) (told map[string]map[string]bool, appends int) {
-	log := &fakeLog{fault: fault, rng: rand.New(rand.NewPCG(1, 2))}
+	log := newFakeLog(fault)
 	ctx, cancel := context.WithCancel(t.Context())
 	told = map[string]map[string]bool{}
 	var mu sync.Mutex
@@ -139,7 +132,7 @@
 // TestPace sends claims faster than a VM may append.
 func TestPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		log := newFakeLog("")
 		ctx, cancel := context.WithCancel(t.Context())
 		c := New(Config{Log: log, Home: "h", Waiting: 100, Known: 1000, Keep: time.Hour, Pace: func() time.Duration { return 180 * time.Millisecond }})
 		go c.Run(ctx)
@@ -160,7 +153,7 @@
 
 func TestForgetsAfterKeep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		log := newFakeLog("")
 		ctx, cancel := context.WithCancel(t.Context())
 		c := New(Config{Log: log, Home: "h", Waiting: 10, Known: 10, Keep: time.Minute})
 		go c.Run(ctx)
@@ -175,23 +168,13 @@
 	})
 }
 
-// drop makes the log forget all but its newest records.
-func (f *fakeLog) drop(keep int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.first = max(f.first, int64(len(f.records)-keep))
-}
-
-func (f *fakeLog) size() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.records)
-}
+// size is the number of records ever appended.
+func (f *fakeLog) size() int { return int(f.kept.Read(Stream, 0, 0).End) }
 
 // claimAfterDrop claims a key, lets the log drop the claim, and returns what a VM
 // that starts then is told, at once and after the claim has lost its meaning.
 func claimAfterDrop(t *testing.T, trusting bool) (first, old, early, late error) {
-	log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+	log := newFakeLog("")
 	ctx, cancel := context.WithCancel(t.Context())
 	cfg := Config{Log: log, Home: "old", Waiting: 10, Known: 100, Keep: time.Hour, Window: func() time.Duration { return time.Minute }}
 	a := New(cfg)
@@ -201,7 +184,7 @@
 		_, err := a.Claim(ctx, fmt.Sprint("other", i), time.Now().Add(time.Minute))
 		assert.NilError(t, err)
 	}
-	log.drop(2)
+	log.kept.Retain(Stream, 2)
 	cfg.Home = "new"
 	b := New(cfg)
 	b.trusting = trusting
@@ -245,7 +228,7 @@
 // records for two hours: a VM that starts then need not wait.
 func TestMarksTellWhatTheLogKeeps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		log := newFakeLog("")
 		ctx, cancel := context.WithCancel(t.Context())
 		cfg := Config{Log: log, Home: "old", Waiting: 10, Known: 100, Keep: time.Hour}
 		for range 3 {
@@ -257,7 +240,7 @@
 		for range 24 {
 			time.Sleep(time.Hour)
 			sizes = append(sizes, log.size())
-			log.drop(log.size() - sizes[max(0, len(sizes)-3)])
+			log.kept.Retain(Stream, log.size()-sizes[max(0, len(sizes)-3)])
 		}
 		assert.Assert(t, log.size() > 24 && log.size() < 24*8, "%d marks", log.size())
 		fresh := New(cfg)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"flag"
 	"io/fs"
 	"os"
 	"strings"
@@ -11,20 +10,10 @@
 	"gotest.tools/v3/golden"
 
 	"rhubarbshore/examples"
+	"rhubarbshore/internal/rapidtest"
 )
 
-// seed makes every run draw the same cases; -rapid.seed draws others.
-const seed = "20261204"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", seed)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidtest.Main(m)) }
 
 func TestExamplesPass(t *testing.T) {
 	for _, name := range []string{"robes", "splints"} {
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -15,30 +15,23 @@
 	"pgregory.net/rapid"
 
 	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/standin"
 )
 
-// fakeLog is a stream in memory that keeps the last keep records.
+// fakeLog is a log in memory that keeps the last keep records, 0 for all.
 type fakeLog struct {
-	mu      sync.Mutex
-	first   int64
-	records [][]byte
-	keep    int
-	fault   string
-	rng     *rand.Rand
+	kept  *standin.Platform
+	mu    sync.Mutex
+	fault string
+	rng   *rand.Rand
 }
 
-func (f *fakeLog) add(records [][]byte) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := f.first + int64(len(f.records))
-	f.records = append(f.records, records...)
-	if over := len(f.records) - f.keep; f.keep > 0 && over > 0 {
-		f.records = f.records[over:]
-		f.first += int64(over)
-	}
-	return at
+func newFakeLog(fault string, keep int, rng *rand.Rand) *fakeLog {
+	return &fakeLog{kept: standin.NewPlatform(standin.PlatformConfig{Keep: keep}), fault: fault, rng: rng}
 }
 
+func (f *fakeLog) add(records [][]byte) int64 { return f.kept.Append(Stream, records) }
+
 func (f *fakeLog) struck() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -75,14 +68,7 @@
 	if f.struck() == "out" {
 		return platform.Page{}, platform.ErrOut
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p := platform.Page{First: f.first, End: f.first + int64(len(f.records)), Next: max(from, f.first)}
-	for p.Next < p.End && len(p.Records) < limit {
-		p.Records = append(p.Records, platform.Record{Offset: p.Next, Data: f.records[p.Next-f.first]})
-		p.Next++
-	}
-	return p, nil
+	return f.kept.Read(Stream, from, limit), nil
 }
 
 // follower is a store that notes every number that came into force.
@@ -139,7 +125,7 @@
 	for _, fault := range []string{"", "out", "lost", "dropped", "late"} {
 		t.Run("fault="+fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				log := &fakeLog{fault: fault, rng: rand.New(rand.NewPCG(3, 4))}
+				log := newFakeLog(fault, 0, rand.New(rand.NewPCG(3, 4)))
 				ctx, cancel := context.WithCancel(t.Context())
 				var stores []*follower
 				for range 4 {
@@ -174,7 +160,7 @@
 // starts a reader that has only what is left.
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &fakeLog{keep: 12, rng: rand.New(rand.NewPCG(5, 6))}
+		log := newFakeLog("", 12, rand.New(rand.NewPCG(5, 6)))
 		ctx, cancel := context.WithCancel(t.Context())
 		stores := []*follower{follow(ctx, log, 2*time.Second), follow(ctx, log, 2*time.Second)}
 		for round := range 20 {
--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -137,10 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		z := newZone(t, unsafe)
 		v = z.play(strikes...)
-		for _, m := range z.all() {
-			m.kill()
-		}
-		time.Sleep(5 * time.Minute)
+		z.end()
 	})
 	return v
 }
@@ -230,10 +227,7 @@
 		z.submit(j)
 		time.Sleep(20 * time.Minute)
 		overlap = ledger.Compare(nil, nil, z.spans(), testTerm+testDrift, time.Now()).Overlap
-		for _, m := range z.all() {
-			m.kill()
-		}
-		time.Sleep(5 * time.Minute)
+		z.end()
 	})
 	return overlap
 }
@@ -316,8 +310,7 @@
 		list, err := next.placer.Jobs(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, len(list.Jobs), n)
-		next.kill()
-		time.Sleep(5 * time.Minute)
+		z.end()
 	})
 }
 
@@ -354,9 +347,7 @@
 		time.Sleep(5 * time.Second)
 		_, ok := z.started("b", 1)
 		assert.Assert(t, ok)
-		left.kill()
-		right.kill()
-		time.Sleep(5 * time.Minute)
+		z.end()
 	})
 }
 
--- a/internal/placer/zone_test.go
+++ b/internal/placer/zone_test.go
@@ -150,6 +150,14 @@
 	return false
 }
 
+// end stops all placers and lets every lease lapse.
+func (z *zone) end() {
+	for _, v := range z.all() {
+		v.kill()
+	}
+	time.Sleep(5 * time.Minute)
+}
+
 func (v *vm) kill() {
 	v.mu.Lock()
 	v.dead = true
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -78,6 +78,7 @@
 	samplePause = 20 * time.Millisecond
 	callerTime  = 3 * time.Second
 	maxTurns    = 5
+	dayTerm     = 3 * time.Second
 )
 
 // day is one cell of the control matrix: callers, operators and jobs at once on a
@@ -110,7 +111,7 @@
 	d := &day{t: t, seen: map[int64]map[string]bool{}, last: map[string]int64{}, won: map[string]int64{}, lost: map[string]bool{}}
 	d.i = &injector{step: step, fault: fault, cuts: map[string]time.Time{}, hosts: map[string]string{}, kill: d.kill}
 	deadlines := Deadlines()
-	deadlines.Term = config.Duration(3 * time.Second)
+	deadlines.Term = config.Duration(dayTerm)
 	deadlines.Hold = config.Duration(2 * time.Second)
 	deadlines.Lost = config.Duration(time.Second)
 	deadlines.Checkpoint = config.Duration(500 * time.Millisecond)
@@ -364,7 +365,7 @@
 
 // judge compares what everyone was told with what happened.
 func (d *day) judge() []string {
-	bound := 3*time.Second + time.Duration(Deadlines().Drift)
+	bound := dayTerm + time.Duration(Deadlines().Drift)
 	r := ledger.Compare(d.told.told, d.s.Runs(), d.s.Spans(), bound, time.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -135,13 +135,30 @@
 	p.appends++
 	offset := s.first + int64(len(s.records))
 	s.records = append(s.records, records...)
-	if over := len(s.records) - p.cfg.Keep; p.cfg.Keep > 0 && over > 0 {
-		s.records = append([][]byte(nil), s.records[over:]...)
-		s.first += int64(over)
+	if p.cfg.Keep > 0 {
+		s.retain(p.cfg.Keep)
 	}
 	return offset
 }
 
+// Retain drops all but the newest n records of a stream.
+func (p *Platform) Retain(name string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.streams[name]; s != nil {
+		s.retain(n)
+	}
+}
+
+func (s *stream) retain(n int) {
+	over := len(s.records) - n
+	if over <= 0 {
+		return
+	}
+	s.records = append([][]byte(nil), s.records[over:]...)
+	s.first += int64(over)
+}
+
 // Appends returns the number of append calls carried out.
 func (p *Platform) Appends() int64 {
 	p.mu.Lock()
