Two data races: a probe's target, and answers to askers that have left

`go test -race ./internal/site -run TestControlMatrix -parallel 8`, five at a time on eight cores, showed two faults of the product. Members.probe read the state of its target without the lock when the call failed, while a heartbeat replaced it. Placer.ask left an event in the ring when its asker gave up; the event then ran and wrote what the asker read. The second one was more than a race: Stray's event took the open jobs of a lost office out for an asker that had gone, so that these jobs were lost, and Submit's took a job in that its caller had been told was not.

Ruled out: a fault of the test.

Change: a member's name and client never change and are read without the lock, the rest with it. An event is taken either by the placer or by the asker who gives up, never by both. Accepting a job no longer fails because the note that the log has it came too late.

Before/after: TestNewsWhileAProbeFails and TestNothingHappensForAnAskerThatLeft fail before (race detected; 0 stray jobs in place of 1) and pass after.

Conclusion: both are mended. A green race stage on an idle machine proves little; several at once with -parallel 8 found both within minutes.

--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -68,10 +68,13 @@
 	return func(address string) rpc.Peer { return rpc.NewPeerProtobufClient("http://"+address, c) }
 }
 
-// member is another VM, or this one.
+// member is another VM. Its name and client never change; Members.mu guards the
+// rest.
 type member struct {
+	name   string
+	client rpc.Peer
+
 	info    *rpc.Member
-	client  rpc.Peer
 	heard   time.Time
 	changed time.Time
 	failed  int
@@ -116,8 +119,8 @@
 }
 
 func (m *Members) add(info *rpc.Member, heard time.Time) *member {
-	v := &member{info: info, client: m.cfg.Connect(info.GetAddress()), heard: heard, changed: time.Now()}
-	m.all[info.GetName()] = v
+	v := &member{name: info.GetName(), client: m.cfg.Connect(info.GetAddress()), info: info, heard: heard, changed: time.Now()}
+	m.all[v.name] = v
 	return v
 }
 
@@ -230,7 +233,7 @@
 	}
 	reply, err := v.client.Probe(ctx, m.gossip(v))
 	if err != nil {
-		m.Failed(v.info.GetName())
+		m.Failed(v.name)
 		metric.Count("peer_probes_failed_total")
 		return
 	}
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -158,6 +158,34 @@
 	assert.Assert(t, !ok)
 }
 
+// newsy is a peer of which news arrives while a probe of it fails.
+type newsy struct {
+	rpc.Peer
+	news func()
+}
+
+// Probe implements rpc.Peer.
+func (p *newsy) Probe(context.Context, *rpc.Gossip) (*rpc.Gossip, error) {
+	go p.news()
+	time.Sleep(10 * time.Millisecond)
+	return nil, errCut
+}
+
+// TestNewsWhileAProbeFails has a VM's state replaced during a probe that fails, on
+// a goroutine of its own as a peer's call is. The race detector watches.
+func TestNewsWhileAProbeFails(t *testing.T) {
+	state := func(revision uint64) *rpc.Gossip {
+		return &rpc.Gossip{Self: &rpc.Member{Name: "vm", Address: "vm", Zone: "a", Incarnation: 1, Revision: revision}}
+	}
+	vm := &newsy{}
+	m := NewMembers(Config{Self: Self{Name: "me", Zone: "a"}, Connect: func(string) rpc.Peer { return vm }})
+	vm.news = func() { m.Hear(state(2)) }
+	m.Hear(state(1))
+	m.probe(t.Context(), m.target())
+	assert.Equal(t, m.All()[0].Info.GetRevision(), uint64(2))
+	assert.Equal(t, m.all["vm"].failed, 1)
+}
+
 // TestGossipBytes bounds what gossip costs a VM at the design size: one of 60
 // VMs, five to a zone, while a configuration is published every 12 s. Bytes are those of the messages,
 // to which the transport adds its headers.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -161,18 +161,30 @@
 	}
 }
 
-// ask runs event on the placer's goroutine and waits for it.
+// ask runs event on the placer's goroutine and waits for it. With an error the
+// event has not run and never will.
 func (p *Placer) ask(ctx context.Context, event func()) error {
+	var taken atomic.Bool
 	done := make(chan struct{})
-	if err := p.events.Put(func() { event(); close(done) }); err != nil {
+	err := p.events.Put(func() {
+		if taken.CompareAndSwap(false, true) {
+			event()
+			close(done)
+		}
+	})
+	if err != nil {
 		return ErrFull
 	}
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
+	}
+	if taken.CompareAndSwap(false, true) {
 		return ctx.Err()
 	}
+	<-done
+	return nil
 }
 
 // Run serves the placer until ctx ends. It does not stop any job.
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -58,7 +58,8 @@
 		return status, nil
 	}
 	status.Durable = true
-	return status, p.ask(ctx, func() { p.onKept(j) })
+	_ = p.ask(ctx, func() { p.onKept(j) })
+	return status, nil
 }
 
 func firstError(errs ...error) error {
--- /dev/null
+++ b/internal/placer/serve_test.go
@@ -0,0 +1,35 @@
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/cell"
+	"rhubarbshore/pkg/api"
+)
+
+// TestNothingHappensForAnAskerThatLeft asks a placer that is busy until the asker
+// has given up: a job that was not handed out must not be gone, nor one be taken
+// in that was told of as an error. The race detector watches the answers.
+func TestNothingHappensForAnAskerThatLeft(t *testing.T) {
+	p := New(Config{Zone: "a", VM: "vm", Logger: slog.New(slog.DiscardHandler)})
+	p.office = true
+	p.stray = []api.JobStatus{{Job: api.Job{ID: "stray"}}}
+	p.jobsMax = map[string]int{"c": 1}
+	p.layout = cell.Config{Racks: []cell.Rack{{Workers: []cell.Worker{{Name: "w", Accelerators: 1}}}}}
+	p.reset()
+	short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	assert.Equal(t, len(p.Stray(short)), 0)
+	_, err := p.Submit(short, api.Job{ID: "late", Customer: "c", Accelerators: 1})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	go p.Run(t.Context())
+	assert.Equal(t, len(p.Stray(t.Context())), 1)
+	list, err := p.Jobs(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Jobs), 0)
+}
