--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"rhubarbshore/internal/config"
 	"rhubarbshore/internal/httpjson"
 	"rhubarbshore/internal/idempotency"
+	"rhubarbshore/internal/journal"
 	"rhubarbshore/internal/minion"
 	"rhubarbshore/internal/peer"
 	"rhubarbshore/internal/peer/rpc"
@@ -41,6 +42,9 @@
 	// claims by one VM: 333 appends a second by all of them.
 	appendShare = 3 * time.Millisecond
 	maxHomes    = 64
+	// restatesPerKeep is how often an open job is written to the log again in the
+	// time for which the log keeps records.
+	restatesPerKeep = 4
 )
 
 // ErrStop is returned by Stop when requests were cut by its deadline.
@@ -64,6 +68,7 @@
 	list    *platform.List
 	store   *config.Store
 	members *peer.Members
+	journal *journal.Journal
 	placer  *placer.Placer
 	claims  *claim.Claimer
 	sender  *minion.Client
@@ -146,9 +151,12 @@
 	d.claims = claim.New(claim.Config{
 		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Pace: d.claimPace, Window: d.longestWindow, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
 	})
+	d.journal = journal.New(journal.Config{
+		Log: d.log, Stream: "jobs-" + set.Zone, Origin: d.own.minter.Home(), Peers: d.replicas, Keep: time.Duration(set.Deadlines.Keep), Logger: d.logger,
+	})
 	d.placer = placer.New(placer.Config{
 		Holds: d.members.HoldsOffice,
-		VM:    set.Name, Zone: set.Zone, Logger: d.logger, Journal: &journal{log: d.log, stream: "jobs-" + set.Zone},
+		VM:    set.Name, Zone: set.Zone, Logger: d.logger, Journal: d.journal, Restate: time.Duration(set.Deadlines.Keep) / restatesPerKeep,
 		Term: time.Duration(set.Deadlines.Term), Renew: time.Duration(set.Deadlines.Renew), Hold: time.Duration(set.Deadlines.Hold),
 		Checkpoint: time.Duration(set.Deadlines.Checkpoint), Lost: time.Duration(set.Deadlines.Lost), Drift: time.Duration(set.Deadlines.Drift),
 	})
@@ -196,7 +204,7 @@
 	d.server = &http.Server{
 		Handler: d.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
-	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.placer.Run, d.followList, d.followPeers, d.keepOffice} {
+	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.journal.Run, d.placer.Run, d.followList, d.followPeers, d.keepOffice} {
 		d.done.Go(func() { duty(ctx) })
 	}
 	d.done.Go(func() {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -229,7 +229,7 @@
 	for _, stray := range d.placer.Stray(ctx) {
 		j := stray.Job
 		j.Zone = d.set.Zone
-		if _, err := d.submit(ctx, j); err != nil && !stray.Durable {
+		if _, err := d.submit(ctx, j); err != nil && !stray.Durable && stray.Copies == 0 {
 			d.logger.Error("job lost with the office", "job", j.ID, "customer", j.Customer, "error", err)
 			metric.Count("jobs_lost_total")
 		}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"rhubarbshore/internal/idempotency"
+	"rhubarbshore/internal/journal"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/peer"
 	"rhubarbshore/internal/peer/rpc"
@@ -131,6 +132,20 @@
 	return &rpc.JobReply{Status: data}, err
 }
 
+// Replicate implements rpc.Peer. It may be repeated.
+func (s *peerServer) Replicate(_ context.Context, u *rpc.ReplicaUpdate) (*rpc.ReplicaState, error) {
+	return s.d.journal.Replicate(u), nil
+}
+
+// replicas lists the VMs of the zone that can hold journal records.
+func (d *Daemon) replicas() []journal.Peer {
+	var out []journal.Peer
+	for _, p := range d.members.Successors() {
+		out = append(out, journal.Peer{Name: idempotency.Home(p.Info.GetName(), p.Info.GetIncarnation()), Replica: p.Client})
+	}
+	return out
+}
+
 // View implements rpc.Peer.
 func (s *peerServer) View(ctx context.Context, in *rpc.ViewRequest) (*rpc.ViewReply, error) {
 	view, err := s.d.localView(ctx, in.GetWhat())
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,6 +30,7 @@
 	d.stopping.Store(true)
 	cut := d.finish(deadline)
 	d.handKeys(deadline)
+	d.syncJournal(deadline)
 	d.members.Change(func(self *rpc.Member) { self.State = peer.Gone; self.Homes = nil })
 	d.tell()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(farewell))
@@ -80,6 +81,13 @@
 	}
 }
 
+// syncJournal leaves what the log lacks with other VMs.
+func (d *Daemon) syncJournal(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	d.journal.Sync(ctx)
+}
+
 // finish waits for all requests that were admitted. It returns how many were
 // still under way at the deadline.
 func (d *Daemon) finish(deadline time.Time) int64 {
--- /dev/null
+++ b/internal/journal/replica.go
@@ -0,0 +1,156 @@
+package journal
+
+import (
+	"sync"
+	"time"
+
+	"rhubarbshore/internal/peer/rpc"
+)
+
+// maxSets bounds the origins that a VM holds records of.
+const maxSets = 64
+
+// replica is what this VM holds of one origin. It outlives its records, so that a
+// late update is known for what it is.
+type replica struct {
+	version uint64
+	// cleared is set if another VM has taken the records over.
+	cleared bool
+	records map[string]Record
+	expires time.Time
+}
+
+// replicas holds other VMs' records.
+type replicas struct {
+	mu   sync.Mutex
+	keep time.Duration
+	sets map[string]*replica
+}
+
+func newReplicas(keep time.Duration) *replicas {
+	return &replicas{keep: keep, sets: map[string]*replica{}}
+}
+
+// Replicate takes another VM's update in and answers it. It may be repeated.
+func (j *Journal) Replicate(u *rpc.ReplicaUpdate) *rpc.ReplicaState {
+	origin := u.GetSet().GetOrigin()
+	out := &rpc.ReplicaState{Version: j.replicas.update(u, time.Now())}
+	for _, t := range u.GetTaken() {
+		j.replicas.clear(t)
+		j.yield(t)
+	}
+	if u.GetRead() {
+		out.Sets = j.replicas.others(origin)
+		if own := j.own(); own != nil {
+			out.Sets = append(out.Sets, own)
+		}
+	}
+	return out
+}
+
+// update applies the update if it fits what is held, and returns the version that
+// is held then.
+func (r *replicas) update(u *rpc.ReplicaUpdate, now time.Time) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	in := u.GetSet()
+	held := r.sets[in.GetOrigin()]
+	if held == nil {
+		if in.GetVersion() == 0 || u.GetBase() != 0 || len(r.sets) >= maxSets {
+			return 0
+		}
+		held = &replica{records: map[string]Record{}}
+		r.sets[in.GetOrigin()] = held
+	}
+	held.expires = now.Add(r.keep)
+	whole := u.GetBase() == 0 && in.GetVersion() > held.version
+	if !whole && (held.cleared || u.GetBase() != held.version) {
+		return held.acked()
+	}
+	if whole {
+		held.records = map[string]Record{}
+		held.cleared = false
+	}
+	for _, id := range u.GetSettled() {
+		delete(held.records, id)
+	}
+	for _, in := range decode(in.GetRecords()) {
+		held.records[in.id()] = in
+	}
+	held.version = in.GetVersion()
+	return held.version
+}
+
+// acked is the version that the origin may build upon, 0 if it has to send all.
+func (r *replica) acked() uint64 {
+	if r.cleared {
+		return 0
+	}
+	return r.version
+}
+
+func (r *replicas) expire(now time.Time) {
+	for origin, held := range r.sets {
+		if now.After(held.expires) {
+			delete(r.sets, origin)
+		}
+	}
+}
+
+// clear drops the records of an origin that another VM has taken over.
+func (r *replicas) clear(t *rpc.ReplicaSet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if held := r.sets[t.GetOrigin()]; held != nil && held.version <= t.GetVersion() {
+		held.records = map[string]Record{}
+		held.cleared = true
+	}
+}
+
+// others lists what is held of origins beside the given one.
+func (r *replicas) others(origin string) []*rpc.ReplicaSet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*rpc.ReplicaSet
+	for name, held := range r.sets {
+		if name == origin || len(held.records) == 0 {
+			continue
+		}
+		var records []Record
+		for _, in := range held.records {
+			records = append(records, in)
+		}
+		out = append(out, set(name, held.version, records))
+	}
+	return out
+}
+
+// own is the set of this VM's own records, nil if there are none.
+func (j *Journal) own() *rpc.ReplicaSet {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var records []Record
+	for _, e := range j.entries {
+		if !e.settled {
+			records = append(records, e.record)
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return set(j.cfg.Origin, j.version, records)
+}
+
+// yield gives this VM's own records up once another VM has taken them over, unless
+// it holds office itself or there are newer ones.
+func (j *Journal) yield(t *rpc.ReplicaSet) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if t.GetOrigin() != j.cfg.Origin || t.GetVersion() != j.version || j.office {
+		return
+	}
+	for _, e := range j.entries {
+		j.drop(e)
+	}
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -441,7 +442,7 @@
 func (m *Members) Placer(zone string) string {
 	best, bestWeight := "", uint64(0)
 	consider := func(name string) {
-		if w := xxhash.Sum64String(zone + "\x00" + name); best == "" || w > bestWeight {
+		if w := weight(zone, name); best == "" || w > bestWeight {
 			best, bestWeight = name, w
 		}
 	}
@@ -454,6 +455,20 @@
 	return best
 }
 
+// weight is the rendezvous weight of a VM for its zone's office.
+func weight(zone, name string) uint64 { return xxhash.Sum64String(zone + "\x00" + name) }
+
+// Successors lists the other live VMs of the own zone, the likeliest next placer in
+// front.
+func (m *Members) Successors() []Peer {
+	zone := m.cfg.Self.Zone
+	out := m.Live(zone)
+	slices.SortFunc(out, func(a, b Peer) int {
+		return cmp.Compare(weight(zone, b.Info.GetName()), weight(zone, a.Info.GetName()))
+	})
+	return out
+}
+
 // HoldsOffice reports whether the VM claims its zone's office, as far as this
 // VM has heard.
 func (m *Members) HoldsOffice(name string) bool {
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -36,6 +36,8 @@
 	abort     string
 	cancelled bool
 	queued    bool
+	// kept is when the job was last written to the log.
+	kept time.Time
 	// unseen is set for a job that may run without this placer knowing.
 	unseen bool
 }
@@ -60,6 +62,7 @@
 	in.Accelerators = max(1, in.Accelerators)
 	return &job{
 		status:   api.JobStatus{Job: in, State: api.Queued, Zone: zone, Submitted: time.Now()},
+		kept:     time.Now(),
 		level:    cell.Level(in.Accelerators),
 		finished: map[string]bool{},
 		failedOn: map[string]bool{},
--- a/internal/placer/journal.go
+++ b/internal/placer/journal.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/journal"
 	"rhubarbshore/pkg/api"
 )
 
@@ -15,57 +15,77 @@
 	keepBatch = 64
 )
 
-// Journal keeps accepted jobs in the platform's log until they have ended.
+// Journal keeps accepted jobs until they have ended.
 type Journal interface {
-	// Accept records an accepted job.
-	Accept(ctx context.Context, j api.Job) error
+	// Accept records an accepted job and tells where it is safe.
+	Accept(ctx context.Context, j api.Job) journal.Kept
 	// End records that the job is over.
-	End(ctx context.Context, id string, state api.State) error
-	// Open reads the jobs that were accepted and are not over.
-	Open(ctx context.Context) ([]api.Job, error)
+	End(id string, state api.State)
+	// Open reads the jobs that were accepted, and those that are over.
+	Open(ctx context.Context) journal.Known
+	// News reports, once, that there is more to read than when Open read all.
+	News() bool
+	// SetOffice tells whether this VM decides for the zone.
+	SetOffice(office bool)
 }
 
-// readJournal fetches, once per office, the jobs that no lease tells of.
+// readJournal fetches, once per office and after news, the jobs that no lease tells
+// of.
 func (p *Placer) readJournal(now time.Time) {
-	if p.cfg.Journal == nil || p.read || p.reading || !p.ready || now.Sub(p.since) < settleTime {
+	if p.cfg.Journal == nil {
+		return
+	}
+	p.read = p.read && !p.cfg.Journal.News()
+	if p.read || now.Before(p.readAt) || p.reading || !p.ready || now.Sub(p.since) < settleTime {
 		return
 	}
 	p.reading = true
+	p.readAt = now.Add(readEvery)
 	began := p.since
 	go func() {
 		ctx, cancel := call(readEvery)
 		defer cancel()
-		jobs, err := p.cfg.Journal.Open(ctx)
-		if err != nil {
-			time.Sleep(readEvery)
-		}
+		known := p.cfg.Journal.Open(ctx)
 		p.post(func() {
 			p.reading = false
-			if err == nil && p.office && began.Equal(p.since) {
-				p.onJournal(jobs)
+			if p.office && began.Equal(p.since) {
+				p.onJournal(known)
 			}
 		})
 	}()
 }
 
-func (p *Placer) onJournal(jobs []api.Job) {
-	p.read = true
-	for _, in := range jobs {
-		if j := p.jobs[in.ID]; j != nil {
-			j.status.Durable = true
+func (p *Placer) onJournal(known journal.Known) {
+	p.read = known.Whole
+	for id, state := range known.Over {
+		p.endUnseen(id, state)
+	}
+	for _, in := range known.Jobs {
+		if j := p.jobs[in.Job.ID]; j != nil {
+			j.status.Durable = j.status.Durable || in.Durable
 			continue
 		}
-		if p.found[in.ID] != nil {
+		if p.found[in.Job.ID] != nil {
 			continue
 		}
-		j := newJob(in, p.cfg.Zone)
-		j.status.Durable = true
+		j := newJob(in.Job, p.cfg.Zone)
+		j.status.Durable = in.Durable
 		j.unseen = true
 		p.enqueue(j)
 	}
 }
 
-// keepJobs writes jobs to the journal that were accepted while it was out of reach.
+// endUnseen drops a job that waits here and turns out to be over.
+func (p *Placer) endUnseen(id string, state api.State) {
+	if j := p.jobs[id]; j != nil && j.queued && j.unseen {
+		p.unqueue(j)
+		j.status.State = state
+		j.status.Ended = time.Now()
+	}
+}
+
+// keepJobs writes jobs to the journal that the log lacks, and again those that it
+// would soon drop.
 func (p *Placer) keepJobs(now time.Time) {
 	if p.cfg.Journal == nil || !p.read || p.keeping || now.Before(p.keepAt) {
 		return
@@ -73,7 +93,7 @@
 	p.keepAt = now.Add(readEvery)
 	var batch []*job
 	for _, j := range p.jobs {
-		if !j.status.Durable && !j.over() && now.Sub(j.status.Submitted) > readEvery && len(batch) < keepBatch {
+		if !j.over() && len(batch) < keepBatch && p.unkept(j, now) {
 			batch = append(batch, j)
 		}
 	}
@@ -85,56 +105,63 @@
 		kept := p.keepBatch(batch)
 		p.post(func() {
 			p.keeping = false
-			for _, j := range batch[:kept] {
-				p.onKept(j)
+			for i, k := range kept {
+				p.onKept(batch[i], k)
 			}
 		})
 	}()
 }
 
-// keepBatch returns how many of the jobs are in the journal. It stops at the first
-// failure, since the next one would most likely fail too.
-func (p *Placer) keepBatch(batch []*job) int {
-	for i, j := range batch {
+// unkept reports whether the log lacks the job or may soon drop it.
+func (p *Placer) unkept(j *job, now time.Time) bool {
+	if !j.status.Durable {
+		return now.Sub(j.status.Submitted) > readEvery
+	}
+	return p.cfg.Restate > 0 && now.Sub(j.kept) > p.cfg.Restate
+}
+
+// keepBatch tells where the jobs are safe by now. It stops after the first one that
+// is not in the log, since the next one would most likely not be either.
+func (p *Placer) keepBatch(batch []*job) []journal.Kept {
+	var out []journal.Kept
+	for _, j := range batch {
 		ctx, cancel := call(readEvery)
-		err := p.cfg.Journal.Accept(ctx, j.status.Job)
+		kept := p.cfg.Journal.Accept(ctx, j.status.Job)
 		cancel()
-		if err != nil {
-			metric.Retry("journal")
-			return i
+		out = append(out, kept)
+		if !kept.Durable {
+			break
 		}
 	}
-	return len(batch)
+	return out
 }
 
-// onKept marks the job as safe in the log, under whichever record this placer has
-// of it by now.
-func (p *Placer) onKept(j *job) {
+// onKept notes where the job is safe, under whichever record this placer has of it
+// by now.
+func (p *Placer) onKept(j *job, kept journal.Kept) {
 	if known := p.jobs[j.status.Job.ID]; known != nil {
 		j = known
 	}
-	j.status.Durable = true
+	j.status.Copies = kept.Copies
+	if kept.Durable {
+		j.status.Durable = true
+		j.kept = time.Now()
+	}
 	if j.over() {
 		p.journalEnd(j)
 	}
 }
 
-// journalEnd records the end of a durable job in the background.
+// journalEnd records the end of a job.
 func (p *Placer) journalEnd(j *job) {
-	if p.cfg.Journal == nil || !j.status.Durable {
-		return
+	if p.cfg.Journal != nil {
+		p.cfg.Journal.End(j.status.Job.ID, j.status.State)
+	}
+}
+
+// setJournal tells the journal whether this VM decides for the zone.
+func (p *Placer) setJournal(office bool) {
+	if p.cfg.Journal != nil {
+		p.cfg.Journal.SetOffice(office)
 	}
-	id, state := j.status.Job.ID, j.status.State
-	go func() {
-		for pause := readEvery; ; pause = min(2*pause, time.Minute) {
-			ctx, cancel := call(readEvery)
-			err := p.cfg.Journal.End(ctx, id, state)
-			cancel()
-			if err == nil {
-				return
-			}
-			metric.Retry("journal")
-			time.Sleep(pause)
-		}
-	}()
 }
--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -27,8 +27,9 @@
 var faults = []string{"cut", "lost", "dropped", "late", "duplicate", "slow", "crash", "kill", "freeze", "rival", "failing"}
 
 const (
-	testTerm  = time.Minute
-	testDrift = time.Second
+	testTerm    = time.Minute
+	testDrift   = time.Second
+	testRestate = 10 * time.Minute
 
 	// dialTimeout is how long a caller waits for a worker that is cut off.
 	dialTimeout = 500 * time.Millisecond
@@ -314,6 +315,25 @@
 	})
 }
 
+// TestOpenJobsAreRestated has a job wait for longer than the log keeps records.
+func TestOpenJobsAreRestated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		first := z.boot("vm-first")
+		for _, id := range []string{"runs", "waits"} {
+			_, err := first.placer.Submit(t.Context(), api.Job{ID: id, Customer: "c", Accelerators: 32, Cells: 2, Worth: 1, Seconds: 1e6, Class: "spare"})
+			assert.NilError(t, err)
+		}
+		time.Sleep(3 * testRestate)
+		z.journal.mu.Lock()
+		z.journal.jobs = z.journal.jobs[2:]
+		z.journal.mu.Unlock()
+		known := z.journal.Open(t.Context())
+		assert.Assert(t, len(known.Jobs) >= 2, "%d jobs left", len(known.Jobs))
+		z.end()
+	})
+}
+
 // TestSplitZone cuts a zone in two halves for minutes. Each half has a placer
 // that gives out the same guarantee; after the merge one of the two gangs goes on
 // as spare work, and the other customers' guarantees can be reclaimed.
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -61,6 +61,7 @@
 	metric.Count("placer_offices_total")
 	open := p.openJobs()
 	p.reset()
+	p.setJournal(true)
 	p.since = now
 	for _, name := range slices.Sorted(maps.Keys(p.workers)) {
 		p.tree.SetDown(name, true)
@@ -97,6 +98,7 @@
 	for _, j := range p.openJobs() {
 		p.stray = append(p.stray, j.status)
 	}
+	p.setJournal(false)
 	p.reset()
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -68,8 +68,10 @@
 	// Drift is the most by which clocks may differ over a term.
 	Drift  time.Duration
 	Logger *slog.Logger
-	// Journal keeps accepted jobs; nil keeps none.
+	// Journal keeps accepted jobs; nil keeps none. A job that is still open is
+	// written again after Restate, zero for never, since the log drops records.
 	Journal Journal
+	Restate time.Duration
 	// Holds reports whether another VM still claims the zone's office; nil
 	// leaves that to the workers.
 	Holds func(vm string) bool
@@ -118,6 +120,8 @@
 	runs    *estimate.Estimator
 	reading bool
 	read    bool
+	// readAt is the earliest time to read the journal again.
+	readAt time.Time
 	// keeping is set while jobs are written to the journal, keepAt the next try.
 	keeping bool
 	keepAt  time.Time
@@ -142,6 +146,7 @@
 	p.ready = false
 	p.read = false
 	p.reading = false
+	p.readAt = time.Time{}
 	p.jobs = map[string]*job{}
 	p.queues = map[string]*queue{}
 	p.found = map[string]*gang{}
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -52,13 +52,15 @@
 }
 
 // journalAccept writes the job to the log. While the log is out the job is
-// held in memory and the status says so.
+// held in memory, here and by other VMs, and the status says so.
 func (p *Placer) journalAccept(ctx context.Context, j *job, status api.JobStatus) (api.JobStatus, error) {
-	if p.cfg.Journal == nil || p.cfg.Journal.Accept(ctx, status.Job) != nil {
+	if p.cfg.Journal == nil {
 		return status, nil
 	}
-	status.Durable = true
-	_ = p.ask(ctx, func() { p.onKept(j) })
+	kept := p.cfg.Journal.Accept(ctx, status.Job)
+	status.Durable = kept.Durable
+	status.Copies = kept.Copies
+	_ = p.ask(ctx, func() { p.onKept(j, kept) })
 	return status, nil
 }
 
--- a/internal/placer/zone_test.go
+++ b/internal/placer/zone_test.go
@@ -14,7 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/internal/cell"
-	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/journal"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
@@ -64,39 +64,41 @@
 	over map[string]bool
 }
 
-func (m *memoryJournal) Accept(_ context.Context, j api.Job) error {
+func (m *memoryJournal) Accept(_ context.Context, j api.Job) journal.Kept {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.out {
-		return platform.ErrOut
+	if !m.out {
+		m.jobs = append(m.jobs, j)
 	}
-	m.jobs = append(m.jobs, j)
-	return nil
+	return journal.Kept{Durable: !m.out}
 }
 
+func (m *memoryJournal) News() bool { return false }
+
+func (m *memoryJournal) SetOffice(bool) {}
+
 func (m *memoryJournal) setOut(out bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.out = out
 }
 
-func (m *memoryJournal) End(_ context.Context, id string, _ api.State) error {
+func (m *memoryJournal) End(id string, _ api.State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.over[id] = true
-	return nil
 }
 
-func (m *memoryJournal) Open(context.Context) ([]api.Job, error) {
+func (m *memoryJournal) Open(context.Context) journal.Known {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []api.Job
+	out := journal.Known{Whole: true}
 	for _, j := range m.jobs {
 		if !m.over[j.ID] {
-			out = append(out, j)
+			out.Jobs = append(out.Jobs, journal.Job{Job: j, Durable: true})
 		}
 	}
-	return out, nil
+	return out
 }
 
 func newZone(t *testing.T, unsafe Unsafe) *zone {
@@ -122,7 +124,7 @@
 	v := &vm{zone: z, name: name}
 	v.placer = New(Config{
 		VM: name, Zone: "z", Term: testTerm, Renew: 20 * time.Second, Hold: 6 * time.Second, Checkpoint: 2 * time.Second,
-		Lost: 10 * time.Second, Drift: testDrift, Logger: z.log(name), Journal: z.journal, Unsafe: z.unsafe, Holds: z.holds,
+		Lost: 10 * time.Second, Drift: testDrift, Logger: z.log(name), Journal: z.journal, Restate: testRestate, Unsafe: z.unsafe, Holds: z.holds,
 	})
 	ctx, cancel := context.WithCancel(z.t.Context())
 	v.cancel = cancel
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -277,13 +277,13 @@
 }
 
 // submit hands a job in, again and again until the answer says that it is in the
-// log or over: until then it may be lost with the VM that knows it, as the answer
-// says.
+// log, known to another VM, or over: until then it may be lost with the VM that
+// knows it, as the answer says.
 func (d *day) submit(ctx context.Context, j api.Job) {
 	c := d.client()
 	status, err := c.Submit(ctx, j)
 	taken := err == nil
-	for taken && !status.Durable && status.State != api.Finished && ctx.Err() == nil {
+	for taken && !status.Durable && status.Copies == 0 && status.State != api.Finished && ctx.Err() == nil {
 		time.Sleep(samplePause)
 		c.Readdress(d.addresses())
 		if again, err := c.Submit(ctx, j); err == nil {
@@ -402,9 +402,9 @@
 }
 
 // restart stops one VM of the first zone gracefully and starts another one, which
-// finds the log out if the step is to take the configuration from a peer.
+// finds the log out if the step is one that is taken only then.
 func (d *day) restart() {
-	if d.i.step == "version" {
+	if d.i.step == "version" || d.i.step == "replicate" {
 		d.s.Platform.SetFault(standin.Fault{Out: true})
 	}
 	names := slices.Sorted(maps.Keys(d.vms()))
--- a/internal/site/fault_test.go
+++ b/internal/site/fault_test.go
@@ -27,6 +27,7 @@
 	{"forward", http.MethodPost, "", "/Forward"},
 	{"hand-over", http.MethodPost, "", "/Adopt"},
 	{"version", http.MethodPost, "", "/Version"},
+	{"replicate", http.MethodPost, "", "/Replicate"},
 	{"submit", http.MethodPost, "", "/Submit"},
 	{"fence", http.MethodPost, "/workers/", "/fence"},
 	{"hold", http.MethodPost, "/workers/", "/hold"},
--- /dev/null
+++ b/internal/site/journal_test.go
@@ -0,0 +1,85 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/pkg/api"
+)
+
+// TestJobsOutliveTheirPlacer kills a zone's placers one after the other while the
+// log is out. Each job that was accepted then runs whole, and one that ended then
+// does not run again, also when the log is back.
+func TestJobsOutliveTheirPlacer(t *testing.T) {
+	s, c, ctx := start(t)
+	const zone = "si-a"
+	for _, n := range []string{"vm8", "vm9"} {
+		assert.NilError(t, s.StartVM(zone, zone+"-"+n))
+	}
+	assert.NilError(t, s.AwaitConfig(ctx, c, 1))
+	c.Readdress(s.Addresses())
+	submit := func(id string, cells, accelerators int, seconds float64) {
+		status, err := c.Submit(ctx, api.Job{ID: id, Customer: "parishes", Zone: zone, Accelerators: accelerators, Cells: cells, Tasks: accelerators, Worth: 1, Seconds: seconds})
+		assert.NilError(t, err)
+		assert.Assert(t, status.Durable || status.Copies > 0, id)
+	}
+	submit("logged", 1, 8, 1)
+	s.Platform.SetFault(standin.Fault{Out: true})
+	awaitJob(ctx, t, c, "logged")
+	for i := range 2 {
+		submit(fmt.Sprint("quick", i), 1, 8, 1)
+		awaitJob(ctx, t, c, fmt.Sprint("quick", i))
+		submit(fmt.Sprint("wide", i), 2, 64, 4)
+		submit(fmt.Sprint("waits", i), 1, 64, 1)
+		killPlacer(t, s, zone)
+		c.Readdress(s.Addresses())
+	}
+	awaitJob(ctx, t, c, "waits1")
+	s.Platform.SetFault(standin.Fault{})
+	for _, id := range []string{"wide0", "waits0", "wide1", "waits1"} {
+		awaitJob(ctx, t, c, id)
+	}
+	time.Sleep(2 * time.Second)
+	runs := map[string]map[uint64]bool{}
+	for _, span := range s.Spans() {
+		if runs[span.Job] == nil {
+			runs[span.Job] = map[uint64]bool{}
+		}
+		if span.Reason == "finished" {
+			runs[span.Job][span.Generation] = true
+		}
+	}
+	for id, generations := range runs {
+		assert.Equal(t, len(generations), 1, id)
+	}
+	assert.Equal(t, len(runs), 7)
+}
+
+// killPlacer kills the VM that holds the zone's office and waits for the next one.
+func killPlacer(t *testing.T, s *Site, zone string) {
+	t.Helper()
+	name := placerOf(t, s, zone)
+	s.VMs[name].Kill()
+	delete(s.VMs, name)
+	placerOf(t, s, zone)
+}
+
+// placerOf waits until one VM of the zone says that it is the placer.
+func placerOf(t *testing.T, s *Site, zone string) string {
+	t.Helper()
+	for t.Context().Err() == nil {
+		list, err := s.Client().VMs(t.Context())
+		assert.NilError(t, err)
+		for _, vm := range list.VMs {
+			if vm.Zone == zone && vm.Placer && s.VMs[vm.Name] != nil {
+				return vm.Name
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return ""
+}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -40,21 +40,21 @@
 	return s, c, ctx
 }
 
-// awaitJob waits until the job is in the state.
-func awaitJob(ctx context.Context, t *testing.T, c *client.Client, id string, state api.State) api.JobStatus {
+// awaitJob waits until the job has run to its end.
+func awaitJob(ctx context.Context, t *testing.T, c *client.Client, id string) api.JobStatus {
 	t.Helper()
 	for ctx.Err() == nil {
 		list, err := c.Jobs(ctx)
 		if err == nil {
 			for _, j := range list.Jobs {
-				if j.Job.ID == id && j.State == state {
+				if j.Job.ID == id && j.State == api.Finished {
 					return j
 				}
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	t.Fatalf("job %s did not get to state %s", id, state)
+	t.Fatalf("job %s did not finish", id)
 	return api.JobStatus{}
 }
 
@@ -78,7 +78,7 @@
 	status, err := c.Submit(ctx, api.Job{ID: "lot", Customer: "parishes", Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 2, Zone: "si-b"})
 	assert.NilError(t, err)
 	assert.Assert(t, status.Durable)
-	status = awaitJob(ctx, t, c, "lot", api.Finished)
+	status = awaitJob(ctx, t, c, "lot")
 	assert.Equal(t, status.Class, "guaranteed")
 	spans := s.Spans()
 	assert.Equal(t, len(spans), 2)
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -115,7 +115,8 @@
 )
 
 // JobStatus reports where a job stands. Durable is false while the job is
-// known to the zone's VMs only, because the platform's log is out of reach.
+// known to the zone's VMs only, because the platform's log is out of reach: to the
+// placer and, when that was last looked at, to Copies others.
 type JobStatus struct {
 	Job        Job       `json:"job"`
 	State      State     `json:"state"`
@@ -125,6 +126,7 @@
 	Workers    []string  `json:"workers,omitempty"`
 	Generation uint64    `json:"generation,omitempty"`
 	Durable    bool      `json:"durable"`
+	Copies     int       `json:"copies,omitempty"`
 	Submitted  time.Time `json:"submitted,omitzero"`
 	Started    time.Time `json:"started,omitzero"`
 	Ended      time.Time `json:"ended,omitzero"`
