--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -104,16 +104,21 @@
 	return d.await(ctx)
 }
 
-// submit starts a gang of 16 in each zone, on two workers side by side.
+// submit starts a gang of 16 in each zone, on two workers side by side, and one
+// without accelerators.
 func (d *run) submit(ctx context.Context) error {
 	for _, zone := range d.site.Zones() {
-		status, err := d.client.Submit(ctx, api.Job{
-			ID: "gang-" + zone, Customer: d.first(), Zone: zone, Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 3,
-		})
-		if err != nil {
-			return err
+		jobs := []api.Job{
+			{ID: "gang-" + zone, Customer: d.first(), Zone: zone, Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 3},
+			{ID: "tasks-" + zone, Customer: d.first(), Zone: zone, Tasks: 40, Cores: 4, Memory: 8, Worth: 1, Seconds: 3},
+		}
+		for _, j := range jobs {
+			status, err := d.client.Submit(ctx, j)
+			if err != nil {
+				return err
+			}
+			say(d.out, "job %s: %s", status.Job.ID, status.State)
 		}
-		say(d.out, "job %s: %s", status.Job.ID, status.State)
 	}
 	return nil
 }
--- a/internal/cmd/job/list/list.go
+++ b/internal/cmd/job/list/list.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"rhubarbshore/internal/cmdutil"
 	"rhubarbshore/pkg/api"
@@ -48,8 +47,7 @@
 func rows(list api.JobList) [][]string {
 	var out [][]string
 	for _, j := range list.Jobs {
-		shape := strconv.Itoa(j.Job.Cells) + "x" + strconv.Itoa(j.Job.Accelerators)
-		out = append(out, []string{j.Job.ID, j.Job.Customer, j.Zone, shape, string(j.State), j.Class, j.Reason})
+		out = append(out, []string{j.Job.ID, j.Job.Customer, j.Zone, j.Job.Shape(), string(j.State), j.Class, j.Reason})
 	}
 	return out
 }
--- a/internal/cmd/job/submit/submit.go
+++ b/internal/cmd/job/submit/submit.go
@@ -16,6 +16,8 @@
 	Accelerators int     `help:"Neighbouring accelerators in each cell." default:"1"`
 	Cells        int     `help:"Number of cells." default:"1"`
 	Tasks        int     `help:"Tasks in all." default:"1"`
+	Cores        float64 `help:"Processors for each task of a job with 0 accelerators."`
+	Memory       float64 `help:"Memory for each task of a job with 0 accelerators, in GB."`
 	Worth        float64 `help:"Worth, which orders the customer's own jobs." default:"1"`
 	Seconds      float64 `help:"Declared run time in seconds; 0 runs until cancelled."`
 	Class        string  `help:"guaranteed, spare, or empty for either." enum:",guaranteed,spare" default:""`
@@ -29,7 +31,8 @@
 never run, 4 if whether it was accepted can't be told, 5 if it was not accepted.
 
 Example:
-  rhubarbshore job submit --customer parishes --accelerators 16 --tasks 16 --seconds 3600`
+  rhubarbshore job submit --customer parishes --accelerators 16 --tasks 16 --seconds 3600
+  rhubarbshore job submit --customer stock --accelerators 0 --tasks 40 --cores 4 --memory 8`
 }
 
 // Run submits the job.
@@ -39,7 +42,7 @@
 	defer f.Progress("waiting until the job is accepted")()
 	status, err := f.Client.Submit(ctx, api.Job{
 		ID: o.ID, Customer: o.Customer, Zone: o.Zone, Accelerators: o.Accelerators, Cells: o.Cells, Tasks: o.Tasks,
-		Worth: o.Worth, Seconds: o.Seconds, Class: o.Class, Command: o.Command,
+		Cores: o.Cores, Memory: o.Memory, Worth: o.Worth, Seconds: o.Seconds, Class: o.Class, Command: o.Command,
 	})
 	if err != nil {
 		return err
@@ -52,7 +55,7 @@
 		return err
 	}
 	if !status.Durable && status.State != api.Refused {
-		_, _ = fmt.Fprintln(f.IO.Err, "The platform's log is out of reach: the job is held in memory only.")
+		_, _ = fmt.Fprintf(f.IO.Err, "The platform's log is out of reach: the job is held in memory only, by %d VMs beside the placer.\n", status.Copies)
 	}
 	if status.State == api.Refused {
 		return &cmdutil.OutcomeError{Outcome: api.NotRun, Reason: status.Reason}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -46,6 +46,8 @@
 	}
 	total := site.total()
 	s.need(total > 0 && total <= maxAccelerators, "site.accelerators", fmt.Sprintf("%d in all", total), fmt.Sprintf("1 to %d in all", maxAccelerators))
+	s.need(site.Cores >= 0, "site.cores", site.Cores, "0 or more processors to a worker")
+	s.need(site.Memory >= 0, "site.memory", site.Memory, "0 or more GB to a worker")
 	s.need(site.Spare >= 0, "site.spare", site.Spare, "0 or more workers")
 	s.need(powerOfTwo(site.Levels.Worker), "site.levels.worker", site.Levels.Worker, "a power of two")
 	s.need(powerOfTwo(site.Levels.Rack) && site.Levels.Rack >= site.Levels.Worker, "site.levels.rack", site.Levels.Rack, "a power of two, not below site.levels.worker")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/room"
 )
 
 // Duration is a length of time written as text, for example "30s".
@@ -38,13 +39,17 @@
 
 // Site is the layout of one availability zone.
 type Site struct {
-	Region       string  `toml:"region"`
-	Workers      int     `toml:"workers"`
-	Rack         int     `toml:"rack"`
-	Accelerators int     `toml:"accelerators"`
-	Layout       [][]int `toml:"layout"`
-	Spare        int     `toml:"spare"`
-	Levels       Levels  `toml:"levels"`
+	Region       string `toml:"region"`
+	Workers      int    `toml:"workers"`
+	Rack         int    `toml:"rack"`
+	Accelerators int    `toml:"accelerators"`
+	// Cores and Memory, in GB, of each worker; 0 and 0 take no job without
+	// accelerators.
+	Cores  float64 `toml:"cores"`
+	Memory float64 `toml:"memory"`
+	Layout [][]int `toml:"layout"`
+	Spare  int     `toml:"spare"`
+	Levels Levels  `toml:"levels"`
 }
 
 // Levels are the largest cells, in accelerators, that lie within one worker
@@ -149,6 +154,17 @@
 	return out
 }
 
+// Room is the configuration of the zone's processors and memory.
+func (c *Config) Room(zone string) room.Config {
+	out := room.Config{Each: room.Size{Cores: c.Site.Cores, Memory: c.Site.Memory}}
+	for _, rack := range c.Site.Racks(zone) {
+		for _, w := range rack.Workers {
+			out.Workers = append(out.Workers, room.Worker{Name: w.Name, Accelerators: w.Accelerators})
+		}
+	}
+	return out
+}
+
 // Accelerators is the number of accelerators of the site.
 func (s Site) total() int {
 	n := 0
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -39,7 +39,7 @@
 			q.Router().SetLimits(s.Slots, connections)
 		})
 	}
-	d.placer.SetLayout(cfg.Tree(d.set.Zone), waiting)
+	d.placer.SetLayout(cfg.Tree(d.set.Zone), cfg.Room(d.set.Zone), waiting)
 	d.routeList()
 }
 
@@ -215,15 +215,25 @@
 }
 
 func (d *Daemon) tellSummary(ctx context.Context) {
-	s, waiting, ok := d.placer.Summary(ctx)
+	s, ok := d.placer.Summary(ctx)
 	d.members.Change(func(self *rpc.Member) {
 		self.Summary = nil
 		if ok {
-			self.Summary = peer.Summary(s, waiting)
+			self.Summary = summary(s)
 		}
 	})
 }
 
+// summary turns a zone's summary into its message.
+func summary(s placer.Summary) *rpc.Summary {
+	out := &rpc.Summary{Waiting: int32(s.Waiting), Room: int32(s.Room)}
+	for k := range s.Cells.Idle {
+		out.Idle = append(out.Idle, int32(s.Cells.Idle[k]))
+		out.Slack = append(out.Slack, int32(s.Cells.Slack[k]))
+	}
+	return out
+}
+
 // passStray hands jobs left from a lost office to the new placer.
 func (d *Daemon) passStray(ctx context.Context) {
 	for _, stray := range d.placer.Stray(ctx) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -132,15 +132,23 @@
 
 func (d *Daemon) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	j, err := httpjson.Read[api.Job](w, r, maxConfigBody)
-	if err != nil || j.ID == "" || len(j.ID) > maxID || j.Zone == "" || j.Accelerators < 1 || j.Cells < 1 || j.Tasks < 0 || j.Seconds < 0 {
+	if err != nil || !wellFormed(j) {
 		metric.Refusal("job", "malformed")
-		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "a job needs an id, a zone and at least one cell of one accelerator")
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "a job needs an id, a zone, and at least one cell of one accelerator or a task with processors or memory")
 		return
 	}
 	status, err := d.submit(r.Context(), j)
 	d.writeJob(w, status, err)
 }
 
+// wellFormed reports whether the job asks for something.
+func wellFormed(j api.Job) bool {
+	named := j.ID != "" && len(j.ID) <= maxID && j.Zone != ""
+	positive := j.Tasks >= 0 && j.Seconds >= 0 && j.Cores >= 0 && j.Memory >= 0
+	plain := j.Accelerators == 0 && j.Tasks > 0 && j.Cores+j.Memory > 0
+	return named && positive && (plain || j.Accelerators > 0 && j.Cells > 0)
+}
+
 func (d *Daemon) handleCancel(w http.ResponseWriter, r *http.Request) {
 	v := mux.Vars(r)
 	status, err := d.cancelJob(r.Context(), api.Job{ID: v["id"], Zone: v["zone"]})
@@ -229,14 +237,13 @@
 // now or no other can, else the one with the most room.
 func (d *Daemon) handleZone(w http.ResponseWriter, r *http.Request) {
 	n, err := strconv.Atoi(r.URL.Query().Get("accelerators"))
-	if err != nil || n < 1 || cell.Level(n) > cell.MaxLevel {
-		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "accelerators: 1 to 4096")
+	if err != nil || n < 0 || cell.Level(n) > cell.MaxLevel {
+		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "accelerators: 0 to 4096")
 		return
 	}
-	level := cell.Level(n)
-	room := d.roomByZone(level)
-	if sum, _, ok := d.placer.Summary(r.Context()); ok {
-		room[d.set.Zone] = max(room[d.set.Zone], sum.Idle[level]+sum.Slack[level])
+	room := d.roomByZone(n)
+	if sum, ok := d.placer.Summary(r.Context()); ok {
+		room[d.set.Zone] = max(room[d.set.Zone], roomIn(summary(sum), n))
 	}
 	best := d.set.Zone
 	if room[best] == 0 {
@@ -245,17 +252,28 @@
 	httpjson.Write(w, http.StatusOK, api.VM{Zone: best})
 }
 
-// roomByZone is what the placers told last of the cells of a level that they
-// could give out.
-func (d *Daemon) roomByZone(level int) map[string]int {
+// roomIn is the number of cells of n accelerators that a zone could give out or, for
+// none, its eighths of processors and memory.
+func roomIn(s *rpc.Summary, n int) int {
+	if n == 0 {
+		return int(s.GetRoom())
+	}
+	if level := cell.Level(n); level < len(s.GetIdle()) {
+		return int(s.GetIdle()[level] + s.GetSlack()[level])
+	}
+	return 0
+}
+
+// roomByZone is what the placers told last that they could give out.
+func (d *Daemon) roomByZone(n int) map[string]int {
 	room := map[string]int{}
 	for _, p := range d.members.All() {
 		s := p.Info.GetSummary()
-		if s == nil || p.Info.GetState() != peer.Alive || level >= len(s.GetIdle()) {
+		if s == nil || p.Info.GetState() != peer.Alive {
 			continue
 		}
 		zone := p.Info.GetZone()
-		room[zone] = max(room[zone], int(s.GetIdle()[level]+s.GetSlack()[level]))
+		room[zone] = max(room[zone], roomIn(s, n))
 	}
 	return room
 }
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -72,12 +72,28 @@
 	if r.Declared <= 0 || took <= 0 {
 		return
 	}
-	ratio := int64(took.Seconds() / r.Declared.Seconds() * unit)
+	e.ObserveRatio(r, took.Seconds()/r.Declared.Seconds())
+}
+
+// ObserveRatio takes in how what a job of the run took, or used, compares with what
+// it had declared.
+func (e *Estimator) ObserveRatio(r Run, ratio float64) {
 	for _, k := range r.keys() {
 		if h := e.history(k); h != nil {
-			h.observe(min(max(ratio, minRatio), maxRatio))
+			h.observe(min(max(int64(ratio*unit), minRatio), maxRatio))
+		}
+	}
+}
+
+// Ratio is the quantile q of the ratios seen, by the most specific history that is
+// believed. It reports false if there is none.
+func (e *Estimator) Ratio(r Run, q float64) (float64, bool) {
+	for _, k := range r.keys() {
+		if h := e.histories[k]; h != nil && h.all.TotalCount() >= enough {
+			return float64(h.all.ValueAtQuantile(100*q)) / unit, true
 		}
 	}
+	return 0, false
 }
 
 // history returns the history of the key, or nil if the table is full.
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -16,7 +16,6 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
-	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/peer/rpc"
 )
@@ -492,13 +491,3 @@
 	}
 	return Peer{}, false
 }
-
-// Summary turns a zone's summary into its message.
-func Summary(s cell.Summary, waiting int) *rpc.Summary {
-	out := &rpc.Summary{Waiting: int32(waiting)}
-	for k := range s.Idle {
-		out.Idle = append(out.Idle, int32(s.Idle[k]))
-		out.Slack = append(out.Slack, int32(s.Slack[k]))
-	}
-	return out
-}
--- a/internal/placer/bench_test.go
+++ b/internal/placer/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -52,9 +53,12 @@
 			for b.Loop() {
 				var before, after runtime.MemStats
 				layout := cell.Config{Levels: cell.Levels{Worker: 3, Rack: 5}, Racks: []cell.Rack{{Name: "r"}}}
+				rooms := room.Config{Each: room.Size{Cores: 130, Memory: 250}}
 				waiting := map[string]int{}
 				for i := range s.workers {
-					layout.Racks[0].Workers = append(layout.Racks[0].Workers, cell.Worker{Name: fmt.Sprint("w", i), Accelerators: 1 + i%2})
+					w := cell.Worker{Name: fmt.Sprint("w", i), Accelerators: 1 + i%2}
+					layout.Racks[0].Workers = append(layout.Racks[0].Workers, w)
+					rooms.Workers = append(rooms.Workers, room.Worker(w))
 				}
 				for c := range s.customers {
 					waiting[fmt.Sprint("c", c)] = 100
@@ -63,7 +67,7 @@
 				runtime.GC()
 				runtime.ReadMemStats(&before)
 				p := New(Config{VM: "vm", Zone: "z"})
-				p.layout, p.jobsMax = layout, waiting
+				p.layout, p.rooms, p.jobsMax = layout, rooms, waiting
 				for _, w := range layout.Racks[0].Workers {
 					p.workers[w.Name] = &member{name: w.Name, down: true}
 				}
--- a/internal/placer/expect.go
+++ b/internal/placer/expect.go
@@ -56,6 +56,7 @@
 		metric.Seconds("job_estimate_error_seconds", (p.runs.Quantile(j.run(), 0, likely) - took).Abs())
 	}
 	p.runs.Observe(j.run(), took)
+	p.observeSize(j)
 }
 
 // expectAgain moves the expected end of the jobs that have outlived it.
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -32,24 +32,30 @@
 
 // launch carries a placement out on the workers.
 func (p *Placer) launch(j *job, placement cell.Placement, now time.Time) {
-	j.status.State = api.Starting
-	j.status.Reason = ""
-	j.launching = true
 	j.status.Class = string(placement.Class)
 	j.status.Generation = uint64(now.UnixNano())
 	j.refs = p.refs(placement)
 	seats := p.seats(j, placement)
+	evict := slices.Concat(placement.Evict, p.takeParts(j, seats))
+	p.launchSeats(j, seats, evict, now)
+}
+
+// launchSeats makes room by stopping other jobs and starts the gang.
+func (p *Placer) launchSeats(j *job, seats []seat, evict []string, now time.Time) {
+	j.status.State = api.Starting
+	j.status.Reason = ""
+	j.launching = true
 	j.members = seatNames(seats)
 	j.seats = seats
 	j.status.Workers = j.members
-	if p.abortStarting(placement.Evict) {
+	if p.abortStarting(evict) {
 		j.launching = false
 		j.members = nil
 		p.requeue(j, "reclaim")
 		j.notBefore = now.Add(firstBackOff)
 		return
 	}
-	victims := p.victims(placement.Evict)
+	victims := p.victims(evict)
 	began := p.since
 	generation := j.status.Generation
 	go func() {
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/worker"
 )
@@ -148,10 +147,10 @@
 		if v.saved {
 			j.saved += ran
 		} else {
-			metric.Add("placer_work_lost_accelerator_seconds_total", ran*float64(len(j.refs)*cell.Size(j.level)))
+			metric.Add("placer_work_lost_accelerator_seconds_total", ran*float64(j.accelerators()))
 		}
 		if stopped {
-			p.tree.Release(v.id)
+			p.free(v.id)
 			j.members = nil
 		}
 		p.requeue(j, "reclaimed")
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -6,14 +6,19 @@
 	"time"
 
 	"rhubarbshore/internal/cell"
+	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
 
 // job is a job as the placer knows it.
 type job struct {
-	status    api.JobStatus
-	level     int
+	status api.JobStatus
+	level  int
+	// each is what a task of a job without accelerators counts for, and peak the most
+	// that one was seen to use.
+	each      room.Size
+	peak      room.Size
 	members   []string
 	refs      []worker.Part
 	seats     []seat
@@ -58,9 +63,12 @@
 }
 
 func newJob(in api.Job, zone string) *job {
-	in.Cells = max(1, in.Cells)
-	in.Accelerators = max(1, in.Accelerators)
+	if in.Accelerators > 0 || in.Cores == 0 && in.Memory == 0 {
+		in.Cells = max(1, in.Cells)
+		in.Accelerators = max(1, in.Accelerators)
+	}
 	return &job{
+		each:     room.Size{Cores: in.Cores, Memory: in.Memory},
 		status:   api.JobStatus{Job: in, State: api.Queued, Zone: zone, Submitted: time.Now()},
 		kept:     time.Now(),
 		level:    cell.Level(in.Accelerators),
@@ -78,13 +86,23 @@
 
 func (j *job) has(worker string) bool { return slices.Contains(j.members, worker) }
 
-// density orders a customer's jobs.
+// plain reports a job without accelerators.
+func (j *job) isPlain() bool { return j.status.Job.Accelerators == 0 }
+
+// accelerators is the number of accelerators that the job holds.
+func (j *job) accelerators() int { return len(j.refs) * cell.Size(j.level) }
+
+// density orders a customer's jobs of one sort.
 func (j *job) density() float64 {
+	if j.isPlain() {
+		return j.status.Job.Worth / (float64(j.status.Job.Tasks) * max(j.each.Cores, j.each.Memory))
+	}
 	return j.status.Job.Worth / float64(j.status.Job.Cells*cell.Size(j.level))
 }
 
 // enqueue makes the job wait.
 func (p *Placer) enqueue(j *job) {
+	p.expectSize(j)
 	p.jobs[j.status.Job.ID] = j
 	if j.queued {
 		return
@@ -92,12 +110,19 @@
 	j.queued = true
 	p.dirty = true
 	name := j.status.Job.Customer
-	q := p.queues[name]
-	if q == nil {
-		q = &queue{customer: name}
-		p.queues[name] = q
+	queues := p.queuesFor(j)
+	if queues[name] == nil {
+		queues[name] = &queue{customer: name}
+	}
+	queues[name].insert(j)
+}
+
+// queuesFor returns the queues of the job's sort.
+func (p *Placer) queuesFor(j *job) map[string]*queue {
+	if j.isPlain() {
+		return p.plain
 	}
-	q.insert(j)
+	return p.queues
 }
 
 func (q *queue) insert(j *job) {
@@ -117,7 +142,7 @@
 		return
 	}
 	j.queued = false
-	q := p.queues[j.status.Job.Customer]
+	q := p.queuesFor(j)[j.status.Job.Customer]
 	q.jobs = slices.DeleteFunc(q.jobs, func(o *job) bool { return o == j })
 }
 
@@ -133,7 +158,7 @@
 	}
 	p.dirty = true
 	if j.placed() {
-		p.tree.Release(j.status.Job.ID)
+		p.free(j.status.Job.ID)
 		p.stopGang(j)
 	}
 	if j.cancelled {
--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -47,16 +47,26 @@
 	unsafe error
 }
 
-// play fills the zone with spare work, reclaims a guaranteed shape, and brings
-// the faults about on the way.
-func (z *zone) play(strikes ...strike) verdict {
+// spareJob fills a quarter of the zone's accelerators, plainJob a quarter of its
+// processors and memory.
+func spareJob(id string) api.Job {
+	return api.Job{ID: id, Customer: "c", Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 300, Class: "spare"}
+}
+
+func plainJob(id string) api.Job {
+	return api.Job{ID: id, Customer: "c", Tasks: 2, Cores: 80, Memory: 160, Worth: 1, Seconds: 300}
+}
+
+// play fills the zone with other work, reclaims a guaranteed shape, and brings the
+// faults about on the way.
+func (z *zone) play(fill func(id string) api.Job, strikes ...strike) verdict {
 	z.strikes = strikes
 	z.boot("vm-first")
 	time.Sleep(2 * time.Second)
 	jobs := []string{"urgent"}
 	for i := range 4 {
 		jobs = append(jobs, fmt.Sprint("spare", i))
-		z.submit(api.Job{ID: jobs[i+1], Customer: "c", Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: 300, Class: "spare"})
+		z.submit(fill(jobs[i+1]))
 	}
 	time.Sleep(3 * time.Second)
 	z.mu.Lock()
@@ -134,22 +144,33 @@
 }
 
 func playCell(t *testing.T, unsafe Unsafe, strikes ...strike) verdict {
+	return playFilled(t, unsafe, spareJob, strikes...)
+}
+
+func playFilled(t *testing.T, unsafe Unsafe, fill func(id string) api.Job, strikes ...strike) verdict {
 	var v verdict
 	synctest.Test(t, func(t *testing.T) {
 		z := newZone(t, unsafe)
-		v = z.play(strikes...)
+		v = z.play(fill, strikes...)
 		z.end()
 	})
 	return v
 }
 
-// TestMatrix brings every fault about at every step of the placement pipe.
-func TestMatrix(t *testing.T) {
+// TestMatrix brings every fault about at every step of the placement pipe, with the
+// accelerators held by spare work.
+func TestMatrix(t *testing.T) { matrix(t, spareJob) }
+
+// TestMatrixPlain does the same with all processors and memory held by jobs without
+// accelerators.
+func TestMatrixPlain(t *testing.T) { matrix(t, plainJob) }
+
+func matrix(t *testing.T, fill func(id string) api.Job) {
 	var table strings.Builder
 	for _, step := range steps {
 		for _, fault := range faults {
 			t.Run(step+"/"+fault, func(t *testing.T) {
-				v := playCell(t, Unsafe{}, strike{step: step, fault: fault})
+				v := playFilled(t, Unsafe{}, fill, strike{step: step, fault: fault})
 				bad := v.faults()
 				fmt.Fprintf(&table, "%-10s %-9s short %-8s urgent %-8s %s\n", step, fault, v.short.Round(time.Millisecond), v.urgent.Round(time.Millisecond), strings.Join(bad, "; "))
 				assert.Equal(t, len(bad), 0, strings.Join(bad, "; "))
@@ -167,17 +188,19 @@
 	cases := []struct {
 		name        string
 		off         Unsafe
+		fill        func(id string) api.Job
 		step, fault string
 		passes      bool
 	}{
-		{"fence alone", Unsafe{NoRecheck: true}, "start", "freeze", true},
-		{"recheck alone", Unsafe{NoFence: true}, "checkpoint", "freeze", true},
-		{"hold on", Unsafe{}, "hold", "cut", true},
-		{"hold off", Unsafe{NoHold: true}, "hold", "cut", false},
+		{"fence alone", Unsafe{NoRecheck: true}, spareJob, "start", "freeze", true},
+		{"recheck alone", Unsafe{NoFence: true}, spareJob, "checkpoint", "freeze", true},
+		{"hold on", Unsafe{}, spareJob, "hold", "cut", true},
+		{"hold off", Unsafe{NoHold: true}, spareJob, "hold", "cut", false},
+		{"parts off", Unsafe{NoParts: true}, plainJob, "start", "slow", false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			bad := playCell(t, c.off, strike{step: c.step, fault: c.fault}).faults()
+			bad := playFilled(t, c.off, c.fill, strike{step: c.step, fault: c.fault}).faults()
 			assert.Equal(t, len(bad) == 0, c.passes, strings.Join(bad, "; "))
 		})
 	}
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -18,6 +18,7 @@
 	"rhubarbshore/examples"
 	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/config"
+	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
@@ -245,7 +246,7 @@
 	for _, c := range s.customers() {
 		waiting[c] = 10_000
 	}
-	v.placer.SetLayout(s.layout, waiting)
+	v.placer.SetLayout(s.layout, room.Config{}, waiting)
 	return v
 }
 
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -39,10 +39,15 @@
 	next  time.Time
 	heard time.Time
 	// lapse is when the last lease that this placer can have prolonged ends.
-	lapse  time.Time
-	failed int
-	times  int
-	banned time.Time
+	lapse time.Time
+	// limits are the processors of throttled jobs as the worker last confirmed them;
+	// limited is set once it has, and usage is when it was last asked what jobs use.
+	limits  map[string]float64
+	limited bool
+	usage   time.Time
+	failed  int
+	times   int
+	banned  time.Time
 }
 
 func (w *member) reset() {
@@ -53,6 +58,7 @@
 	w.shy = time.Time{}
 	w.next = time.Time{}
 	w.heard = time.Time{}
+	w.limited = false
 }
 
 // takeOffice forgets everything but the jobs' names and fences all workers.
@@ -65,6 +71,7 @@
 	p.since = now
 	for _, name := range slices.Sorted(maps.Keys(p.workers)) {
 		p.tree.SetDown(name, true)
+		p.book.SetDown(name, true)
 	}
 	for _, j := range open {
 		p.enqueue(j)
@@ -105,7 +112,7 @@
 // visit does the call that is due on the worker: a fence or a renewal.
 func (p *Placer) visit(w *member, now time.Time) {
 	p.checkLost(w, now)
-	if w.busy || now.Before(w.next) {
+	if w.busy || now.Before(w.next) && !p.limitsDiffer(w) {
 		return
 	}
 	w.busy = true
@@ -166,6 +173,7 @@
 		return
 	}
 	w.fenced = true
+	w.limited = false
 	w.doubt = false
 	w.heard = asked
 	w.next = now
@@ -210,6 +218,7 @@
 func (p *Placer) avoid(w *member, now time.Time) {
 	w.shy = now.Add(avoidFor)
 	p.tree.SetShy(w.name, true)
+	p.book.SetShy(w.name, true)
 }
 
 // setUp makes the worker's accelerators usable unless it is in quarantine.
@@ -219,6 +228,7 @@
 	}
 	w.down = false
 	p.tree.SetDown(w.name, false)
+	p.book.SetDown(w.name, false)
 	p.dirty = true
 	p.restoreFound()
 }
@@ -231,7 +241,7 @@
 	w.down = true
 	metric.Count("placer_workers_lost_total")
 	p.cfg.Logger.Warn("worker lost", "worker", w.name)
-	for _, id := range p.tree.SetDown(w.name, true) {
+	for _, id := range append(p.tree.SetDown(w.name, true), p.book.SetDown(w.name, true)...) {
 		if j := p.jobs[id]; j != nil {
 			j.notBefore = w.lapse.Add(p.cfg.Drift)
 			p.requeue(j, "worker lost")
@@ -245,6 +255,7 @@
 	if w.shy.Before(now) && !w.shy.IsZero() {
 		w.shy = time.Time{}
 		p.tree.SetShy(w.name, false)
+		p.book.SetShy(w.name, false)
 		p.dirty = true
 	}
 	if w.down || now.Sub(w.heard) < p.cfg.Renew+p.cfg.Lost {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,6 +20,7 @@
 	"rhubarbshore/internal/estimate"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/ring"
+	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -47,7 +48,7 @@
 	Fence(ctx context.Context, f worker.Fence) (worker.Table, error)
 	Hold(ctx context.Context, f worker.Fence, l worker.Lease, term time.Duration) error
 	Start(ctx context.Context, f worker.Fence, job string, generation uint64, term time.Duration) error
-	Renew(ctx context.Context, f worker.Fence, term time.Duration) (worker.Renewal, error)
+	Renew(ctx context.Context, f worker.Fence, r worker.Renew) (worker.Renewal, error)
 	Checkpoint(ctx context.Context, f worker.Fence, job string, generation uint64) error
 	Stop(ctx context.Context, f worker.Fence, job string, generation uint64) error
 }
@@ -87,6 +88,11 @@
 	NoFence bool
 	// NoHold starts members without holding all of them first.
 	NoHold bool
+	// NoParts leaves jobs without accelerators where an accelerator's part of the
+	// memory is needed.
+	NoParts bool
+	// NoUsage counts jobs without accelerators by what they declare.
+	NoUsage bool
 	// NoRecheck sends after a pause without checking deadlines again.
 	NoRecheck bool
 }
@@ -109,15 +115,21 @@
 	epoch   uint64
 	tree    *cell.Tree
 	layout  cell.Config
+	book    *room.Book
+	rooms   room.Config
 	jobsMax map[string]int
 	workers map[string]*member
 	jobs    map[string]*job
 	queues  map[string]*queue
-	found   map[string]*gang
-	halts   map[string]*halt
-	kept    *reservation
+	// plain are the queues of jobs without accelerators.
+	plain map[string]*queue
+	found map[string]*gang
+	halts map[string]*halt
+	kept  *reservation
 	// runs outlives a loss of office.
-	runs    *estimate.Estimator
+	runs *estimate.Estimator
+	// sizes compares the memory used with the declared one. It outlives an office too.
+	sizes   *estimate.Estimator
 	reading bool
 	read    bool
 	// readAt is the earliest time to read the journal again.
@@ -136,7 +148,7 @@
 
 // New returns a placer without office. Run serves it.
 func New(cfg Config) *Placer {
-	p := &Placer{cfg: cfg, events: ring.New[func()](events), workers: map[string]*member{}, runs: estimate.New()}
+	p := &Placer{cfg: cfg, events: ring.New[func()](events), workers: map[string]*member{}, runs: estimate.New(), sizes: estimate.New()}
 	p.reset()
 	return p
 }
@@ -149,10 +161,12 @@
 	p.readAt = time.Time{}
 	p.jobs = map[string]*job{}
 	p.queues = map[string]*queue{}
+	p.plain = map[string]*queue{}
 	p.found = map[string]*gang{}
 	p.halts = map[string]*halt{}
 	p.kept = nil
 	p.tree = cell.NewTree(p.layout)
+	p.book = room.New(p.rooms)
 	for _, w := range p.workers {
 		w.reset()
 	}
@@ -249,9 +263,10 @@
 
 // SetLayout replaces the zone's layout and guarantees. Running jobs keep their
 // cells where these still exist.
-func (p *Placer) SetLayout(layout cell.Config, waiting map[string]int) {
+func (p *Placer) SetLayout(layout cell.Config, rooms room.Config, waiting map[string]int) {
 	p.post(func() {
 		p.layout = layout
+		p.rooms = rooms
 		p.jobsMax = waiting
 		p.dirty = true
 		p.replant()
--- /dev/null
+++ b/internal/placer/plain_test.go
@@ -0,0 +1,236 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/room"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/internal/worker"
+	"rhubarbshore/pkg/api"
+)
+
+// limits lists the processors of the throttled jobs among plain0 to plain7.
+func (z *zone) limits() []float64 {
+	var out []float64
+	for _, w := range z.workers {
+		for i := range 8 {
+			if cores, ok := w.Limit(fmt.Sprint("plain", i)); ok {
+				out = append(out, cores)
+			}
+		}
+	}
+	return out
+}
+
+// TestThrottled has a job take half of the accelerators of a worker whose processors
+// are all in use, but not its memory: the job there goes on with half of them.
+func TestThrottled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		z.boot("vm-first")
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			z.submit(api.Job{ID: fmt.Sprint("plain", i), Customer: "c", Tasks: 1, Cores: 80, Memory: 10, Worth: 1, Seconds: 3600})
+		}
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, z.limits(), []float64(nil))
+		z.submit(api.Job{ID: "half", Customer: "c", Accelerators: 4, Cells: 1, Tasks: 4, Worth: 9, Seconds: 120, Class: "spare"})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, z.limits(), []float64{40})
+		time.Sleep(3 * time.Minute)
+		assert.DeepEqual(t, z.limits(), []float64(nil))
+		assert.Equal(t, z.placerOf().reclaims, 0)
+		z.end()
+	})
+}
+
+func (z *zone) placerOf() *Placer { return z.all()[0].placer }
+
+// useMemory has the workers report that jobs use some multiple of the memory that
+// they have declared, five seconds late.
+func (z *zone) useMemory(times func(l worker.Lease) float64) {
+	for name := range z.workers {
+		z.workers[name] = standin.NewWorker(standin.WorkerConfig{
+			Name: name, Accelerators: 8, Cores: 80, Memory: 160, Lag: 5 * time.Second,
+			Use: func(l worker.Lease) (float64, float64) {
+				n := float64(l.Spec.Tasks)
+				return l.Cores * n, l.Memory * n * times(l)
+			},
+		})
+	}
+}
+
+// TestUnderstatedMemory has eight jobs fit on one worker by what they declare and
+// come to use three times that: within a few minutes no worker has more than it can hold.
+func TestUnderstatedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		z.useMemory(func(l worker.Lease) float64 {
+			if time.Since(l.Since) < time.Minute {
+				return 1
+			}
+			return 3
+		})
+		z.boot("vm-first")
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			z.submit(api.Job{ID: fmt.Sprint("plain", i), Customer: "c", Tasks: 1, Cores: 1, Memory: 20, Worth: 1, Seconds: 36000})
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, z.fullest(), 8)
+		time.Sleep(15 * time.Minute)
+		assert.Equal(t, z.fullest(), 2, "two of 60 GB on a worker of 160")
+		z.end()
+	})
+}
+
+// fullest is the number of jobs on the worker that runs most.
+func (z *zone) fullest() int {
+	n := map[string]int{}
+	most := 0
+	for _, s := range z.spans() {
+		if s.End.IsZero() {
+			n[s.Worker]++
+			most = max(most, n[s.Worker])
+		}
+	}
+	return most
+}
+
+// TestLayoutAfterTakeover changes the layout once a second placer has found the
+// jobs running: they still hold what they did.
+func TestLayoutAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		first := z.boot("vm-first")
+		time.Sleep(2 * time.Second)
+		z.submit(api.Job{ID: "gang", Customer: "c", Accelerators: 32, Cells: 1, Tasks: 32, Worth: 1, Seconds: 3600, Class: "spare"})
+		z.submit(api.Job{ID: "plain", Customer: "c", Tasks: 8, Cores: 40, Memory: 80, Worth: 1, Seconds: 3600})
+		time.Sleep(2 * time.Second)
+		first.kill()
+		p := z.boot("vm-next").placer
+		time.Sleep(30 * time.Second)
+		for range 2 {
+			var idle int
+			var free float64
+			assert.NilError(t, p.ask(t.Context(), func() {
+				idle = p.tree.Summary().Idle[0]
+				for _, n := range p.book.Tasks("plain") {
+					free += float64(n)
+				}
+			}))
+			assert.Equal(t, idle, 32)
+			assert.Equal(t, free, 8.0)
+			p.SetLayout(z.layout, z.rooms, map[string]int{"a": 100, "b": 100, "c": 100})
+		}
+		z.end()
+	})
+}
+
+// TestSizesMeasured runs a drawn stream of jobs without accelerators whose customers
+// declare up to eight times the memory that they use, some less than they use. It
+// compares counting by declaration with counting by what was seen.
+func TestSizesMeasured(t *testing.T) {
+	declared := sizesOf(t, Unsafe{NoUsage: true})
+	seen := sizesOf(t, Unsafe{})
+	t.Logf("mean completion: by declaration %s, by use %s; stopped for memory %d and %d", declared.mean, seen.mean, declared.stops, seen.stops)
+	assert.Assert(t, seen.mean < declared.mean)
+}
+
+// ends is when each job of which all members ran to their end did so.
+func (z *zone) ends() map[string]time.Time {
+	out, n := map[string]time.Time{}, map[string]int{}
+	for _, s := range z.spans() {
+		key := fmt.Sprint(s.Job, s.Generation)
+		if s.Reason == "finished" {
+			n[key]++
+		}
+		if n[key] == s.Members {
+			out[s.Job] = s.End
+		}
+	}
+	return out
+}
+
+type sizesResult struct {
+	mean  time.Duration
+	stops int
+}
+
+func sizesOf(t *testing.T, unsafe Unsafe) sizesResult {
+	var out sizesResult
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(5, 5))
+		habits := map[string]float64{"a": 1. / 8, "b": 1. / 3, "c": 1.3}
+		z := newZone(t, unsafe)
+		z.useMemory(func(l worker.Lease) float64 { return habits[l.Customer] })
+		p := z.boot("vm-first").placer
+		time.Sleep(2 * time.Second)
+		const n = 100
+		handed := map[string]time.Time{}
+		for i := range n {
+			id := fmt.Sprint("plain", i)
+			handed[id] = time.Now()
+			j := api.Job{
+				ID: id, Customer: []string{"a", "b", "c"}[rng.IntN(3)], Tasks: 1 + rng.IntN(4), Cores: 1 + float64(rng.IntN(4)),
+				Memory: 10 + float64(rng.IntN(30)), Worth: 1, Seconds: 600 + 3000*rng.Float64(),
+			}
+			status, err := p.Submit(t.Context(), j)
+			assert.NilError(t, err)
+			assert.Equal(t, status.State, api.Queued, status.Reason)
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(10*time.Second)))
+		}
+		var sum time.Duration
+		var ends map[string]time.Time
+		for len(ends) < n {
+			time.Sleep(10 * time.Minute)
+			ends = z.ends()
+		}
+		for id, at := range ends {
+			sum += at.Sub(handed[id])
+		}
+		out = sizesResult{mean: (sum / n).Round(time.Second), stops: p.reclaims}
+		z.end()
+	})
+	return out
+}
+
+// TestRoomAccount has jobs of both sorts come and go and checks the account against
+// the jobs.
+func TestRoomAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		p := z.boot("vm-first").placer
+		time.Sleep(2 * time.Second)
+		rng := rand.New(rand.NewPCG(6, 6))
+		for i := range 120 {
+			j := api.Job{ID: fmt.Sprint("j", i), Customer: []string{"a", "b", "c"}[rng.IntN(3)], Tasks: 1 + rng.IntN(6), Worth: 1, Seconds: 300 * rng.Float64()}
+			if rng.IntN(2) == 0 {
+				j.Cores, j.Memory = float64(rng.IntN(30)), 1+float64(rng.IntN(90))
+			} else {
+				j.Accelerators, j.Cells = 1<<rng.IntN(5), 1
+			}
+			z.submit(j)
+			if rng.IntN(4) == 0 {
+				_, _ = p.Cancel(t.Context(), fmt.Sprint("j", rng.IntN(i+1)))
+			}
+			time.Sleep(time.Duration(rng.IntN(10)) * time.Second)
+			assert.NilError(t, p.ask(t.Context(), func() {
+				if err := p.book.Check(); err != nil && !slices.Contains([]error{room.ErrOver}, err) {
+					t.Error(err)
+				}
+			}))
+		}
+		time.Sleep(time.Hour)
+		assert.Equal(t, z.fullest(), 0)
+		assert.NilError(t, p.ask(t.Context(), func() { assert.NilError(t, p.book.Check()) }))
+		z.end()
+	})
+}
--- a/internal/placer/rebuild.go
+++ b/internal/placer/rebuild.go
@@ -8,6 +8,7 @@
 
 	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -51,10 +52,13 @@
 	for _, r := range p.layout.Racks {
 		for _, w := range r.Workers {
 			if m := p.workers[w.Name]; m != nil && p.mayHoldUnseen(m, now) {
-				silent += w.Accelerators
+				silent += max(1, w.Accelerators)
 			}
 		}
 	}
+	if j.isPlain() {
+		return silent > 0
+	}
 	return silent >= j.status.Job.Cells*cell.Size(j.level)
 }
 
@@ -186,6 +190,10 @@
 
 // restore puts a whole gang back into the tree and the job table.
 func (p *Placer) restore(g *gang) {
+	if len(g.first.Parts) == 0 {
+		p.restorePlain(g)
+		return
+	}
 	r := cell.Request{Job: g.first.Job, Customer: g.first.Customer, Class: cell.Class(g.first.Class), Since: g.first.Since}
 	parts, ok := p.parts(g.first.Parts)
 	if !ok {
@@ -203,8 +211,15 @@
 	if class != r.Class {
 		metric.Count("placer_demoted_total")
 	}
-	p.unqueue(j)
 	j.ends = r.Ends
+	j.refs = g.first.Parts
+	p.resume(j, g, class)
+	p.retakeParts(j)
+}
+
+// resume marks the job as running as it was found.
+func (p *Placer) resume(j *job, g *gang, class cell.Class) {
+	p.unqueue(j)
 	j.members = g.first.Members
 	j.status.State = api.Running
 	j.status.Class = string(class)
@@ -236,10 +251,14 @@
 	if j := p.jobs[l.Job]; j != nil {
 		return j
 	}
-	j := newJob(api.Job{
-		ID: l.Job, Customer: l.Customer, Zone: p.cfg.Zone, Worth: l.Worth, Cells: len(l.Parts),
-		Accelerators: cell.Size(l.Parts[0].Cell.Level), Tasks: l.Tasks, Seconds: l.Spec.Seconds + l.Spec.Saved, Command: l.Spec.Command, Class: l.Wanted,
-	}, p.cfg.Zone)
+	in := api.Job{
+		ID: l.Job, Customer: l.Customer, Zone: p.cfg.Zone, Worth: l.Worth, Cells: len(l.Parts), Tasks: l.Tasks,
+		Cores: l.Cores, Memory: l.Memory, Seconds: l.Spec.Seconds + l.Spec.Saved, Command: l.Spec.Command, Class: l.Wanted,
+	}
+	if len(l.Parts) > 0 {
+		in.Accelerators = cell.Size(l.Parts[0].Cell.Level)
+	}
+	j := newJob(in, p.cfg.Zone)
 	j.saved = l.Spec.Saved
 	j.status.Durable = l.Durable
 	j.status.Submitted = l.Since
@@ -249,12 +268,14 @@
 
 // replant builds the tree anew for a changed layout.
 func (p *Placer) replant() {
-	old := p.tree
+	old, rooms := p.tree, p.book
 	p.tree = cell.NewTree(p.layout)
+	p.book = room.New(p.rooms)
 	p.kept = nil
 	for name, w := range p.workers {
 		if w.down {
 			p.tree.SetDown(name, true)
+			p.book.SetDown(name, true)
 		}
 	}
 	if !p.office || old == nil {
@@ -264,6 +285,10 @@
 		if !j.placed() {
 			continue
 		}
+		if j.isPlain() {
+			p.replantPlain(j, rooms.Tasks(j.status.Job.ID))
+			continue
+		}
 		parts, ok := p.parts(j.refs)
 		r := cell.Request{Job: j.status.Job.ID, Customer: j.status.Job.Customer, Class: cell.Class(j.status.Class), Since: j.status.Started, Ends: j.ends}
 		class, err := cell.Spare, error(nil)
@@ -275,6 +300,7 @@
 			continue
 		}
 		j.status.Class = string(class)
+		p.retakeParts(j)
 	}
 }
 
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -13,15 +13,19 @@
 func (p *Placer) sendRenew(w *member, now time.Time) {
 	f := p.fenceOf(w)
 	began := p.since
+	in, limits := p.renewal(w, now)
 	go func() {
 		ctx, cancel := call(callTimeout)
 		defer cancel()
-		r, err := w.client.Renew(ctx, f, p.cfg.Term)
+		r, err := w.client.Renew(ctx, f, in)
 		p.post(func() {
 			w.busy = false
 			if !p.office || !began.Equal(p.since) {
 				return
 			}
+			if err == nil {
+				p.onUsage(w, in, limits, r.Usage, now)
+			}
 			p.onRenew(w, f, r, err, now)
 		})
 	}()
@@ -112,7 +116,7 @@
 func (p *Placer) finish(j *job) {
 	p.observe(j, time.Now())
 	p.ended(j, api.Finished, "")
-	p.tree.Release(j.status.Job.ID)
+	p.free(j.status.Job.ID)
 	p.stopGang(j)
 }
 
@@ -131,7 +135,7 @@
 	}
 	if len(j.failedOn) >= maxFailures {
 		p.ended(j, api.JobFailed, "failed")
-		p.tree.Release(j.status.Job.ID)
+		p.free(j.status.Job.ID)
 		p.stopGang(j)
 		return
 	}
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -37,6 +37,9 @@
 	for _, q := range p.inOrder() {
 		p.scheduleQueue(q, partly, now, open())
 	}
+	for _, q := range p.plainInOrder() {
+		p.schedulePlain(q, now)
+	}
 	p.reserve(now)
 	p.compact(now)
 }
@@ -105,16 +108,22 @@
 // inOrder lists the customers with waiting jobs, the one that holds fewest
 // accelerators in front.
 func (p *Placer) inOrder() []*queue {
-	held := map[string]int{}
+	held := map[string]float64{}
 	for _, j := range p.jobs {
 		if j.placed() {
-			held[j.status.Job.Customer] += len(j.refs) * cell.Size(j.level)
+			held[j.status.Job.Customer] += float64(j.accelerators())
 		}
 	}
+	return waiting(p.queues, held)
+}
+
+// waiting lists the queues with jobs, that of the customer that holds least in
+// front.
+func waiting(queues map[string]*queue, held map[string]float64) []*queue {
 	var out []*queue
-	for _, name := range slices.Sorted(maps.Keys(p.queues)) {
-		if len(p.queues[name].jobs) > 0 {
-			out = append(out, p.queues[name])
+	for _, name := range slices.Sorted(maps.Keys(queues)) {
+		if len(queues[name].jobs) > 0 {
+			out = append(out, queues[name])
 		}
 	}
 	sort.SliceStable(out, func(i, k int) bool { return held[out[i].customer] < held[out[k].customer] })
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -80,10 +80,10 @@
 	if !known {
 		return reasonCustomer
 	}
-	if !p.tree.Feasible(j.level, in.Cells) {
+	if !p.feasible(j) {
 		return reasonInfeasible
 	}
-	if in.Class == string(cell.Guaranteed) && !p.guaranteed(j) {
+	if in.Class == string(cell.Guaranteed) && (j.isPlain() || !p.guaranteed(j)) {
 		return reasonGuarantee
 	}
 	if len(p.jobs) >= maxJobs || p.waiting(in.Customer) >= limit {
@@ -104,10 +104,13 @@
 }
 
 func (p *Placer) waiting(customer string) int {
-	if q := p.queues[customer]; q != nil {
-		return len(q.jobs)
+	n := 0
+	for _, queues := range []map[string]*queue{p.queues, p.plain} {
+		if q := queues[customer]; q != nil {
+			n += len(q.jobs)
+		}
 	}
-	return 0
+	return n
 }
 
 // Cancel ends a job. A gang that is starting or running is stopped whole.
@@ -166,14 +169,15 @@
 			}
 			for _, name := range j.members {
 				leases[name]++
-				used[name] += len(j.refs) * cell.Size(j.level) / len(j.members)
+				used[name] += j.accelerators() / len(j.members)
 			}
 		}
 		for _, r := range p.layout.Racks {
 			for _, w := range r.Workers {
+				plain := p.book.Used(w.Name)
 				out.Workers = append(out.Workers, api.Worker{
 					Name: w.Name, Zone: p.cfg.Zone, State: p.stateOf(w.Name), Accelerators: w.Accelerators,
-					Used: used[w.Name], Leases: leases[w.Name],
+					Used: used[w.Name], Leases: leases[w.Name], Cores: plain.Cores, Memory: plain.Memory,
 				})
 			}
 		}
@@ -233,26 +237,35 @@
 	return out
 }
 
-// Summary tells what the zone could take, and how many jobs wait. It reports
+// Summary is what a zone could take: its cells, its eighths of processors and memory
+// for jobs without accelerators, and how many jobs wait already.
+type Summary struct {
+	Cells   cell.Summary
+	Room    int
+	Waiting int
+}
+
+// Summary tells what the zone could take. It reports
 // false without office.
-func (p *Placer) Summary(ctx context.Context) (cell.Summary, int, bool) {
-	var s cell.Summary
-	waiting, ok := 0, false
+func (p *Placer) Summary(ctx context.Context) (Summary, bool) {
+	var s Summary
+	ok := false
 	err := p.ask(ctx, func() {
 		if !p.office || !p.ready {
 			return
 		}
 		ok = true
-		s = p.tree.Summary()
-		for _, q := range p.queues {
-			waiting += len(q.jobs)
+		s.Cells = p.tree.Summary()
+		s.Room = p.book.Room()
+		for customer := range p.jobsMax {
+			s.Waiting += p.waiting(customer)
 		}
 	})
-	return s, waiting, ok && err == nil
+	return s, ok && err == nil
 }
 
 // Ready reports whether this VM holds office and has rebuilt its state.
 func (p *Placer) Ready(ctx context.Context) bool {
-	_, _, ok := p.Summary(ctx)
+	_, ok := p.Summary(ctx)
 	return ok
 }
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,326 @@
+// Package room keeps account of the processors and memory of a zone's workers, and
+// chooses workers for jobs without accelerators.
+//
+// Each accelerator has an equal part of its worker's processors and memory. While
+// it is idle that part is lent to jobs without accelerators; once a job takes the
+// accelerator it gets the part back: processors by throttling, memory by stopping
+// the jobs that came last. So no job without accelerators can be in the way of a
+// guaranteed shape.
+package room
+
+import (
+	"slices"
+
+	"github.com/google/btree"
+	"github.com/joomcode/errorx"
+)
+
+// Errors of this package. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("room")
+	// ErrInfeasible: the zone could never hold the job.
+	ErrInfeasible = errorx.NewType(namespace, "infeasible").New("the zone has no room for the job, even if idle")
+	// ErrAccount: the account of a worker is not what its jobs have.
+	ErrAccount = errorx.NewType(namespace, "account").New("a worker's account is wrong")
+	// ErrOver: a worker's memory is given out twice.
+	ErrOver = errorx.NewType(namespace, "over").New("a worker's memory is given out twice")
+	// ErrBusy: there is not enough room now.
+	ErrBusy = errorx.NewType(namespace, "busy").New("there is not enough room now")
+)
+
+// Size is an amount of processors and of memory in GB.
+type Size struct {
+	Cores  float64
+	Memory float64
+}
+
+func (s Size) plus(o Size) Size { return Size{s.Cores + o.Cores, s.Memory + o.Memory} }
+
+// Times is the size of n of them.
+func (s Size) Times(n int) Size { return Size{s.Cores * float64(n), s.Memory * float64(n)} }
+
+// holds is how many of the smaller size fit.
+func (s Size) holds(each Size) int {
+	n := maxTasks
+	if each.Cores > 0 {
+		n = min(n, int(s.Cores/each.Cores))
+	}
+	if each.Memory > 0 {
+		n = min(n, int(s.Memory/each.Memory))
+	}
+	return max(0, n)
+}
+
+const (
+	// maxTasks bounds the tasks of one job on one worker.
+	maxTasks = 1 << 16
+	// degree of the index's tree.
+	degree = 16
+)
+
+// Worker is a worker as it is declared.
+type Worker struct {
+	Name         string
+	Accelerators int
+}
+
+// Config describes a zone for New. All workers have the same processors and memory.
+type Config struct {
+	Workers []Worker
+	Each    Size
+}
+
+// worker is a worker with what is placed on it.
+type worker struct {
+	name         string
+	accelerators int
+	taken        int
+	down         bool
+	shy          bool
+	used         Size
+	// jobs without accelerators, in the order in which they came.
+	jobs []string
+	// at is where the worker stands in the index, if it does.
+	at *place
+}
+
+// place orders the workers that take new tasks: those without accelerators first,
+// so that little is lent, and then the fullest, so that few are shared.
+type place struct {
+	shared bool
+	free   float64
+	worker *worker
+}
+
+func before(x, y *place) bool {
+	if x.shared != y.shared {
+		return y.shared
+	}
+	if x.free != y.free {
+		return x.free < y.free
+	}
+	return x.worker.name < y.worker.name
+}
+
+// job is a job with its tasks, or its accelerators, by worker.
+type job struct {
+	each         Size
+	tasks        map[string]int
+	accelerators map[string]int
+}
+
+// Book keeps the account. It is not safe for concurrent use: the placer's goroutine
+// owns it.
+type Book struct {
+	each    Size
+	byName  map[string]*worker
+	workers []*worker
+	jobs    map[string]*job
+	index   *btree.BTreeG[*place]
+}
+
+// New returns the account of an idle zone.
+func New(cfg Config) *Book {
+	b := &Book{each: cfg.Each, byName: map[string]*worker{}, jobs: map[string]*job{}, index: btree.NewG(degree, before)}
+	for _, w := range cfg.Workers {
+		v := &worker{name: w.Name, accelerators: w.Accelerators}
+		b.byName[w.Name] = v
+		b.enter(v)
+		b.workers = append(b.workers, v)
+	}
+	return b
+}
+
+// Part is what belongs to n accelerators of the worker.
+func (b *Book) Part(name string, n int) Size {
+	w := b.byName[name]
+	if w == nil || w.accelerators == 0 {
+		return Size{}
+	}
+	share := float64(min(n, w.accelerators)) / float64(w.accelerators)
+	return Size{Cores: b.each.Cores * share, Memory: b.each.Memory * share}
+}
+
+// free is the room for jobs without accelerators, below zero if there is too little
+// for those that run.
+func (b *Book) free(w *worker) Size {
+	part := b.Part(w.name, w.taken)
+	return Size{
+		Cores:  b.each.Cores - part.Cores - w.used.Cores,
+		Memory: b.each.Memory - part.Memory - w.used.Memory,
+	}
+}
+
+// Feasible reports whether the idle zone could hold the tasks.
+func (b *Book) Feasible(tasks int, each Size) bool {
+	return len(b.workers)*b.each.holds(each) >= tasks
+}
+
+// Place chooses workers for all tasks of a job, or for none, and registers them.
+func (b *Book) Place(id string, tasks int, each Size) (map[string]int, error) {
+	if !b.Feasible(tasks, each) {
+		return nil, ErrInfeasible
+	}
+	out := map[string]int{}
+	left := tasks
+	take := func(p *place) bool {
+		if n := min(left, b.free(p.worker).holds(each)); n > 0 {
+			out[p.worker.name] = n
+			left -= n
+		}
+		return left > 0
+	}
+	for _, shared := range []bool{false, true} {
+		least := &place{shared: shared, free: each.Memory, worker: &worker{}}
+		b.index.AscendGreaterOrEqual(least, func(p *place) bool { return p.shared == shared && take(p) })
+		if left == 0 {
+			b.Hold(id, out, each)
+			return out, nil
+		}
+	}
+	return nil, ErrBusy
+}
+
+// leave takes the worker out of the index before its account changes.
+func (b *Book) leave(w *worker) {
+	if w.at != nil {
+		b.index.Delete(w.at)
+		w.at = nil
+	}
+}
+
+// enter puts the worker where its account says, if it takes new tasks.
+func (b *Book) enter(w *worker) {
+	b.leave(w)
+	if !w.down && !w.shy {
+		w.at = &place{shared: w.accelerators > 0, free: b.free(w).Memory, worker: w}
+		b.index.ReplaceOrInsert(w.at)
+	}
+}
+
+// Hold registers a job without accelerators on the workers, also where it has no
+// room, as found in the workers' lease tables.
+func (b *Book) Hold(id string, tasks map[string]int, each Size) {
+	b.Release(id)
+	b.jobs[id] = &job{each: each, tasks: tasks}
+	for name, n := range tasks {
+		if w := b.byName[name]; w != nil {
+			w.used = w.used.plus(each.Times(n))
+			w.jobs = append(w.jobs, id)
+			b.enter(w)
+		}
+	}
+}
+
+// Take registers a job's accelerators, by worker.
+func (b *Book) Take(id string, accelerators map[string]int) {
+	b.Release(id)
+	b.jobs[id] = &job{accelerators: accelerators}
+	for name, n := range accelerators {
+		if w := b.byName[name]; w != nil {
+			w.taken += n
+			b.enter(w)
+		}
+	}
+}
+
+// Release frees all that the job has. An unknown job is ignored.
+func (b *Book) Release(id string) {
+	j := b.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(b.jobs, id)
+	for name, n := range j.accelerators {
+		if w := b.byName[name]; w != nil {
+			w.taken -= n
+			b.enter(w)
+		}
+	}
+	for name, n := range j.tasks {
+		if w := b.byName[name]; w != nil {
+			w.used = w.used.plus(j.each.Times(-n))
+			w.jobs = slices.DeleteFunc(w.jobs, func(o string) bool { return o == id })
+			b.enter(w)
+		}
+	}
+}
+
+// Resize changes what each task of a running job counts for.
+func (b *Book) Resize(id string, each Size) {
+	j := b.jobs[id]
+	if j == nil || j.tasks == nil {
+		return
+	}
+	for name, n := range j.tasks {
+		if w := b.byName[name]; w != nil {
+			w.used = w.used.plus(each.Times(n)).plus(j.each.Times(-n))
+			b.enter(w)
+		}
+	}
+	j.each = each
+}
+
+// Tasks are the tasks of a job without accelerators, by worker.
+func (b *Book) Tasks(id string) map[string]int {
+	if j := b.jobs[id]; j != nil {
+		return j.tasks
+	}
+	return nil
+}
+
+// eighths is the unit of Room.
+const eighths = 8
+
+// Room is how many eighths of the zone's processors and of its memory are free for
+// jobs without accelerators, the lesser of both.
+func (b *Book) Room() int {
+	var free, all Size
+	for _, w := range b.workers {
+		all = all.plus(b.each)
+		if f := b.free(w); !w.down && f.Cores > 0 && f.Memory > 0 {
+			free = free.plus(f)
+		}
+	}
+	if all.Cores == 0 || all.Memory == 0 {
+		return 0
+	}
+	return int(eighths * min(free.Cores/all.Cores, free.Memory/all.Memory))
+}
+
+// Used is what jobs without accelerators count for on the worker.
+func (b *Book) Used(name string) Size {
+	if w := b.byName[name]; w != nil {
+		return w.used
+	}
+	return Size{}
+}
+
+// Busy reports whether jobs without accelerators have tasks on the worker.
+func (b *Book) Busy(name string) bool {
+	w := b.byName[name]
+	return w != nil && len(w.jobs) > 0
+}
+
+// SetDown records the loss or return of a worker and returns the jobs without
+// accelerators that were on it.
+func (b *Book) SetDown(name string, down bool) []string {
+	w := b.byName[name]
+	if w == nil || w.down == down {
+		return nil
+	}
+	w.down = down
+	b.enter(w)
+	if !down {
+		return nil
+	}
+	return slices.Clone(w.jobs)
+}
+
+// SetShy keeps new work off a worker, or no longer.
+func (b *Book) SetShy(name string, shy bool) {
+	if w := b.byName[name]; w != nil {
+		w.shy = shy
+		b.enter(w)
+	}
+}
--- /dev/null
+++ b/internal/room/room_test.go
@@ -0,0 +1,116 @@
+package room
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbshore/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { os.Exit(rapidtest.Main(m)) }
+
+// TestAcceleratorsGetTheirPart draws workers, jobs, accelerators taken and given
+// back, sizes that change and workers that are lost. After the evictions no memory
+// is given out twice and processors are throttled to what is left.
+func TestAcceleratorsGetTheirPart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := Config{Each: Size{Cores: 30, Memory: 130}}
+		for i := range rapid.IntRange(1, 6).Draw(rt, "workers") {
+			cfg.Workers = append(cfg.Workers, Worker{Name: fmt.Sprint("w", i), Accelerators: rapid.IntRange(0, 8).Draw(rt, "accelerators")})
+		}
+		b := New(cfg)
+		gangs := map[string]bool{}
+		rt.Repeat(map[string]func(*rapid.T){
+			"place": func(rt *rapid.T) {
+				id := fmt.Sprint("job", len(b.jobs), rapid.Uint16().Draw(rt, "id"))
+				n := rapid.IntRange(1, 12).Draw(rt, "tasks")
+				each := Size{Cores: float64(rapid.IntRange(0, 20).Draw(rt, "cores")), Memory: float64(rapid.IntRange(1, 60).Draw(rt, "memory"))}
+				tasks, err := b.Place(id, n, each)
+				sum := 0
+				for name, k := range tasks {
+					sum += k
+					assert.Assert(rt, !b.byName[name].down && b.free(b.byName[name]).Cores >= -rounding)
+				}
+				assert.Assert(rt, err != nil && sum == 0 || sum == n)
+			},
+			"take": func(rt *rapid.T) {
+				w := b.workers[rapid.IntRange(0, len(b.workers)-1).Draw(rt, "worker")]
+				if w.taken < w.accelerators {
+					id := fmt.Sprint("gang", len(gangs))
+					gangs[id] = true
+					b.Take(id, map[string]int{w.name: rapid.IntRange(1, w.accelerators-w.taken).Draw(rt, "n")})
+				}
+			},
+			"release": func(rt *rapid.T) {
+				ids := sorted(b)
+				if len(ids) > 0 {
+					b.Release(rapid.SampledFrom(ids).Draw(rt, "job"))
+				}
+			},
+			"resize": func(rt *rapid.T) {
+				ids := sorted(b)
+				if len(ids) > 0 {
+					b.Resize(rapid.SampledFrom(ids).Draw(rt, "job"), Size{Cores: 1, Memory: float64(rapid.IntRange(0, 100).Draw(rt, "memory"))})
+				}
+			},
+			"lose": func(rt *rapid.T) {
+				w := rapid.SampledFrom(b.workers).Draw(rt, "worker")
+				for _, id := range b.SetDown(w.name, !w.down) {
+					b.Release(id)
+				}
+			},
+			"": func(rt *rapid.T) {
+				var names []string
+				for _, w := range b.workers {
+					names = append(names, w.name)
+				}
+				for _, id := range b.Evictions(names) {
+					assert.Assert(rt, b.jobs[id].tasks != nil, "a job with accelerators is never evicted for memory")
+					b.Release(id)
+				}
+				assert.NilError(rt, b.Check())
+				for _, w := range b.workers {
+					sum := 0.0
+					for _, cores := range b.Limits(w.name) {
+						sum += cores
+					}
+					assert.Assert(rt, sum <= b.each.Cores-b.Part(w.name, w.taken).Cores+rounding)
+				}
+			},
+		})
+	})
+}
+
+func sorted(b *Book) []string {
+	var out []string
+	for id := range b.jobs {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// BenchmarkPlace measures a decision on a zone that is half full.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprint("workers=", n), func(b *testing.B) {
+			cfg := Config{Each: Size{Cores: 130, Memory: 250}}
+			for i := range n {
+				cfg.Workers = append(cfg.Workers, Worker{Name: fmt.Sprint("w", i), Accelerators: []int{0, 0, 8}[i%3]})
+			}
+			book := New(cfg)
+			for i := range 6 * n {
+				_, _ = book.Place(fmt.Sprint("old", i), 1, Size{Cores: 10, Memory: 20})
+			}
+			for b.Loop() {
+				_, _ = book.Place("new", 20, Size{Cores: 4, Memory: 8})
+				book.Release("new")
+			}
+		})
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -137,7 +137,7 @@
 	var names []string
 	for _, rack := range cfg.Site.Racks(zone) {
 		for _, w := range rack.Workers {
-			v := standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: w.Accelerators})
+			v := standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: w.Accelerators, Cores: cfg.Site.Cores, Memory: cfg.Site.Memory})
 			s.Workers[w.Name] = v
 			all = append(all, v)
 			names = append(names, w.Name)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -80,8 +80,12 @@
 	assert.Assert(t, status.Durable)
 	status = awaitJob(ctx, t, c, "lot")
 	assert.Equal(t, status.Class, "guaranteed")
+	_, err = c.Submit(ctx, api.Job{ID: "tasks", Customer: "stock", Tasks: 70, Cores: 4, Memory: 8, Worth: 1, Seconds: 1})
+	assert.NilError(t, err)
+	status = awaitJob(ctx, t, c, "tasks")
+	assert.Equal(t, len(status.Workers), 3, "70 tasks of 8 GB on workers of 250")
 	spans := s.Spans()
-	assert.Equal(t, len(spans), 2)
+	assert.Equal(t, len(spans), 5)
 	for _, span := range spans {
 		assert.Equal(t, span.Reason, "finished")
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,6 +39,13 @@
 	// Runtime tells for how long the lease's tasks run; nil goes by what is
 	// declared.
 	Runtime func(l worker.Lease) time.Duration
+	// Cores and Memory, in GB, of the worker; no memory is not accounted for.
+	Cores  float64
+	Memory float64
+	// Use tells what the lease's tasks use together; nil goes by what is declared.
+	Use func(l worker.Lease) (cores, memory float64)
+	// Lag is how old the usage is that is reported.
+	Lag time.Duration
 }
 
 // Worker is the stand-in of one worker.
@@ -50,6 +57,7 @@
 	leases map[string]*grant
 	spans  []Span
 	fault  WorkerFault
+	limits map[string]float64
 }
 
 // grant is a lease with its deadline by the worker's own clock.
@@ -164,6 +172,9 @@
 			return worker.ErrRefused
 		}
 	}
+	if w.cfg.Memory > 0 && w.memory(l.Job)+w.memoryOf(l) > w.cfg.Memory*(1+1e-9) {
+		return worker.ErrRefused
+	}
 	l.State = worker.Held
 	w.leases[l.Job] = &grant{lease: l, deadline: time.Now().Add(term)}
 	return nil
@@ -198,6 +209,58 @@
 	return nil
 }
 
+// memoryOf is the memory, in GB, that the lease takes: an accelerator's part of the
+// worker's, what is used, or what is expected before that can be told.
+func (w *Worker) memoryOf(l worker.Lease) float64 {
+	if len(l.Accelerators) > 0 {
+		return w.cfg.Memory * float64(len(l.Accelerators)) / float64(w.cfg.Accelerators)
+	}
+	if w.cfg.Use != nil && l.State == worker.Running {
+		_, memory := w.cfg.Use(l)
+		return memory
+	}
+	return l.Reserve * float64(l.Spec.Tasks)
+}
+
+// memory is what all leases but the job's take.
+func (w *Worker) memory(but string) float64 {
+	sum := 0.0
+	for job, g := range w.leases {
+		if job != but {
+			sum += w.memoryOf(g.lease)
+		}
+	}
+	return sum
+}
+
+// Limit returns the processors that the job may use, if it is throttled.
+func (w *Worker) Limit(job string) (float64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cores, ok := w.limits[job]
+	return cores, ok
+}
+
+// usage is what the running tasks of jobs without accelerators used a while ago.
+func (w *Worker) usage(now time.Time) []worker.Usage {
+	var out []worker.Usage
+	for job, g := range w.leases {
+		if g.lease.State != worker.Running || len(g.lease.Accelerators) > 0 || now.Sub(g.lease.Since) < w.cfg.Lag {
+			continue
+		}
+		n := float64(g.lease.Spec.Tasks)
+		cores, memory := g.lease.Cores*n, g.lease.Memory*n
+		if w.cfg.Use != nil {
+			cores, memory = w.cfg.Use(g.lease)
+		}
+		if limit, ok := w.limits[job]; ok {
+			cores = min(cores, limit)
+		}
+		out = append(out, worker.Usage{Job: job, Generation: g.lease.Generation, Cores: cores, Memory: memory})
+	}
+	return out
+}
+
 func (w *Worker) runtime(l worker.Lease) time.Duration {
 	if w.cfg.Runtime != nil {
 		return w.cfg.Runtime(l)
@@ -205,8 +268,8 @@
 	return time.Duration(l.Spec.Seconds * float64(time.Second))
 }
 
-// Renew prolongs the running leases.
-func (w *Worker) Renew(_ context.Context, f worker.Fence, term time.Duration) (worker.Renewal, error) {
+// Renew prolongs the running leases and throttles some.
+func (w *Worker) Renew(_ context.Context, f worker.Fence, r worker.Renew) (worker.Renewal, error) {
 	if err := w.enter(f); err != nil {
 		return worker.Renewal{}, err
 	}
@@ -216,12 +279,21 @@
 		switch g.lease.State {
 		case worker.Running:
 			out.Running++
-			g.deadline = time.Now().Add(term)
+			g.deadline = time.Now().Add(r.Term)
 		case worker.Held:
 		default:
 			out.Changes = append(out.Changes, worker.Change{Job: g.lease.Job, Generation: g.lease.Generation, State: g.lease.State})
 		}
 	}
+	if r.Limits != nil {
+		w.limits = map[string]float64{}
+		for _, l := range r.Limits.Jobs {
+			w.limits[l.Job] = l.Cores
+		}
+	}
+	if r.Usage {
+		out.Usage = w.usage(time.Now())
+	}
 	return out, nil
 }
 
@@ -328,7 +400,7 @@
 	case "start":
 		return struct{}{}, w.Start(ctx, in.Fence, in.Job, in.Generation, term)
 	case "renew":
-		return w.Renew(ctx, in.Fence, term)
+		return w.Renew(ctx, in.Fence, worker.Renew{Term: term, Limits: in.Limits, Usage: in.Usage})
 	case "checkpoint":
 		return struct{}{}, w.Checkpoint(ctx, in.Fence, in.Job, in.Generation)
 	case "stop":
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -92,30 +92,65 @@
 // Lease is one job's hold on accelerators of one worker. Job is kept whole, so
 // that a placer that lost its memory can rebuild its state from the workers.
 type Lease struct {
-	Job          string    `json:"job"`
-	Generation   uint64    `json:"generation"`
-	Customer     string    `json:"customer"`
-	Class        string    `json:"class"`
-	Wanted       string    `json:"wanted,omitempty"`
-	Durable      bool      `json:"durable,omitempty"`
-	Worth        float64   `json:"worth"`
-	Tasks        int       `json:"tasks"`
-	Parts        []Part    `json:"parts"`
-	Members      []string  `json:"members"`
-	Accelerators []int     `json:"accelerators"`
-	Spec         Spec      `json:"spec"`
-	State        State     `json:"state"`
-	Since        time.Time `json:"since"`
+	Job          string   `json:"job"`
+	Generation   uint64   `json:"generation"`
+	Customer     string   `json:"customer"`
+	Class        string   `json:"class"`
+	Wanted       string   `json:"wanted,omitempty"`
+	Durable      bool     `json:"durable,omitempty"`
+	Worth        float64  `json:"worth"`
+	Tasks        int      `json:"tasks"`
+	Parts        []Part   `json:"parts"`
+	Members      []string `json:"members"`
+	Accelerators []int    `json:"accelerators"`
+	// Cores and Memory, in GB, are what each task of a job without accelerators
+	// declares, and Reserve the memory that it is expected to use.
+	Cores   float64   `json:"cores,omitempty"`
+	Memory  float64   `json:"memory,omitempty"`
+	Reserve float64   `json:"reserve,omitempty"`
+	Spec    Spec      `json:"spec"`
+	State   State     `json:"state"`
+	Since   time.Time `json:"since"`
 }
 
 // Grant asks for a lease or for a change of one. Term is how long the worker
 // keeps it, in milliseconds.
 type Grant struct {
-	Fence      Fence  `json:"fence"`
-	Job        string `json:"job,omitempty"`
-	Generation uint64 `json:"generation,omitempty"`
-	Term       int64  `json:"term,omitempty"`
-	Lease      *Lease `json:"lease,omitempty"`
+	Fence      Fence   `json:"fence"`
+	Job        string  `json:"job,omitempty"`
+	Generation uint64  `json:"generation,omitempty"`
+	Term       int64   `json:"term,omitempty"`
+	Lease      *Lease  `json:"lease,omitempty"`
+	Limits     *Limits `json:"limits,omitempty"`
+	Usage      bool    `json:"usage,omitempty"`
+}
+
+// Limits throttle jobs. A job that they don't name runs without a limit.
+type Limits struct {
+	Jobs []Limit `json:"jobs,omitempty"`
+}
+
+// Limit is the processors that the tasks of one job may use together.
+type Limit struct {
+	Job        string  `json:"job"`
+	Generation uint64  `json:"generation"`
+	Cores      float64 `json:"cores"`
+}
+
+// Usage is what the tasks of one job used together a while ago, Memory in GB.
+type Usage struct {
+	Job        string  `json:"job"`
+	Generation uint64  `json:"generation"`
+	Cores      float64 `json:"cores"`
+	Memory     float64 `json:"memory"`
+}
+
+// Renew asks for all running leases of a worker to be prolonged by Term. Limits, if
+// set, replace those in force; Usage asks for what jobs use.
+type Renew struct {
+	Term   time.Duration
+	Limits *Limits
+	Usage  bool
 }
 
 // Table lists a worker's leases and the highest fence it has seen. Silence is
@@ -137,6 +172,7 @@
 type Renewal struct {
 	Running int      `json:"running"`
 	Changes []Change `json:"changes,omitempty"`
+	Usage   []Usage  `json:"usage,omitempty"`
 }
 
 // Client is the HTTP client of one worker.
@@ -166,9 +202,9 @@
 	return err
 }
 
-// Renew prolongs all running leases of the worker.
-func (c *Client) Renew(ctx context.Context, f Fence, term time.Duration) (Renewal, error) {
-	return call[Renewal](ctx, c, "/renew", Grant{Fence: f, Term: term.Milliseconds()})
+// Renew prolongs all running leases of the worker and throttles some.
+func (c *Client) Renew(ctx context.Context, f Fence, r Renew) (Renewal, error) {
+	return call[Renewal](ctx, c, "/renew", Grant{Fence: f, Term: r.Term.Milliseconds(), Limits: r.Limits, Usage: r.Usage})
 }
 
 // Checkpoint asks the job's tasks to save their work and waits for it.
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -83,7 +84,9 @@
 }
 
 // Job describes a gang job. It asks for Cells groups of Accelerators
-// neighbouring accelerators each, all in one availability zone.
+// neighbouring accelerators each, all in one availability zone. A job of 0
+// accelerators asks for Cores processors and Memory GB for each of its Tasks, on
+// any workers of one zone; it is spare work.
 type Job struct {
 	ID           string  `json:"id"`
 	Customer     string  `json:"customer"`
@@ -91,6 +94,8 @@
 	Accelerators int     `json:"accelerators"`
 	Cells        int     `json:"cells"`
 	Tasks        int     `json:"tasks"`
+	Cores        float64 `json:"cores,omitempty"`
+	Memory       float64 `json:"memory,omitempty"`
 	Worth        float64 `json:"worth"`
 	// Seconds is the declared run time.
 	Seconds float64 `json:"seconds"`
@@ -100,6 +105,15 @@
 	Command string `json:"command,omitempty"`
 }
 
+// Shape renders what the job asks for: 2x16 for two cells of 16 accelerators, or
+// 40x4c8g for 40 tasks of 4 processors and 8 GB.
+func (j Job) Shape() string {
+	if j.Accelerators == 0 {
+		return fmt.Sprintf("%dx%gc%gg", j.Tasks, j.Cores, j.Memory)
+	}
+	return fmt.Sprintf("%dx%d", j.Cells, j.Accelerators)
+}
+
 // State is a stage in a job's life.
 type State string
 
@@ -178,14 +192,17 @@
 	VMs []VM `json:"vms"`
 }
 
-// Worker describes a worker as its zone's placer sees it.
+// Worker describes a worker as its zone's placer sees it. Cores and Memory, in GB,
+// are what jobs without accelerators count for there.
 type Worker struct {
-	Name         string `json:"name"`
-	Zone         string `json:"zone"`
-	State        string `json:"state"`
-	Accelerators int    `json:"accelerators"`
-	Used         int    `json:"used"`
-	Leases       int    `json:"leases"`
+	Name         string  `json:"name"`
+	Zone         string  `json:"zone"`
+	State        string  `json:"state"`
+	Accelerators int     `json:"accelerators"`
+	Used         int     `json:"used"`
+	Leases       int     `json:"leases"`
+	Cores        float64 `json:"cores,omitempty"`
+	Memory       float64 `json:"memory,omitempty"`
 }
 
 // WorkerList answers GET /v1/workers.
