Placement tests side by side

Change: cells of both matrices, drawn pairs and the measured streams run in parallel; each has its own bubble of virtual time and its own zone. Tables are put together after all have ended.

The same cells pass.

Conclusion: kept.

--- a/internal/placer/matrix_test.go
+++ b/internal/placer/matrix_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,18 +167,25 @@
 func TestMatrixPlain(t *testing.T) { matrix(t, plainJob) }
 
 func matrix(t *testing.T, fill func(id string) api.Job) {
-	var table strings.Builder
-	for _, step := range steps {
-		for _, fault := range faults {
-			t.Run(step+"/"+fault, func(t *testing.T) {
-				v := playFilled(t, Unsafe{}, fill, strike{step: step, fault: fault})
-				bad := v.faults()
-				fmt.Fprintf(&table, "%-10s %-9s short %-8s urgent %-8s %s\n", step, fault, v.short.Round(time.Millisecond), v.urgent.Round(time.Millisecond), strings.Join(bad, "; "))
-				assert.Equal(t, len(bad), 0, strings.Join(bad, "; "))
-			})
+	var mu sync.Mutex
+	var table []string
+	t.Run("cells", func(t *testing.T) {
+		for _, step := range steps {
+			for _, fault := range faults {
+				t.Run(step+"/"+fault, func(t *testing.T) {
+					t.Parallel()
+					v := playFilled(t, Unsafe{}, fill, strike{step: step, fault: fault})
+					bad := v.faults()
+					mu.Lock()
+					table = append(table, fmt.Sprintf("%-10s %-9s short %-8s urgent %-8s %s", step, fault, v.short.Round(time.Millisecond), v.urgent.Round(time.Millisecond), strings.Join(bad, "; ")))
+					mu.Unlock()
+					assert.Equal(t, len(bad), 0, strings.Join(bad, "; "))
+				})
+			}
 		}
-	}
-	t.Log("\n" + table.String())
+	})
+	slices.Sort(table)
+	t.Log("\n" + strings.Join(table, "\n"))
 }
 
 // TestMechanismsAreNeeded switches single mechanisms off. The fence and the
@@ -297,6 +305,7 @@
 		a := strike{step: steps[rng.IntN(len(steps))], fault: faults[rng.IntN(len(faults))]}
 		b := strike{step: steps[rng.IntN(len(steps))], fault: faults[rng.IntN(len(faults))]}
 		t.Run(fmt.Sprint(a.step, "-", a.fault, "+", b.step, "-", b.fault), func(t *testing.T) {
+			t.Parallel()
 			v := playCell(t, Unsafe{}, a, b)
 			if v.began {
 				v.urgent = 0
--- a/internal/placer/measure_test.go
+++ b/internal/placer/measure_test.go
@@ -442,17 +442,29 @@
 // TestMeasures compares the placer with the naive scheduler on the same seeded
 // streams. Seeds come from the variable SEEDS; one by default.
 func TestMeasures(t *testing.T) {
-	var table strings.Builder
-	for _, s := range []stream{deploymentStream(t, "robes", "si-a"), deploymentStream(t, "splints", "ro-a"), designStream()} {
-		naive := playSeeds(t, seedCount(1), func(_ *testing.T, seed uint64) measures { return runNaive(s, seed) })
-		placer := playSeeds(t, seedCount(1), func(t *testing.T, seed uint64) measures { return runPlacer(t, s, s.layout.Rank, seed) })
-		for seed, m := range placer {
-			fmt.Fprintf(&table, "%-8s seed %d naive  %s\n%-8s seed %d placer %s\n", s.name, seed, naive[seed], s.name, seed, m)
-			assert.Assert(t, m.urgent <= urgentLimit, "%s: urgent work started after %s", s.name, m.urgent)
+	streams := []stream{deploymentStream(t, "robes", "si-a"), deploymentStream(t, "splints", "ro-a"), designStream()}
+	tables := make([]strings.Builder, len(streams))
+	t.Run("streams", func(t *testing.T) {
+		for i, s := range streams {
+			t.Run(s.name, func(t *testing.T) {
+				t.Parallel()
+				measureStream(t, s, &tables[i])
+			})
 		}
-		fmt.Fprintf(&table, "%-8s mean   naive  %s\n%-8s mean   placer %s\n", s.name, average(naive), s.name, average(placer))
+	})
+	for i := range tables {
+		t.Log("\n" + tables[i].String())
 	}
-	t.Log("\n" + table.String())
+}
+
+func measureStream(t *testing.T, s stream, table *strings.Builder) {
+	naive := playSeeds(t, seedCount(1), func(_ *testing.T, seed uint64) measures { return runNaive(s, seed) })
+	placer := playSeeds(t, seedCount(1), func(t *testing.T, seed uint64) measures { return runPlacer(t, s, s.layout.Rank, seed) })
+	for seed, m := range placer {
+		fmt.Fprintf(table, "%-8s seed %d naive  %s\n%-8s seed %d placer %s\n", s.name, seed, naive[seed], s.name, seed, m)
+		assert.Assert(t, m.urgent <= urgentLimit, "%s: urgent work started after %s", s.name, m.urgent)
+	}
+	fmt.Fprintf(table, "%-8s mean   naive  %s\n%-8s mean   placer %s\n", s.name, average(naive), s.name, average(placer))
 }
 
 // TestCurve varies what a site weighs more. Set CURVE to run it.
