The whole path as processes, as a test

Cause: the run with platform, workers, minions and daemons as processes of their own was done by hand only; the stand-in command took fixed ports and knew neither processors nor memory.

Ruled out: starting the commands by `go run` from the test (builds in the test, and the race detector would not see them); the test binary is the child, as elsewhere.

Change: the stand-ins listen before they register and take port 0; workers have processors, memory and a lag of usage. TestWholePathAsProcesses: ten processes, commands publish, send and submit, one daemon is killed under load and replaced.

It fails if callers are told anything that the ledgers deny.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -37,14 +37,15 @@
 }
 
 type workersOptions struct {
-	Listen   string `help:"Address to listen on." required:""`
-	Platform string `help:"URL of the platform." required:""`
-	Zone     string `help:"The availability zone." required:""`
-	Folder   string `help:"The configuration's folder." required:"" type:"existingdir"`
+	Listen   string        `help:"Address to listen on." required:""`
+	Platform string        `help:"URL of the platform." required:""`
+	Zone     string        `help:"The availability zone." required:""`
+	Folder   string        `help:"The configuration's folder." required:"" type:"existingdir"`
+	Lag      time.Duration `help:"How old the usage is that workers report." default:"5s"`
 }
 
 type minionsOptions struct {
-	Listen      string        `help:"Address of the first minion; others follow on the next ports." required:""`
+	Listen      string        `help:"Address of the first minion; others follow on the next ports, or on any with port 0." required:""`
 	Platform    string        `help:"URL of the platform." required:""`
 	Zone        string        `help:"The availability zone." required:""`
 	Service     string        `help:"The service." required:""`
@@ -66,8 +67,11 @@
 // Run serves the platform.
 func (o *platformOptions) Run() error {
 	p := standin.NewPlatform(standin.PlatformConfig{Keep: o.Keep})
-	server := &http.Server{Addr: o.Listen, Handler: p.Handler(), ReadHeaderTimeout: headerTimeout}
-	return server.ListenAndServe()
+	listener, err := listen(o.Listen)
+	if err != nil {
+		return err
+	}
+	return serve(listener, p.Handler(), nil)
 }
 
 // Run serves the workers and registers them.
@@ -80,20 +84,25 @@
 	if err != nil {
 		return err
 	}
+	listener, err := listen(o.Listen)
+	if err != nil {
+		return err
+	}
 	var all []*standin.Worker
 	for _, rack := range cfg.Site.Racks(o.Zone) {
 		for _, w := range rack.Workers {
-			all = append(all, standin.NewWorker(standin.WorkerConfig{Name: w.Name, Accelerators: w.Accelerators}))
+			all = append(all, standin.NewWorker(standin.WorkerConfig{
+				Name: w.Name, Accelerators: w.Accelerators, Cores: cfg.Site.Cores, Memory: cfg.Site.Memory, Lag: o.Lag,
+			}))
 			in := platform.Instance{
-				Name: w.Name, Role: platform.RoleWorker, Zone: o.Zone, Address: "http://" + o.Listen + "/workers/" + w.Name, State: platform.StateLive,
+				Name: w.Name, Role: platform.RoleWorker, Zone: o.Zone, Address: "http://" + listener.Addr().String() + "/workers/" + w.Name, State: platform.StateLive,
 			}
 			if err := register(o.Platform, in); err != nil {
 				return err
 			}
 		}
 	}
-	server := &http.Server{Addr: o.Listen, Handler: standin.NewWorkers(all).Handler(), ReadHeaderTimeout: headerTimeout}
-	return server.ListenAndServe()
+	return serve(listener, standin.NewWorkers(all).Handler(), nil)
 }
 
 // Run serves the minions and registers them.
@@ -108,18 +117,34 @@
 			Name: fmt.Sprintf("%s-%s%d", o.Zone, o.Service, i+1), Slots: o.Slots, Connections: o.Connections, Work: o.Work,
 		})
 		at := net.TCPAddr{IP: address.IP, Port: address.Port + i}
+		if address.Port == 0 {
+			at.Port = 0
+		}
+		listener, err := listen(at.String())
+		if err != nil {
+			return err
+		}
 		in := platform.Instance{
-			Name: m.Name(), Role: platform.RoleMinion, Zone: o.Zone, Service: o.Service, Address: "http://" + at.String(), State: platform.StateLive,
+			Name: m.Name(), Role: platform.RoleMinion, Zone: o.Zone, Service: o.Service, Address: "http://" + listener.Addr().String(), State: platform.StateLive,
 		}
 		if err := register(o.Platform, in); err != nil {
 			return err
 		}
-		server := &http.Server{Addr: at.String(), Handler: m.Handler(), ConnState: m.Track, ReadHeaderTimeout: headerTimeout}
-		go func() { failed <- server.ListenAndServe() }()
+		go func() { failed <- serve(listener, m.Handler(), m.Track) }()
 	}
 	return <-failed
 }
 
+func listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+func serve(listener net.Listener, h http.Handler, track func(net.Conn, http.ConnState)) error {
+	server := &http.Server{Handler: h, ConnState: track, ReadHeaderTimeout: headerTimeout}
+	return server.Serve(listener)
+}
+
 func register(url string, in platform.Instance) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/cmd/root"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/ledger"
+	"rhubarbshore/internal/platform"
+	"rhubarbshore/internal/settings"
+	"rhubarbshore/internal/site"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// childVariable makes the test binary behave as one of the project's commands.
+const childVariable = "RHUBARBSHORE_STANDIN_CHILD"
+
+func TestMain(m *testing.M) {
+	switch os.Getenv(childVariable) {
+	case "standin":
+		main()
+	case "rhubarbshore":
+		os.Exit(root.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	folder    = "../../examples/splints"
+	requests  = 120
+	perZone   = 2
+	limit     = 2 * time.Minute
+	callLimit = 10 * time.Second
+)
+
+// system is the whole path, each part a process of its own.
+type system struct {
+	t         *testing.T
+	ctx       context.Context
+	platform  string
+	addresses map[string]string
+	vms       map[string]*exec.Cmd
+}
+
+// child prepares one of the project's commands as a process.
+func (s *system) child(command string, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(s.ctx, os.Args[0], args...)
+	cmd.Env = append(os.Environ(), childVariable+"="+command)
+	return cmd
+}
+
+func (s *system) start(command string, args ...string) *exec.Cmd {
+	cmd := s.child(command, args...)
+	assert.NilError(s.t, cmd.Start())
+	s.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+// run carries out an operator's or a caller's command and returns what it printed.
+func (s *system) run(args ...string) string {
+	s.t.Helper()
+	for _, address := range s.addresses {
+		args = append(args, "--vm", address)
+	}
+	out, err := s.child("rhubarbshore", args...).CombinedOutput()
+	assert.NilError(s.t, err, "%s: %s", args, out)
+	return string(out)
+}
+
+func (s *system) await(what string, ready func() bool) {
+	s.t.Helper()
+	for s.ctx.Err() == nil {
+		if ready() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.t.Fatalf("waited in vain: %s", what)
+}
+
+func (s *system) freePort() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startVM runs a daemon with a settings file of its own.
+func (s *system) startVM(zone, name string) {
+	address := s.freePort()
+	set := settings.Default()
+	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
+	set.Log, set.List = s.platform, s.platform
+	set.Deadlines = site.Deadlines()
+	text, err := toml.Marshal(set)
+	assert.NilError(s.t, err)
+	path := filepath.Join(s.t.TempDir(), name+".toml")
+	assert.NilError(s.t, os.WriteFile(path, text, 0o600))
+	s.vms[name] = s.start("rhubarbshore", "serve", "--settings", path)
+	in := platform.Instance{Name: name, Role: platform.RoleEntry, Zone: zone, Address: address, State: platform.StateLive}
+	assert.NilError(s.t, register(s.platform, in))
+	s.addresses[name] = address
+	s.await(name+" listens", func() bool { return s.reach(address) })
+}
+
+func (s *system) reach(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+// startSystem runs the platform, three zones of workers and minions, and a daemon in
+// each zone.
+func startSystem(t *testing.T) *system {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	s := &system{t: t, ctx: ctx, addresses: map[string]string{}, vms: map[string]*exec.Cmd{}}
+	at := s.freePort()
+	s.platform = "http://" + at
+	s.start("standin", "platform", "--listen", at)
+	s.await("the platform listens", func() bool { return s.reach(at) })
+	for _, zone := range []string{"ro-a", "ro-b", "ro-c"} {
+		s.start("standin", "workers", "--listen", "127.0.0.1:0", "--platform", s.platform, "--zone", zone, "--folder", folder)
+		s.start("standin", "minions", "--listen", "127.0.0.1:0", "--platform", s.platform, "--zone", zone, "--service", "splinting", "--count", fmt.Sprint(perZone))
+		s.startVM(zone, zone+"-vm1")
+	}
+	return s
+}
+
+// ledgers fetches what workers and minions say that they ran.
+func (s *system) ledgers() ([]standin.Span, []standin.Run) {
+	list, err := platform.NewList(http.DefaultClient, s.platform).Get(s.ctx, "", 0)
+	assert.NilError(s.t, err)
+	var spans []standin.Span
+	var runs []standin.Run
+	seen := map[string]bool{}
+	for _, in := range list.Instances {
+		url, _, _ := strings.Cut(in.Address, "/workers/")
+		if seen[url] {
+			continue
+		}
+		seen[url] = true
+		switch in.Role {
+		case platform.RoleWorker:
+			more, err := httpjson.Get[[]standin.Span](s.ctx, http.DefaultClient, url+"/ledger")
+			assert.NilError(s.t, err)
+			spans = append(spans, more...)
+		case platform.RoleMinion:
+			more, err := httpjson.Get[[]standin.Run](s.ctx, http.DefaultClient, url+"/ledger")
+			assert.NilError(s.t, err)
+			runs = append(runs, more...)
+		case platform.RoleEntry:
+		}
+	}
+	return spans, runs
+}
+
+// whole reports whether a generation of the job ran to its end on all members.
+func (s *system) whole(job string) bool {
+	spans, _ := s.ledgers()
+	ends := map[uint64]int{}
+	for _, span := range spans {
+		if span.Job == job && span.Reason == "finished" {
+			ends[span.Generation]++
+			if ends[span.Generation] == span.Members {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// send has callers send certifications, one after the other, and returns what they
+// were told.
+func (s *system) send() []ledger.Told {
+	var addresses []string
+	for _, address := range s.addresses {
+		addresses = append(addresses, address)
+	}
+	c := client.New(client.Config{Addresses: addresses})
+	told := make([]ledger.Told, requests)
+	var wg sync.WaitGroup
+	for caller := range 4 {
+		wg.Go(func() {
+			for i := caller; i < requests; i += 4 {
+				id := fmt.Sprint("certification-", i)
+				in := api.Request{ID: id, Customer: "carpatin", Kind: "certification", Body: []byte(id)}
+				o := client.Options{}
+				if i%3 == 0 {
+					o.Key = id
+				}
+				ctx, cancel := context.WithTimeout(s.ctx, callLimit)
+				resp, err := c.Send(ctx, in, o)
+				cancel()
+				if err != nil {
+					resp = api.Response{Outcome: api.Retry, Reason: err.Error()}
+				}
+				told[i] = ledger.Told{Request: in, Response: resp}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return told
+}
+
+// TestWholePathAsProcesses runs the platform, the workers, the minions and three
+// daemons as processes, publishes, sends and submits by commands, and kills a daemon
+// in the middle: callers are told what the stand-ins' ledgers say, and the gang of
+// the killed daemon's zone runs whole under its successor.
+func TestWholePathAsProcesses(t *testing.T) {
+	s := startSystem(t)
+	s.run("config", "publish", folder)
+	s.await("one version in force", func() bool { return strings.Count(s.run("config", "status", "--json"), `"number": 1`) >= 3 })
+	answer := s.run("request", "send", "--customer", "carpatin", "--kind", "check", "--body", "alb-52")
+	assert.Assert(t, strings.Contains(answer, "carpatin check alb-52"), answer)
+	s.await("the placers are ready", func() bool { return strings.Contains(s.run("worker", "list"), "ro-b-r1-w1\tro-b\tlive") })
+	s.run("job", "submit", "--id", "gang", "--zone", "ro-b", "--customer", "carpatin", "--accelerators", "16", "--tasks", "16", "--seconds", "5")
+	s.run("job", "submit", "--id", "tasks", "--zone", "ro-b", "--customer", "carpatin", "--accelerators", "0", "--tasks", "40", "--cores", "2", "--memory", "4", "--seconds", "5")
+	killed := s.vms["ro-b-vm1"].Process
+	time.AfterFunc(300*time.Millisecond, func() { _ = killed.Kill() })
+	told := s.send()
+	delete(s.addresses, "ro-b-vm1")
+	s.startVM("ro-b", "ro-b-vm2")
+	s.await("the gang ran whole", func() bool { return s.whole("gang") && s.whole("tasks") })
+	spans, runs := s.ledgers()
+	d := site.Deadlines()
+	r := ledger.Compare(told, runs, spans, time.Duration(d.Term)+time.Duration(d.Drift), time.Now())
+	t.Log(r.Outcomes, "runs", r.Runs, "gangs", r.Gangs, "short", r.Short)
+	assert.Equal(t, len(r.Faults), 0, strings.Join(r.Faults, "\n"))
+	assert.Equal(t, r.Overlap, time.Duration(0))
+}
