--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -26,6 +26,7 @@
 type seat struct {
 	name   string
 	client Worker
+	stops  *stopper
 	fence  worker.Fence
 	lease  worker.Lease
 }
@@ -133,7 +134,7 @@
 
 func (p *Placer) seat(name string, l worker.Lease) seat {
 	w := p.workers[name]
-	return seat{name: name, client: w.client, fence: p.fenceOf(w), lease: l}
+	return seat{name: name, client: w.client, stops: &w.stops, fence: p.fenceOf(w), lease: l}
 }
 
 func seatNames(seats []seat) []string {
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -86,9 +86,7 @@
 }
 
 func (p *Placer) stop(s seat) error {
-	ctx, cancel := call(callTimeout)
-	defer cancel()
-	return s.client.Stop(ctx, s.fence, s.lease.Job, s.lease.Generation)
+	return s.stops.do(s.client, s.fence, worker.Stop{Job: s.lease.Job, Generation: s.lease.Generation})
 }
 
 // reportDoubt marks the workers whose state is not known for certain.
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -24,6 +24,7 @@
 type member struct {
 	name   string
 	client Worker
+	stops  stopper
 	epoch  uint64
 	fenced bool
 	down   bool
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -50,7 +50,7 @@
 	Start(ctx context.Context, f worker.Fence, job string, generation uint64, term time.Duration) error
 	Renew(ctx context.Context, f worker.Fence, r worker.Renew) (worker.Renewal, error)
 	Checkpoint(ctx context.Context, f worker.Fence, job string, generation uint64) error
-	Stop(ctx context.Context, f worker.Fence, job string, generation uint64) error
+	Stop(ctx context.Context, f worker.Fence, all []worker.Stop) error
 }
 
 // Config constructs a Placer.
--- a/internal/placer/zone_test.go
+++ b/internal/placer/zone_test.go
@@ -366,8 +366,8 @@
 }
 
 // Stop implements Worker.
-func (f *faulty) Stop(ctx context.Context, fence worker.Fence, job string, g uint64) error {
-	return f.do("stop", func() error { return f.worker.Stop(ctx, fence, job, g) })
+func (f *faulty) Stop(ctx context.Context, fence worker.Fence, all []worker.Stop) error {
+	return f.do("stop", func() error { return f.worker.Stop(ctx, fence, all) })
 }
 
 // submit hands a job to whichever VM takes it, as the daemon does.
--- a/internal/site/bench_test.go
+++ b/internal/site/bench_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -146,3 +147,32 @@
 	}
 	b.ReportMetric(float64(retries.Get()-before)/float64(b.N), "retries/job")
 }
+
+// BenchmarkCancelWave cancels many small jobs at once and reports the calls to
+// workers for each stop.
+func BenchmarkCancelWave(b *testing.B) {
+	s, c := benchSite(b)
+	const jobs = 400
+	stops, calls := metrics.GetOrCreateCounter("rhubarbshore_placer_stops_total"), metrics.GetOrCreateCounter("rhubarbshore_placer_stop_calls_total")
+	ctx := context.Background()
+	for n := range b.N {
+		name := func(i int) string { return fmt.Sprint("job", n, "-", i) }
+		for i := range jobs {
+			_, err := c.Submit(ctx, api.Job{ID: name(i), Customer: "parishes", Zone: "si-a", Tasks: 4, Cores: 1, Memory: 1, Worth: 1})
+			assert.NilError(b, err)
+		}
+		for len(s.Spans()) < (n+1)*jobs {
+			time.Sleep(time.Millisecond)
+		}
+		stopsBefore, callsBefore := stops.Get(), calls.Get()
+		var wave sync.WaitGroup
+		for i := range jobs {
+			wave.Go(func() { _, _ = c.Cancel(ctx, "si-a", name(i)) })
+		}
+		wave.Wait()
+		for stops.Get()-stopsBefore < jobs {
+			time.Sleep(time.Millisecond)
+		}
+		b.ReportMetric(float64(calls.Get()-callsBefore)/float64(stops.Get()-stopsBefore), "calls/stop")
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -314,15 +314,17 @@
 	return nil
 }
 
-// Stop ends the job's tasks and releases its lease.
-func (w *Worker) Stop(_ context.Context, f worker.Fence, job string, generation uint64) error {
+// Stop ends the jobs' tasks and releases their leases.
+func (w *Worker) Stop(_ context.Context, f worker.Fence, all []worker.Stop) error {
 	if err := w.enter(f); err != nil {
 		return err
 	}
 	defer w.mu.Unlock()
-	if g := w.leases[job]; g != nil && g.lease.Generation == generation {
-		w.end(g, time.Now(), "stopped")
-		delete(w.leases, job)
+	for _, s := range all {
+		if g := w.leases[s.Job]; g != nil && g.lease.Generation == s.Generation {
+			w.end(g, time.Now(), "stopped")
+			delete(w.leases, s.Job)
+		}
 	}
 	return nil
 }
@@ -404,7 +406,7 @@
 	case "checkpoint":
 		return struct{}{}, w.Checkpoint(ctx, in.Fence, in.Job, in.Generation)
 	case "stop":
-		return struct{}{}, w.Stop(ctx, in.Fence, in.Job, in.Generation)
+		return struct{}{}, w.Stop(ctx, in.Fence, in.Stops)
 	}
 	return nil, worker.ErrRefused
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -123,6 +123,13 @@
 	Lease      *Lease  `json:"lease,omitempty"`
 	Limits     *Limits `json:"limits,omitempty"`
 	Usage      bool    `json:"usage,omitempty"`
+	Stops      []Stop  `json:"stops,omitempty"`
+}
+
+// Stop names one generation of a job that is to end.
+type Stop struct {
+	Job        string `json:"job"`
+	Generation uint64 `json:"generation"`
 }
 
 // Limits throttle jobs. A job that they don't name runs without a limit.
@@ -213,9 +220,9 @@
 	return err
 }
 
-// Stop ends the job's tasks, if any, and releases its lease, if any.
-func (c *Client) Stop(ctx context.Context, f Fence, job string, generation uint64) error {
-	_, err := call[struct{}](ctx, c, "/stop", Grant{Fence: f, Job: job, Generation: generation})
+// Stop ends the tasks of jobs, if any, and releases their leases, if any.
+func (c *Client) Stop(ctx context.Context, f Fence, all []Stop) error {
+	_, err := call[struct{}](ctx, c, "/stop", Grant{Fence: f, Stops: all})
 	return err
 }
 
