A throttled job is released although its placer has failed

A placer that took office told a worker its limits only if there were any, and from then on only what differed from what it had told. A limit of the placer before stayed in force for good if that one failed between the end of the job with accelerators and the renewal that was to lift the limit.

Ruled out: the worker; a limit is to hold until another list replaces it.

Change: the first renewal after a fence always carries the list, empty or not; the condition is shorter for it.

Before/after: TestThrottleOutlivesNoPlacer fails before (one job still at 40 of 80 processors a minute after the change of office) and passes after. All tests of placer and TestControlMatrix pass.

It costs some 12 B for each worker and change of office.

--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -160,7 +160,7 @@
 func (p *Placer) renewal(w *member, now time.Time) (worker.Renew, map[string]float64) {
 	limits := p.book.Limits(w.name)
 	out := worker.Renew{Term: p.cfg.Term}
-	if !w.limited && len(limits) > 0 || w.limited && !maps.Equal(limits, w.limits) {
+	if !w.limited || !maps.Equal(limits, w.limits) {
 		out.Limits = &worker.Limits{}
 		for _, id := range slices.Sorted(maps.Keys(limits)) {
 			if j := p.jobs[id]; j != nil {
--- a/internal/placer/plain_test.go
+++ b/internal/placer/plain_test.go
@@ -51,6 +51,42 @@
 	})
 }
 
+// TestThrottleOutlivesNoPlacer kills a placer when a job has given its accelerators
+// back and the job beside it has not been told yet: its successor lifts the limit.
+func TestThrottleOutlivesNoPlacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := newZone(t, Unsafe{})
+		first := z.boot("vm-first")
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			z.submit(api.Job{ID: fmt.Sprint("plain", i), Customer: "c", Tasks: 1, Cores: 80, Memory: 10, Worth: 1, Seconds: 3600})
+		}
+		time.Sleep(3 * time.Second)
+		z.submit(api.Job{ID: "half", Customer: "c", Accelerators: 4, Cells: 1, Tasks: 4, Worth: 9, Seconds: 30, Class: "spare"})
+		time.Sleep(20 * time.Second)
+		assert.DeepEqual(t, z.limits(), []float64{40})
+		for z.leased() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		first.kill()
+		assert.DeepEqual(t, z.limits(), []float64{40})
+		z.boot("vm-next")
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, z.limits(), []float64(nil))
+		assert.Equal(t, z.fullest(), 1)
+		z.end()
+	})
+}
+
+// leased is the number of accelerators under lease.
+func (z *zone) leased() int {
+	n := 0
+	for _, w := range z.workers {
+		n += w.Busy()
+	}
+	return n
+}
+
 func (z *zone) placerOf() *Placer { return z.all()[0].placer }
 
 // useMemory has the workers report that jobs use some multiple of the memory that
