Test sites: no address of a VM is used again by the same process

A done with the right body and no run can only come from another site's backend server: the cells run side by side with the same names and request ids, and a daemon of one cell had drawn the port of a VM that was killed in another, whose client still knew it.

Ruled out: the daemons; a request that goes to another site's VM is answered rightly there. In production an address belongs to one site.

Change: a process draws its ports one after the other, from an origin of its own.

Before/after: TestAddressesAreUsedOnce, 1,000 draws: one twice before, none after. TestControlMatrix passes; no check is changed.

Two processes can still meet on a port, not two cells of one.

--- a/internal/site/edge_test.go
+++ b/internal/site/edge_test.go
@@ -23,6 +23,17 @@
 	return resp.StatusCode, p.Reason
 }
 
+// TestAddressesAreUsedOnce draws as many addresses as a control matrix needs.
+func TestAddressesAreUsedOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 1000 {
+		address, err := FreeAddress()
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[address], address)
+		seen[address] = true
+	}
+}
+
 // TestLimits sends what is over a limit, or unknown, and checks the refusals.
 func TestLimits(t *testing.T) {
 	s, _, _ := start(t)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -183,13 +184,21 @@
 	maxDraws  = 100
 )
 
+// drawn counts the ports that this process has drawn, from one of its own on.
+var (
+	drawn  atomic.Int64
+	origin = rand.Int64N(lastPort - firstPort)
+)
+
 // FreeAddress finds an address of the loopback interface to listen on later. No
-// outgoing connection can take it meanwhile.
+// outgoing connection can take it meanwhile, and this process gets it only once:
+// who still knows a VM that has gone must not reach one of another site there.
 func FreeAddress() (string, error) {
 	var listener net.Listener
 	var err error
 	for range maxDraws {
-		listener, err = listen(firstPort + rand.IntN(lastPort-firstPort))
+		port := firstPort + (origin+drawn.Add(1))%(lastPort-firstPort)
+		listener, err = listen(int(port))
 		if err == nil {
 			return listener.Addr().String(), listener.Close()
 		}
