--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -9,6 +9,10 @@
 // maxCandidates bounds how many cells are compared for one decision.
 const maxCandidates = 16
 
+// shyCost keeps guaranteed work off an accelerator that is best avoided, unless
+// there is no other.
+const shyCost = 1e12
+
 // Class says whether work may be stopped for others.
 type Class string
 
@@ -214,12 +218,14 @@
 	return level
 }
 
-// lightest walks to the cell of the level with the least spare work on it.
+// lightest walks to the cell of the level with the fewest accelerators that are
+// best avoided and, among these, the least spare work on it.
 func (t *Tree) lightest(id ID, level int) ID {
 	for t.cells[id].level > level {
 		n := &t.cells[id]
+		left, right := &t.cells[n.left], &t.cells[n.right]
 		id = n.left
-		if t.cells[n.right].spare < t.cells[n.left].spare {
+		if right.shy < left.shy || right.shy == left.shy && right.spare < left.spare {
 			id = n.right
 		}
 	}
@@ -229,7 +235,7 @@
 // cost is what taking the cell loses, by the tree's Rank.
 func (t *Tree) cost(id ID, largest int, now time.Time) float64 {
 	broken := float64(Size(largest) - Size(t.cells[id].level))
-	cost := t.rank.Broken * broken
+	cost := t.rank.Broken*broken + shyCost*float64(t.cells[id].shy)
 	if t.cells[id].spare == 0 {
 		return cost
 	}
@@ -497,6 +503,24 @@
 	return false
 }
 
+// SetShy makes a worker's accelerators the last choice for guaranteed work and
+// no choice for spare work, without touching what runs there.
+func (t *Tree) SetShy(worker string, shy bool) {
+	if t.shy[worker] == shy {
+		return
+	}
+	t.shy[worker] = shy
+	for _, leaf := range t.byName[worker] {
+		t.adjust(leaf, func(n *node, size int32) {
+			if shy {
+				n.shy += size
+			} else {
+				n.shy -= size
+			}
+		})
+	}
+}
+
 // Keep reserves a cell for a large job that waits, so that smaller spare jobs
 // don't fill it up again; Unkeep lifts it.
 func (t *Tree) Keep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept += size }) }
--- a/internal/cell/tree.go
+++ b/internal/cell/tree.go
@@ -92,6 +92,7 @@
 	jobs    map[string]*job
 	rank    Rank
 	lost    map[string]bool
+	shy     map[string]bool
 	short   bool
 
 	// unguarded switches the ceiling off, for tests that show what it prevents.
@@ -109,6 +110,7 @@
 	firm   int32
 	spare  int32
 	kept   int32
+	shy    int32
 }
 
 // Level returns the lowest level whose cells hold n accelerators.
@@ -129,6 +131,7 @@
 		spares: map[ID]string{},
 		jobs:   map[string]*job{},
 		lost:   map[string]bool{},
+		shy:    map[string]bool{},
 		rank:   cfg.Rank,
 	}
 	t.build(cfg)
@@ -262,7 +265,7 @@
 func (n *node) clear() bool { return n.available() && n.spare == 0 }
 
 // idle: spare work may start on it.
-func (n *node) idle() bool { return n.down+n.firm+n.spare+n.kept == 0 }
+func (n *node) idle() bool { return n.down+n.firm+n.spare+n.kept+n.shy == 0 }
 
 // adjust changes the counters of the accelerators of a cell, of the cells
 // inside it and of those above it, and keeps the indexes in step.
--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,152 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/platform"
+)
+
+// fakeLog is a log in memory. Fault, if set, names what happens to appends.
+type fakeLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	fault   string
+	appends int
+	rng     *rand.Rand
+}
+
+func (f *fakeLog) add(records [][]byte) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, records...)
+	return int64(len(f.records) - len(records))
+}
+
+func (f *fakeLog) Append(_ context.Context, _ string, records [][]byte) (int64, error) {
+	f.mu.Lock()
+	f.appends++
+	fault := f.fault
+	chance := f.rng.IntN(2) == 0
+	f.mu.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	if fault != "" && chance {
+		switch fault {
+		case "out":
+			return 0, platform.ErrOut
+		case "lost":
+			f.add(records)
+			return 0, platform.ErrUnsettled
+		case "dropped":
+			return 0, platform.ErrUnsettled
+		case "late":
+			go func() { time.Sleep(300 * time.Millisecond); f.add(records) }()
+			return 0, platform.ErrUnsettled
+		case "duplicate":
+			f.add(records)
+		}
+	}
+	return f.add(records), nil
+}
+
+func (f *fakeLog) Read(_ context.Context, _ string, from int64, limit int) (platform.Page, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault == "out" && f.rng.IntN(2) == 0 {
+		return platform.Page{}, platform.ErrOut
+	}
+	p := platform.Page{End: int64(len(f.records)), Next: from}
+	for p.Next < p.End && len(p.Records) < limit {
+		p.Records = append(p.Records, platform.Record{Offset: p.Next, Data: f.records[p.Next]})
+		p.Next++
+	}
+	return p, nil
+}
+
+// race lets three homes claim the same keys, again and again, and returns the
+// homes that were told for each key, and the number of appends.
+func race(t *testing.T, fault string, blind bool) (told map[string]map[string]bool, appends int) {
+	log := &fakeLog{fault: fault, rng: rand.New(rand.NewPCG(1, 2))}
+	ctx, cancel := context.WithCancel(t.Context())
+	told = map[string]map[string]bool{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for home := range 3 {
+		c := New(Config{Log: log, Home: fmt.Sprint("home", home), Waiting: 100, Known: 1000, Keep: time.Hour})
+		c.blind = blind
+		go c.Run(ctx)
+		for key := range 40 {
+			wg.Go(func() {
+				name := fmt.Sprint("key", key)
+				for range 20 {
+					won, err := c.Claim(ctx, name, time.Now().Add(time.Hour))
+					if err == nil {
+						mu.Lock()
+						if told[name] == nil {
+							told[name] = map[string]bool{}
+						}
+						told[name][won.Home] = true
+						mu.Unlock()
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	cancel()
+	synctest.Wait()
+	return told, log.appends
+}
+
+// TestOneHomeForEachKey shows that all homes agree on each key's home under
+// every fault of the log, and that they don't without reading back.
+func TestOneHomeForEachKey(t *testing.T) {
+	for _, fault := range []string{"", "out", "lost", "dropped", "late", "duplicate"} {
+		t.Run("fault="+fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				told, appends := race(t, fault, false)
+				assert.Equal(t, len(told), 40)
+				for key, homes := range told {
+					assert.Equal(t, len(homes), 1, "%s: %v", key, homes)
+				}
+				assert.Assert(t, appends < 60, "claims are batched: %d appends for 120 claims", appends)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		told, _ := race(t, "", true)
+		split := 0
+		for _, homes := range told {
+			if len(homes) > 1 {
+				split++
+			}
+		}
+		assert.Assert(t, split > 0, "blind claims were expected to split")
+	})
+}
+
+func TestForgetsAfterKeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{rng: rand.New(rand.NewPCG(1, 2))}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New(Config{Log: log, Home: "h", Waiting: 10, Known: 10, Keep: time.Minute})
+		go c.Run(ctx)
+		_, err := c.Claim(ctx, "k", time.Now().Add(time.Second))
+		assert.NilError(t, err)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, c.Len(), 1)
+		time.Sleep(time.Minute)
+		assert.Equal(t, c.Len(), 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/internal/cmd/root/process_test.go
@@ -0,0 +1,269 @@
+package root
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/examples"
+	"rhubarbshore/internal/ledger"
+	"rhubarbshore/internal/settings"
+	"rhubarbshore/internal/site"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// childVariable makes the test binary behave as the rhubarbshore command.
+const childVariable = "RHUBARBSHORE_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a site whose entry VMs are processes of their own.
+type fleet struct {
+	t      *testing.T
+	site   *site.Site
+	ctx    context.Context
+	vms    map[string]*process
+	client *client.Client
+}
+
+type process struct {
+	cmd     *exec.Cmd
+	address string
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	files, err := site.Sub(examples.Files, "splints")
+	assert.NilError(t, err)
+	s, err := site.Start(site.Config{Files: files, Minions: 4, Work: 2 * time.Millisecond, Logger: slog.New(slog.DiscardHandler)})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	f := &fleet{t: t, site: s, ctx: ctx, vms: map[string]*process{}}
+	t.Cleanup(func() {
+		for _, p := range f.vms {
+			_ = p.cmd.Process.Kill()
+			_ = p.cmd.Wait()
+		}
+		s.Close()
+		cancel()
+	})
+	for _, zone := range s.Zones() {
+		f.start(zone, zone+"-vm1")
+		f.start(zone, zone+"-vm2")
+	}
+	f.client = f.newClient()
+	published, err := f.client.Publish(ctx, api.Publish{Author: "test", Base: files.Base, Overlays: files.Overlays})
+	assert.NilError(t, err)
+	f.await("configuration in force", func() bool {
+		for _, p := range f.vms {
+			v, err := f.client.ConfigAt(ctx, p.address)
+			if err != nil || v.Number < published.Number {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// start runs a daemon as a child process.
+func (f *fleet) start(zone, name string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	set := settings.Default()
+	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
+	set.Log, set.List = f.site.URL(), f.site.URL()
+	set.Deadlines = site.Deadlines()
+	text, err := toml.Marshal(set)
+	assert.NilError(f.t, err)
+	path := filepath.Join(f.t.TempDir(), "vm.toml")
+	assert.NilError(f.t, os.WriteFile(path, text, 0o600))
+	cmd := exec.Command(os.Args[0], "serve", "--settings", path)
+	cmd.Env = append(os.Environ(), childVariable+"=1")
+	log, err := os.Create(filepath.Join(f.t.TempDir(), name+".log"))
+	assert.NilError(f.t, err)
+	cmd.Stderr = log
+	assert.NilError(f.t, cmd.Start())
+	f.vms[name] = &process{cmd: cmd, address: address}
+	f.site.Register(zone, name, address)
+	f.await(name+" listens", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+}
+
+func (f *fleet) newClient() *client.Client {
+	var addresses []string
+	for _, p := range f.vms {
+		addresses = append(addresses, p.address)
+	}
+	return client.New(client.Config{Addresses: addresses})
+}
+
+func (f *fleet) await(what string, ready func() bool) {
+	f.t.Helper()
+	for f.ctx.Err() == nil {
+		if ready() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("waited in vain: %s", what)
+}
+
+// load sends requests until the function that it returns is called, which
+// hands back all that was told.
+func (f *fleet) load() func() []ledger.Told {
+	ctx, stop := context.WithCancel(f.ctx)
+	var mu sync.Mutex
+	var told []ledger.Told
+	var wg sync.WaitGroup
+	for caller := range 8 {
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				id := fmt.Sprintf("%s-%d-%d", f.t.Name(), caller, i)
+				in := api.Request{ID: id, Customer: "carpatin", Kind: "certification", Body: []byte(id)}
+				o := client.Options{}
+				if i%4 == 0 {
+					o.Key = id
+				}
+				call, cancel := context.WithTimeout(f.ctx, 10*time.Second)
+				resp, err := f.client.Send(call, in, o)
+				cancel()
+				if err != nil {
+					resp = api.Response{Outcome: api.Retry, Reason: err.Error()}
+				}
+				mu.Lock()
+				told = append(told, ledger.Told{Request: in, Response: resp})
+				mu.Unlock()
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	return func() []ledger.Told {
+		stop()
+		wg.Wait()
+		return told
+	}
+}
+
+func (f *fleet) compare(told []ledger.Told) ledger.Report {
+	d := site.Deadlines()
+	bound := time.Duration(d.Term) + time.Duration(d.Drift)
+	return ledger.Compare(told, f.site.Runs(), f.site.Spans(), bound, time.Now())
+}
+
+// submit starts a gang of 16 in the zone and waits until it runs.
+func (f *fleet) submit(zone, id string, seconds float64) {
+	_, err := f.client.Submit(f.ctx, api.Job{ID: id, Customer: "carpatin", Zone: zone, Accelerators: 16, Cells: 1, Tasks: 16, Worth: 1, Seconds: seconds})
+	assert.NilError(f.t, err)
+	f.await(id+" runs", func() bool { return f.spans(id) == 2 })
+}
+
+func (f *fleet) spans(job string) int {
+	n := 0
+	for _, s := range f.site.Spans() {
+		if s.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) awaitFinished(job string) {
+	f.await(job+" finished", func() bool {
+		n := 0
+		for _, s := range f.site.Spans() {
+			if s.Job == job && s.Reason == "finished" {
+				n++
+			}
+		}
+		return n == 2
+	})
+}
+
+// TestProcessesKilledAndFrozen kills one daemon for good and freezes another
+// for longer than a lease's term, under load and with gangs running.
+func TestProcessesKilledAndFrozen(t *testing.T) {
+	f := startFleet(t)
+	finish := f.load()
+	f.submit("ro-a", "gang-a", 12)
+	f.submit("ro-b", "gang-b", 12)
+	time.Sleep(500 * time.Millisecond)
+	assert.NilError(t, f.vms["ro-a-vm1"].cmd.Process.Kill())
+	frozen := f.vms["ro-b-vm1"].cmd.Process
+	assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
+	time.Sleep(time.Duration(site.Deadlines().Term) + time.Second)
+	assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+	f.awaitFinished("gang-a")
+	f.awaitFinished("gang-b")
+	r := f.compare(finish())
+	t.Log(r.Outcomes, "short", r.Short, "overlap", r.Overlap)
+	assert.Equal(t, len(r.Faults), 0, strings.Join(r.Faults, "\n"))
+	assert.Equal(t, r.Overlap, time.Duration(0))
+	assert.Equal(t, r.Gangs, 2)
+}
+
+// TestRollingRestart restarts every daemon by SIGTERM under load. No request
+// is cut, and answers kept before are still known afterwards.
+func TestRollingRestart(t *testing.T) {
+	f := startFleet(t)
+	in := api.Request{ID: "kept", Customer: "bucegi", Kind: "certification", Body: []byte("kept")}
+	resp, err := f.client.Send(f.ctx, in, client.Options{Key: "kept"})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Outcome, api.Done, resp.Reason)
+	f.submit("ro-c", "gang-c", 15)
+	finish := f.load()
+	for _, zone := range f.site.Zones() {
+		for _, n := range []string{"1", "2"} {
+			old := f.vms[zone+"-vm"+n]
+			f.start(zone, zone+"-vm"+n+"b")
+			time.Sleep(time.Second)
+			assert.NilError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+			assert.NilError(t, old.cmd.Wait(), "a stop that cuts requests exits with an error")
+			delete(f.vms, zone+"-vm"+n)
+			f.client.Readdress(f.addresses())
+		}
+	}
+	told := finish()
+	f.awaitFinished("gang-c")
+	again, err := f.client.Send(f.ctx, in, client.Options{Key: "kept"})
+	assert.NilError(t, err)
+	assert.Equal(t, again.Outcome, api.Done, again.Reason)
+	r := f.compare(append(told, ledger.Told{Request: in, Response: again}))
+	t.Log(r.Outcomes, "gangs", r.Gangs)
+	assert.Equal(t, len(r.Faults), 0, strings.Join(r.Faults, "\n"))
+	assert.Equal(t, r.Outcomes[api.Done], len(told)+1)
+	assert.Equal(t, r.Gangs, 1)
+}
+
+func (f *fleet) addresses() []string {
+	var out []string
+	for _, p := range f.vms {
+		out = append(out, p.address)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,237 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rhubarbshore/internal/platform"
+)
+
+// fakeLog is a stream in memory that keeps the last keep records.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   int64
+	records [][]byte
+	keep    int
+	fault   string
+	rng     *rand.Rand
+}
+
+func (f *fakeLog) add(records [][]byte) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.first + int64(len(f.records))
+	f.records = append(f.records, records...)
+	if over := len(f.records) - f.keep; f.keep > 0 && over > 0 {
+		f.records = f.records[over:]
+		f.first += int64(over)
+	}
+	return at
+}
+
+func (f *fakeLog) struck() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rng.IntN(2) == 0 {
+		return ""
+	}
+	return f.fault
+}
+
+func (f *fakeLog) Append(_ context.Context, _ string, records [][]byte) (int64, error) {
+	time.Sleep(time.Duration(f.pause()) * time.Millisecond)
+	switch f.struck() {
+	case "out":
+		return 0, platform.ErrOut
+	case "lost":
+		f.add(records)
+		return 0, platform.ErrUnsettled
+	case "dropped":
+		return 0, platform.ErrUnsettled
+	case "late":
+		go func() { time.Sleep(8 * time.Second); f.add(records) }()
+		return 0, platform.ErrUnsettled
+	}
+	return f.add(records), nil
+}
+
+func (f *fakeLog) pause() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(20)
+}
+
+func (f *fakeLog) Read(_ context.Context, _ string, from int64, limit int) (platform.Page, error) {
+	if f.struck() == "out" {
+		return platform.Page{}, platform.ErrOut
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := platform.Page{First: f.first, End: f.first + int64(len(f.records)), Next: max(from, f.first)}
+	for p.Next < p.End && len(p.Records) < limit {
+		p.Records = append(p.Records, platform.Record{Offset: p.Next, Data: f.records[p.Next-f.first]})
+		p.Next++
+	}
+	return p, nil
+}
+
+// follower is a store that notes every number that came into force.
+type follower struct {
+	*Store
+	mu      sync.Mutex
+	numbers []int64
+	ids     map[int64]string
+}
+
+func follow(ctx context.Context, log Log, restate time.Duration) *follower {
+	f := &follower{ids: map[int64]string{}}
+	f.Store = NewStore(StoreConfig{
+		Log: log, Site: "si-a", Poll: 500 * time.Millisecond, Restate: restate, Logger: slog.New(slog.DiscardHandler),
+		Applied: func(_ *Config, v Version) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.numbers = append(f.numbers, v.Number)
+			f.ids[v.Number] = v.ID
+		},
+	})
+	go f.Run(ctx)
+	return f
+}
+
+// publishRace lets operators at several stores change the configuration from
+// whatever is in force there, and returns who was told what.
+func publishRace(t *testing.T, stores []*follower, text string, rounds int) (won, lost map[string]bool) {
+	won, lost = map[string]bool{}, map[string]bool{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i, s := range stores {
+		wg.Go(func() {
+			for round := range rounds {
+				files := Files{Base: text + fmt.Sprintf("# store %d round %d\n", i, round), Overlays: map[string]string{"si-a": ""}}
+				c := NewChange(fmt.Sprintf("%d-%d", i, round), "test", s.Version(), files)
+				err := s.Publish(t.Context(), c)
+				mu.Lock()
+				won[c.ID] = err == nil
+				lost[c.ID] = errors.Is(err, ErrLost)
+				mu.Unlock()
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return won, lost
+}
+
+// TestRacingOperators shows that every store sees the same versions in the same
+// order, never goes back, and that operators are told the truth, under every
+// fault of the log.
+func TestRacingOperators(t *testing.T) {
+	for _, fault := range []string{"", "out", "lost", "dropped", "late"} {
+		t.Run("fault="+fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &fakeLog{fault: fault, rng: rand.New(rand.NewPCG(3, 4))}
+				ctx, cancel := context.WithCancel(t.Context())
+				var stores []*follower
+				for range 4 {
+					stores = append(stores, follow(ctx, log, time.Hour))
+				}
+				won, lost := publishRace(t, stores, base(t), 6)
+				time.Sleep(30 * time.Second)
+				accepted := 0
+				for id, ok := range won {
+					if ok {
+						accepted++
+						assert.Assert(t, stores[0].Accepted(id), "%s was told accepted", id)
+					}
+					assert.Assert(t, !lost[id] || !stores[0].Accepted(id), "%s was told lost", id)
+				}
+				assert.Assert(t, accepted > 0)
+				for _, s := range stores {
+					assert.DeepEqual(t, s.Version().ID, stores[0].Version().ID)
+					for i, n := range s.numbers {
+						assert.Equal(t, s.ids[n], stores[0].ids[n])
+						assert.Assert(t, i == 0 || n > s.numbers[i-1], "went back: %v", s.numbers)
+					}
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestRetention drops old records while a configuration stays in force, and
+// starts a reader that has only what is left.
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{keep: 12, rng: rand.New(rand.NewPCG(5, 6))}
+		ctx, cancel := context.WithCancel(t.Context())
+		stores := []*follower{follow(ctx, log, 2*time.Second), follow(ctx, log, 2*time.Second)}
+		for round := range 20 {
+			publishRace(t, stores, base(t)+fmt.Sprintf("# %d\n", round), 1)
+			time.Sleep(10 * time.Second)
+		}
+		late := follow(ctx, log, 2*time.Second)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, log.first > 20, "records were dropped")
+		assert.Equal(t, late.Version().ID, stores[0].Version().ID)
+		assert.Equal(t, late.Version().Number, stores[0].Version().Number)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestPeerVersionNeverGoesBack offers versions of peers in any order.
+func TestPeerVersionNeverGoesBack(t *testing.T) {
+	s := NewStore(StoreConfig{Site: "si-a", Logger: slog.New(slog.DiscardHandler)})
+	text := base(t)
+	for _, upto := range []int64{5, 3, 7, 7, 6} {
+		s.Offer(Version{ID: fmt.Sprint("v", upto), Number: upto, Upto: upto, Files: Files{Base: text}})
+	}
+	assert.Equal(t, s.Version().Upto, int64(7))
+	_, number := s.Current()
+	assert.Equal(t, number, int64(7))
+}
+
+// TestFoldFromAnySnapshot compares a reader of the whole stream with readers
+// that start at any later record and rely on a snapshot.
+func TestFoldFromAnySnapshot(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		v := Version{}
+		var records []platform.Record
+		history := []Version{v}
+		add := func(data []byte) {
+			r := platform.Record{Offset: int64(len(records)), Data: data}
+			records = append(records, r)
+			v = v.Fold(r.Offset, r.Data)
+			history = append(history, v)
+		}
+		for i := range rapid.IntRange(1, 30).Draw(rt, "records") {
+			from := history[rapid.IntRange(max(0, len(history)-4), len(history)-1).Draw(rt, "from")]
+			if from.ID != "" && rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+				data, err := from.Snapshot().Encode()
+				assert.NilError(rt, err)
+				add(data)
+				continue
+			}
+			data, err := NewChange(fmt.Sprint("c", i), "x", from, Files{Base: fmt.Sprint("text ", i, " of many")}).Encode()
+			assert.NilError(rt, err)
+			add(data)
+		}
+		first := int64(rapid.IntRange(0, len(records)).Draw(rt, "first"))
+		got, ok := Load(records[first:], first)
+		if ok {
+			assert.DeepEqual(rt, got, v)
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,7 +132,8 @@
 		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
 	})
 	d.placer = placer.New(placer.Config{
-		VM: set.Name, Zone: set.Zone, Logger: d.logger, Journal: &journal{log: d.log, stream: "jobs-" + set.Zone},
+		Holds: d.members.HoldsOffice,
+		VM:    set.Name, Zone: set.Zone, Logger: d.logger, Journal: &journal{log: d.log, stream: "jobs-" + set.Zone},
 		Term: time.Duration(set.Deadlines.Term), Renew: time.Duration(set.Deadlines.Renew), Hold: time.Duration(set.Deadlines.Hold),
 		Checkpoint: time.Duration(set.Deadlines.Checkpoint), Lost: time.Duration(set.Deadlines.Lost), Drift: time.Duration(set.Deadlines.Drift),
 	})
--- /dev/null
+++ b/internal/idempotency/table_test.go
@@ -0,0 +1,121 @@
+package idempotency
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/pkg/api"
+)
+
+func table() *Table { return NewTable(Limits{Keys: 8, Bytes: 100}) }
+
+func in(d time.Duration) time.Time { return time.Now().Add(d) }
+
+func TestOneRunForEachKey(t *testing.T) {
+	tab := table()
+	first, err := tab.Begin("k", 1, in(time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, first.First)
+	second, err := tab.Begin("k", 1, in(time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, !second.First)
+	_, err = tab.Begin("k", 2, in(time.Minute))
+	assert.ErrorIs(t, err, ErrMismatch)
+	first.Finish(api.Response{Outcome: api.Done, Body: []byte("answer")})
+	<-second.Done()
+	assert.Equal(t, string(second.Response().Body), "answer")
+	third, err := tab.Begin("k", 1, in(time.Minute))
+	assert.NilError(t, err)
+	assert.Equal(t, third.Response().Outcome, api.Done)
+}
+
+// TestTombstone shows that "not run" stays true for later copies, and that it
+// would not without the kept entry.
+func TestTombstone(t *testing.T) {
+	for _, forgetful := range []bool{false, true} {
+		tab := table()
+		tab.forgetful = forgetful
+		settled, err := tab.Begin("k", 1, in(time.Minute))
+		assert.NilError(t, err)
+		settled.Finish(api.Response{Outcome: api.NotRun})
+		late, err := tab.Begin("k", 1, in(time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, late.First, forgetful)
+	}
+}
+
+func TestRetryFreesTheKey(t *testing.T) {
+	tab := table()
+	first, err := tab.Begin("k", 1, in(time.Minute))
+	assert.NilError(t, err)
+	first.Finish(api.Response{Outcome: api.Retry})
+	next, err := tab.Begin("k", 1, in(time.Minute))
+	assert.NilError(t, err)
+	assert.Assert(t, next.First)
+}
+
+func TestDeadlinesAndLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab := table()
+		_, err := tab.Begin("old", 1, time.Now())
+		assert.ErrorIs(t, err, ErrExpired)
+		for i := range 8 {
+			c, err := tab.Begin(fmt.Sprint(i), 1, in(time.Duration(i+1)*time.Minute))
+			assert.NilError(t, err)
+			c.Finish(api.Response{Outcome: api.Done, Body: []byte(strings.Repeat("x", 30))})
+		}
+		_, err = tab.Begin("more", 1, in(time.Minute))
+		assert.ErrorIs(t, err, ErrFull)
+		dropped, err := tab.Begin("0", 1, in(time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, dropped.Response().Outcome, api.Unknown)
+		time.Sleep(3*time.Minute + time.Second)
+		_, err = tab.Begin("more", 1, in(time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, tab.Len(), 6)
+	})
+}
+
+func TestHandover(t *testing.T) {
+	from, to := table(), table()
+	done, err := from.Begin("done", 1, in(time.Minute))
+	assert.NilError(t, err)
+	done.Finish(api.Response{Outcome: api.Done, Body: []byte("answer")})
+	_, err = from.Begin("running", 1, in(time.Minute))
+	assert.NilError(t, err)
+	to.Import(from.Export())
+	_, err = from.Begin("new", 1, in(time.Minute))
+	assert.ErrorIs(t, err, ErrMoved)
+	for key, outcome := range map[string]api.Outcome{"done": api.Done, "running": api.Unknown} {
+		c, err := to.Begin(key, 1, in(time.Minute))
+		assert.NilError(t, err)
+		assert.Assert(t, !c.First)
+		assert.Equal(t, c.Response().Outcome, outcome)
+	}
+}
+
+func TestTickets(t *testing.T) {
+	m, err := NewMinter(Home("vm", 7), nil)
+	assert.NilError(t, err)
+	deadline := time.UnixMilli(time.Now().Add(time.Hour).UnixMilli())
+	ticket := m.Mint(deadline)
+	home, err := HomeOf(ticket)
+	assert.NilError(t, err)
+	assert.Equal(t, home, "vm~7")
+	got, err := m.Verify(ticket)
+	assert.NilError(t, err)
+	assert.Assert(t, got.Equal(deadline))
+	for _, forged := range []string{"", "x", ticket + "x", strings.Replace(ticket, ".1.", ".2.", 1)} {
+		_, err := m.Verify(forged)
+		assert.ErrorIs(t, err, ErrTicket)
+	}
+	heir, err := NewMinter("vm~7", m.Secret())
+	assert.NilError(t, err)
+	_, err = heir.Verify(ticket)
+	assert.NilError(t, err)
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -395,6 +395,15 @@
 	return best
 }
 
+// HoldsOffice reports whether the VM claims its zone's office, as far as this
+// VM has heard.
+func (m *Members) HoldsOffice(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.all[name]
+	return v != nil && v.info.GetSummary() != nil && v.info.GetState() == Alive && !m.suspect(v, time.Now())
+}
+
 // PlacerOf returns the VM that holds a zone's office by its own account, or
 // else the one that should.
 func (m *Members) PlacerOf(zone string) (Peer, bool) {
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -18,6 +18,10 @@
 // seconds.
 const minLeft = 0.001
 
+// firstLook is the time after which a gang's workers are first asked how it
+// does.
+const firstLook = 500 * time.Millisecond
+
 // errLate is returned by a launch that was too slow to be sure of its holds.
 var errLate = errorx.NewType(namespace, "late").New("the holds may have lapsed")
 
@@ -45,6 +49,7 @@
 	j.refs = p.refs(placement)
 	seats := p.seats(j, placement)
 	j.members = seatNames(seats)
+	j.seats = seats
 	j.status.Workers = j.members
 	if p.abortStarting(placement.Evict) {
 		j.launching = false
@@ -57,7 +62,8 @@
 	generation := j.status.Generation
 	go func() {
 		err := p.reclaim(victims, now.Add(p.cfg.Checkpoint))
-		p.post(func() { p.onReclaimed(victims, err == nil, began) })
+		stopped := err == nil
+		p.post(func() { p.onReclaimed(victims, stopped, began) })
 		var doubt []string
 		if err == nil {
 			doubt, err = p.startGang(seats)
@@ -233,6 +239,7 @@
 			metric.Count("placer_doubts_total")
 			w.doubt = true
 			w.next = time.Now()
+			p.avoid(w, time.Now())
 		}
 	}
 }
@@ -255,9 +262,9 @@
 		return nil, nil
 	}
 	if p.stopSeats(seats) != nil {
-		return p.reportDoubt(seats, errs, doubtful), err
+		return p.reportDoubt(seats, errs, troubled), err
 	}
-	return p.reportDoubt(seats, errs, doubtful), err
+	return p.reportDoubt(seats, errs, troubled), err
 }
 
 func (p *Placer) hold(seats []seat) error {
@@ -266,7 +273,7 @@
 		return nil
 	}
 	errs := each(seats, p.holdOne)
-	p.reportDoubt(seats, errs, doubtful)
+	p.reportDoubt(seats, errs, troubled)
 	return errors.Join(errs...)
 }
 
@@ -282,6 +289,17 @@
 	return s.client.Start(ctx, s.fence, s.lease.Job, s.lease.Generation, p.cfg.Term)
 }
 
+// fencedByOther reports whether a worker of the gang refused this placer's
+// newest fence, and not one that it has raised itself meanwhile.
+func (p *Placer) fencedByOther(j *job) bool {
+	for _, s := range j.seats {
+		if w := p.workers[s.name]; w != nil && w.fenced && !w.doubt && s.fence == p.fenceOf(w) {
+			return true
+		}
+	}
+	return false
+}
+
 // onReclaimed lets the victims wait again.
 func (p *Placer) onReclaimed(victims []victim, stopped bool, began time.Time) {
 	now := time.Now()
@@ -305,7 +323,16 @@
 // onLaunched records that the gang runs whole, or that it does not run.
 func (p *Placer) onLaunched(j *job, doubt []string, err error) {
 	now := time.Now()
+	for _, name := range j.members {
+		if w := p.workers[name]; w != nil {
+			w.lapse = now.Add(p.cfg.Term)
+		}
+	}
 	p.dirty = true
+	if errors.Is(err, worker.ErrFenced) && p.fencedByOther(j) {
+		p.recheck(now)
+		return
+	}
 	if err != nil {
 		metric.Retry("gang")
 		p.cfg.Logger.Info("gang not started", "job", j.status.Job.ID, "error", err, "doubt", doubt)
@@ -320,10 +347,21 @@
 	j.status.State = api.Running
 	j.status.Started = now
 	j.tries = 0
+	p.lookSoon(j, now)
 	metric.Seconds("job_wait_seconds", now.Sub(j.status.Submitted))
 	p.cfg.Logger.Info("gang runs", "job", j.status.Job.ID, "customer", j.status.Job.Customer, "class", j.status.Class, "workers", len(j.members))
 }
 
+// lookSoon has the gang's workers asked early, so that a worker that fails all
+// it starts is noticed before the next renewal would be due.
+func (p *Placer) lookSoon(j *job, now time.Time) {
+	for _, name := range j.members {
+		if w := p.workers[name]; w != nil && w.next.After(now.Add(firstLook)) {
+			w.next = now.Add(firstLook)
+		}
+	}
+}
+
 // stopGang stops the job's members in the background.
 func (p *Placer) stopGang(j *job) {
 	var seats []seat
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -16,6 +16,7 @@
 	level     int
 	members   []string
 	refs      []worker.Part
+	seats     []seat
 	finished  map[string]bool
 	notBefore time.Time
 	failures  int
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -14,8 +14,8 @@
 const (
 	retryFence    = 500 * time.Millisecond
 	settleTime    = time.Second
-	firstYield    = 500 * time.Millisecond
-	maxYield      = 10 * time.Second
+	watchRival    = 2 * time.Second
+	avoidFor      = 20 * time.Second
 	quarantine    = 30 * time.Second
 	maxQuarantine = time.Hour
 	maxFailures   = 3
@@ -32,11 +32,15 @@
 	busy bool
 	// doubt is set after a call whose effect is unknown: the worker is fenced
 	// again, and its table read, before its leases are renewed.
-	doubt  bool
-	next   time.Time
-	heard  time.Time
-	until  time.Time
-	yield  time.Duration
+	doubt bool
+	// rival is set while another placer's fence is in force: this one watches
+	// until that placer has been silent for long enough.
+	rival bool
+	shy   time.Time
+	next  time.Time
+	heard time.Time
+	// lapse is when the last lease that this placer can have prolonged ends.
+	lapse  time.Time
 	failed int
 	times  int
 	banned time.Time
@@ -46,9 +50,10 @@
 	w.fenced = false
 	w.down = true
 	w.doubt = false
+	w.rival = false
+	w.shy = time.Time{}
 	w.next = time.Time{}
 	w.heard = time.Time{}
-	w.until = time.Time{}
 }
 
 // gang is one generation of a job as found in the workers' lease tables.
@@ -73,7 +78,21 @@
 	}
 	for _, w := range p.workers {
 		w.next = now
-		p.visit(w, now)
+	}
+}
+
+// recheck rebuilds everything like takeOffice, but leaves each worker to another
+// placer that has fenced it meanwhile and still claims the office. It follows a
+// pause of this process and any sign of another placer.
+func (p *Placer) recheck(now time.Time) {
+	if now.Sub(p.since) < retryFence {
+		return
+	}
+	metric.Count("placer_rechecks_total")
+	p.takeOffice(now)
+	for _, w := range p.workers {
+		w.rival = true
+		w.heard = now
 	}
 }
 
@@ -96,28 +115,29 @@
 	return out
 }
 
-// leaveOffice forgets everything. Jobs that only this process knows are kept
-// aside until Stray hands them to the next placer.
+// leaveOffice forgets everything. Open jobs are kept aside until Stray hands
+// them to the next placer, which may know some already.
 func (p *Placer) leaveOffice() {
 	p.cfg.Logger.Info("placer leaves office", "zone", p.cfg.Zone)
 	for _, j := range p.openJobs() {
-		if !j.status.Durable {
-			p.stray = append(p.stray, j.status.Job)
-		}
+		p.stray = append(p.stray, j.status.Job)
 	}
 	p.reset()
 }
 
 // mayRunUnseen reports whether the job could be running whole on workers that
-// have not answered this placer yet.
+// have not answered this placer yet, or under another placer.
 func (p *Placer) mayRunUnseen(j *job, now time.Time) bool {
-	if !j.unseen || now.After(p.since.Add(p.cfg.Term+p.cfg.Drift)) {
+	if p.found[j.status.Job.ID] != nil {
+		return true
+	}
+	if !j.unseen {
 		return false
 	}
 	silent := 0
 	for _, r := range p.layout.Racks {
 		for _, w := range r.Workers {
-			if m := p.workers[w.Name]; m != nil && !m.fenced {
+			if m := p.workers[w.Name]; m != nil && p.mayHoldUnseen(m, now) {
 				silent += w.Accelerators
 			}
 		}
@@ -147,9 +167,12 @@
 }
 
 func (p *Placer) sendFence(w *member, now time.Time) {
-	p.epoch = max(p.epoch, w.epoch+1)
-	w.epoch = max(w.epoch+1, p.epoch)
-	f := p.fenceOf(w)
+	f := worker.Fence{}
+	if !w.rival {
+		p.epoch = max(p.epoch, w.epoch+1)
+		w.epoch = max(w.epoch+1, p.epoch)
+		f = p.fenceOf(w)
+	}
 	began := p.since
 	go func() {
 		ctx, cancel := call(callTimeout)
@@ -169,43 +192,75 @@
 func (p *Placer) onFence(w *member, f worker.Fence, t worker.Table, err error, asked time.Time) {
 	now := time.Now()
 	if err != nil {
+		p.avoid(w, now)
 		w.next = now.Add(retryFence)
 		return
 	}
 	w.epoch = max(w.epoch, t.Fence.Epoch)
 	p.epoch = max(p.epoch, w.epoch)
 	if f.Less(t.Fence) {
-		p.stepBack(w, now)
+		p.stepBack(w, t, now)
+		return
+	}
+	if w.rival {
+		// The worker has lost its fence: take it properly.
+		w.rival = false
+		w.next = now
 		return
 	}
 	w.fenced = true
 	w.doubt = false
 	w.heard = asked
-	w.until = asked.Add(p.cfg.Term)
 	w.next = now
 	p.takeTable(w, t, now)
 	p.setUp(w, now)
 }
 
-// stepBack leaves the worker to the holder of a higher fence for a while, the
-// longer the more often it happens, so that two placers don't chase each other.
-func (p *Placer) stepBack(w *member, now time.Time) {
+// stepBack leaves the worker to the holder of a higher fence as long as that
+// placer uses it. Only on taking office is the first higher fence outbid at
+// once: it is then that of the placer before.
+func (p *Placer) stepBack(w *member, t worker.Table, now time.Time) {
 	metric.Count("placer_fenced_total")
 	w.fenced = false
 	if w.heard.IsZero() {
-		// Taking office: the epoch was only too low.
 		w.next = now
 		w.heard = now
 		return
 	}
-	w.yield = min(max(2*w.yield, firstYield), maxYield)
-	w.next = now.Add(w.yield)
+	w.rival = true
+	w.next = now.Add(watchRival)
 	p.setDown(w)
+	silence := time.Duration(t.Silence) * time.Millisecond
+	mine := t.Fence.Holder == p.cfg.VM
+	gone := p.cfg.Holds != nil && t.Fence.Holder != "" && !p.cfg.Holds(t.Fence.Holder)
+	if mine || gone || silence > p.cfg.Renew+p.cfg.Lost {
+		w.rival = false
+		w.next = now
+	}
+}
+
+// avoid keeps new work off a worker that gave trouble, for a while.
+func (p *Placer) avoid(w *member, now time.Time) {
+	w.shy = now.Add(avoidFor)
+	p.tree.SetShy(w.name, true)
+}
+
+// mayHoldUnseen reports whether the worker may run leases that this placer does
+// not know: it has not answered, and leases of the time before may still last.
+func (p *Placer) mayHoldUnseen(w *member, now time.Time) bool {
+	if w.fenced {
+		return false
+	}
+	last := p.since
+	if w.lapse.After(last.Add(p.cfg.Term)) {
+		last = w.lapse.Add(-p.cfg.Term)
+	}
+	return w.rival || now.Before(last.Add(p.cfg.Term+p.cfg.Drift))
 }
 
 // setUp makes the worker's accelerators usable unless it is in quarantine.
 func (p *Placer) setUp(w *member, now time.Time) {
-	if now.Before(w.banned) || !w.down {
+	if now.Before(w.banned) || !w.down || w.rival {
 		return
 	}
 	w.down = false
@@ -224,14 +279,20 @@
 	p.cfg.Logger.Warn("worker lost", "worker", w.name)
 	for _, id := range p.tree.SetDown(w.name, true) {
 		if j := p.jobs[id]; j != nil {
-			j.notBefore = w.until.Add(p.cfg.Drift)
+			j.notBefore = w.lapse.Add(p.cfg.Drift)
 			p.requeue(j, "worker lost")
 		}
 	}
 }
 
-// checkLost gives up a worker that has been silent for too long.
+// checkLost gives up a worker that has been silent for too long, and ends the
+// avoidance of one that gave trouble a while ago.
 func (p *Placer) checkLost(w *member, now time.Time) {
+	if w.shy.Before(now) && !w.shy.IsZero() {
+		w.shy = time.Time{}
+		p.tree.SetShy(w.name, false)
+		p.dirty = true
+	}
 	if w.down || now.Sub(w.heard) < p.cfg.Renew+p.cfg.Lost {
 		return
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -69,6 +70,9 @@
 	Logger *slog.Logger
 	// Journal keeps accepted jobs; nil keeps none.
 	Journal Journal
+	// Holds reports whether another VM still claims the zone's office; nil
+	// leaves that to the workers.
+	Holds func(vm string) bool
 
 	// Unsafe switches single mechanisms off, for tests that show what they
 	// prevent.
@@ -96,6 +100,7 @@
 	cfg    Config
 	events *ring.Ring[func()]
 
+	holding atomic.Bool
 	office  bool
 	ready   bool
 	since   time.Time
@@ -193,7 +198,7 @@
 		return
 	}
 	metric.Count("placer_pauses_total")
-	p.takeOffice(now)
+	p.recheck(now)
 }
 
 // SetOffice tells the placer whether this VM should decide for the zone.
@@ -203,6 +208,7 @@
 			return
 		}
 		p.office = office
+		p.holding.Store(office)
 		if office {
 			p.takeOffice(time.Now())
 			return
@@ -211,6 +217,9 @@
 	})
 }
 
+// Holding reports whether this VM holds the zone's office.
+func (p *Placer) Holding() bool { return p.holding.Load() }
+
 // SetLayout replaces the zone's layout and guarantees. Running jobs keep their
 // cells where these still exist.
 func (p *Placer) SetLayout(layout cell.Config, waiting map[string]int) {
@@ -276,9 +285,10 @@
 	return context.WithTimeout(context.Background(), timeout)
 }
 
-// doubtful reports whether the call may have taken effect all the same.
-func doubtful(err error) bool {
-	return err != nil && !errors.Is(err, worker.ErrUnsent) && !errors.Is(err, worker.ErrRefused) && !errors.Is(err, worker.ErrFenced)
+// troubled reports a call that got no answer: it may have taken effect, or the
+// worker can't be reached.
+func troubled(err error) bool {
+	return err != nil && !errors.Is(err, worker.ErrRefused) && !errors.Is(err, worker.ErrFenced)
 }
 
 // ended marks a job as over.
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -30,18 +30,20 @@
 // onRenew learns from a renewal. The lease counts from before the call.
 func (p *Placer) onRenew(w *member, f worker.Fence, r worker.Renewal, err error, asked time.Time) {
 	now := time.Now()
+	if !errors.Is(err, worker.ErrUnsent) {
+		w.lapse = now.Add(p.cfg.Term)
+	}
 	if errors.Is(err, worker.ErrFenced) && f == p.fenceOf(w) {
-		p.stepBack(w, now)
+		p.recheck(now)
 		return
 	}
 	if err != nil {
+		p.avoid(w, now)
 		metric.Retry("renew")
 		w.next = now.Add(retryFence)
 		return
 	}
 	w.heard = asked
-	w.yield = 0
-	w.until = asked.Add(p.cfg.Term)
 	w.next = asked.Add(p.cfg.Renew)
 	if w.down {
 		p.setUp(w, now)
@@ -49,13 +51,25 @@
 	for _, c := range r.Changes {
 		p.onChange(w, c, now)
 	}
-	if r.Running > p.runningOn(w) {
-		// The worker runs more than it should: an old call came late.
+	if r.Running > p.runningOn(w) || r.Running+len(r.Changes) < p.settledOn(w, asked) {
+		// An old call came late, or the worker has lost its table.
 		w.doubt = true
 		w.next = now
 	}
 }
 
+// settledOn counts the jobs that ran on the worker when it was asked and still
+// do.
+func (p *Placer) settledOn(w *member, asked time.Time) int {
+	n := 0
+	for _, j := range p.jobs {
+		if j.status.State == api.Running && !j.evicting && j.has(w.name) && j.status.Started.Before(asked) {
+			n++
+		}
+	}
+	return n
+}
+
 // runningOn counts the jobs that should have tasks on the worker.
 func (p *Placer) runningOn(w *member) int {
 	n := 0
@@ -105,6 +119,7 @@
 func (p *Placer) memberFailed(w *member, j *job, now time.Time) {
 	w.failed++
 	j.failures++
+	p.avoid(w, now)
 	alone := p.runningOn(w) <= 1
 	if alone && (w.failed >= maxFailures || w.times > 0) {
 		pause := min(quarantine<<min(w.times, 10), maxQuarantine)
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -58,6 +58,7 @@
 	arrive  *ring.Ring[*item]
 	ended   *ring.Ring[ending]
 	control *ring.Ring[func(q *Queue)]
+	stopped chan struct{}
 
 	shares    map[string]float64
 	customers map[string]*customer
@@ -101,6 +102,7 @@
 		arrive:    ring.New[*item](cfg.Size),
 		ended:     ring.New[ending](cfg.Size),
 		control:   ring.New[func(q *Queue)](64),
+		stopped:   make(chan struct{}),
 		shares:    map[string]float64{},
 		customers: map[string]*customer{},
 		costs:     map[string]float64{},
@@ -114,7 +116,12 @@
 	if err := q.arrive.Put(it); err != nil {
 		return r.Refuse(api.NotRun, request.ReasonFull)
 	}
-	return <-it.reply
+	select {
+	case resp := <-it.reply:
+		return resp
+	case <-q.stopped:
+		return r.Refuse(api.Unknown, request.ReasonStopping)
+	}
 }
 
 // Configure runs change on the queue's goroutine.
@@ -130,6 +137,7 @@
 func (q *Queue) Run(ctx context.Context) {
 	timer := time.NewTimer(idle)
 	defer timer.Stop()
+	defer close(q.stopped)
 	for {
 		select {
 		case it := <-q.arrive.Items():
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -192,10 +192,15 @@
 		return err
 	}
 	s.VMs[name] = d
-	s.Platform.Put(platform.Instance{Name: name, Role: platform.RoleEntry, Zone: zone, Address: address, State: platform.StateLive})
+	s.Register(zone, name, address)
 	return nil
 }
 
+// Register puts an entry VM on the platform's list.
+func (s *Site) Register(zone, name, address string) {
+	s.Platform.Put(platform.Instance{Name: name, Role: platform.RoleEntry, Zone: zone, Address: address, State: platform.StateLive})
+}
+
 // Zones lists the availability zones.
 func (s *Site) Zones() []string { return s.zones }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -43,6 +43,7 @@
 	cfg    WorkerConfig
 	mu     sync.Mutex
 	fence  worker.Fence
+	called time.Time
 	leases map[string]*grant
 	spans  []Span
 	fault  WorkerFault
@@ -118,6 +119,7 @@
 		return worker.ErrFenced
 	}
 	w.fence = f
+	w.called = time.Now()
 	return nil
 }
 
@@ -128,9 +130,10 @@
 	defer w.mu.Unlock()
 	w.expire(time.Now())
 	if f.Less(w.fence) {
-		return worker.Table{Fence: w.fence}, nil
+		return worker.Table{Fence: w.fence, Silence: time.Since(w.called).Milliseconds()}, nil
 	}
 	w.fence = f
+	w.called = time.Now()
 	t := worker.Table{Fence: f}
 	for _, g := range w.leases {
 		t.Leases = append(t.Leases, g.lease)
@@ -323,3 +326,16 @@
 	}
 	return nil, worker.ErrRefused
 }
+
+// Crash restarts the worker: its tasks end and it forgets its leases and fence.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.expire(now)
+	for _, g := range w.leases {
+		w.end(g, now, "crashed")
+	}
+	w.leases = map[string]*grant{}
+	w.fence = worker.Fence{}
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -116,10 +116,12 @@
 	Lease      *Lease `json:"lease,omitempty"`
 }
 
-// Table lists a worker's leases and the highest fence it has seen.
+// Table lists a worker's leases and the highest fence it has seen. Silence is
+// the time since a call under that fence, in milliseconds.
 type Table struct {
-	Fence  Fence   `json:"fence"`
-	Leases []Lease `json:"leases,omitempty"`
+	Fence   Fence   `json:"fence"`
+	Silence int64   `json:"silence,omitempty"`
+	Leases  []Lease `json:"leases,omitempty"`
 }
 
 // Change is a lease whose state differs from running since the last renewal.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -67,6 +68,7 @@
 // Client talks to entry VMs. It is safe for concurrent use.
 type Client struct {
 	cfg Config
+	at  atomic.Pointer[[]string]
 
 	mu      sync.Mutex
 	tickets []string
@@ -81,7 +83,9 @@
 	if cfg.Tickets == 0 {
 		cfg.Tickets = block
 	}
-	return &Client{cfg: cfg}
+	c := &Client{cfg: cfg}
+	c.Readdress(cfg.Addresses)
+	return c
 }
 
 // Options change how Send identifies a request.
@@ -123,7 +127,7 @@
 func (c *Client) repeat(ctx context.Context, in api.Request, o Options) (api.Response, error) {
 	last := api.Response{Outcome: api.Retry, Reason: "unreachable", Request: in.ID}
 	doubt := false
-	start := rand.IntN(len(c.cfg.Addresses))
+	start := rand.IntN(len(c.addresses()))
 	header := http.Header{}
 	for n := 0; ctx.Err() == nil; n++ {
 		if n > 0 {
@@ -206,8 +210,8 @@
 }
 
 func (c *Client) fetch(ctx context.Context) error {
-	start := rand.IntN(len(c.cfg.Addresses))
-	for i := range c.cfg.Addresses {
+	start := rand.IntN(len(c.addresses()))
+	for i := range c.addresses() {
 		path := fmt.Sprintf("/v1/tickets?count=%d", c.cfg.Tickets)
 		out, err := httpjson.Call[struct{}, api.Tickets](ctx, c.cfg.HTTP, http.MethodPost, "http://"+c.pick(start+i)+path, nil)
 		if err == nil && len(out.Tickets) > 0 {
@@ -226,7 +230,17 @@
 	c.tickets = nil
 }
 
-func (c *Client) pick(n int) string { return c.cfg.Addresses[n%len(c.cfg.Addresses)] }
+// Readdress replaces the addresses of entry VMs.
+func (c *Client) Readdress(addresses []string) {
+	c.at.Store(&addresses)
+}
+
+func (c *Client) addresses() []string { return *c.at.Load() }
+
+func (c *Client) pick(n int) string {
+	all := c.addresses()
+	return all[n%len(all)]
+}
 
 func wait(ctx context.Context, n int) {
 	pause := rand.N(min(firstPause<<min(n, 10), maxPause))
@@ -260,7 +274,7 @@
 func get[Out any](ctx context.Context, c *Client, path string) (Out, error) {
 	var out Out
 	err := error(ErrUnreachable)
-	for _, address := range c.cfg.Addresses {
+	for _, address := range c.addresses() {
 		out, err = httpjson.Get[Out](ctx, c.cfg.HTTP, "http://"+address+path)
 		if err == nil {
 			return out, nil
@@ -314,7 +328,7 @@
 	path := "/v1/jobs/" + url.PathEscape(zone) + "/" + url.PathEscape(id)
 	var status api.JobStatus
 	err := error(ErrUnreachable)
-	for _, address := range c.cfg.Addresses {
+	for _, address := range c.addresses() {
 		status, err = httpjson.Call[struct{}, api.JobStatus](ctx, c.cfg.HTTP, http.MethodDelete, "http://"+address+path, nil)
 		if err == nil {
 			return status, nil
@@ -356,7 +370,7 @@
 // Publish offers a configuration. It is in force once Publish returns without
 // an error; after ErrUnsettled it may come into force.
 func (c *Client) Publish(ctx context.Context, in api.Publish) (api.Published, error) {
-	for _, address := range c.cfg.Addresses {
+	for _, address := range c.addresses() {
 		out, err := httpjson.Call[api.Publish, api.Published](ctx, c.cfg.HTTP, http.MethodPost, "http://"+address+"/v1/config", &in)
 		if errors.Is(err, httpjson.ErrUnsent) {
 			continue
