--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -123,5 +123,5 @@
 func register(url string, in platform.Instance) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return platform.NewList(httpjson.NewClient(1, dialTimeout), url).Put(ctx, in)
+	return platform.NewList(httpjson.NewClient("list", 1, dialTimeout), url).Put(ctx, in)
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -13,6 +13,10 @@
 // there is no other.
 const shyCost = 1e12
 
+// keptCost keeps guaranteed work off an accelerator that is reserved for a
+// large waiting job, unless that would cost much work.
+const keptCost = 1e6
+
 // Class says whether work may be stopped for others.
 type Class string
 
@@ -219,23 +223,33 @@
 }
 
 // lightest walks to the cell of the level with the fewest accelerators that are
-// best avoided and, among these, the least spare work on it.
+// best avoided or reserved and, among these, the least spare work on it.
 func (t *Tree) lightest(id ID, level int) ID {
 	for t.cells[id].level > level {
 		n := &t.cells[id]
 		left, right := &t.cells[n.left], &t.cells[n.right]
 		id = n.left
-		if right.shy < left.shy || right.shy == left.shy && right.spare < left.spare {
+		if lighter(right, left) {
 			id = n.right
 		}
 	}
 	return id
 }
 
+func lighter(a, b *node) bool {
+	if a.shy != b.shy {
+		return a.shy < b.shy
+	}
+	if a.kept != b.kept {
+		return a.kept < b.kept
+	}
+	return a.spare < b.spare
+}
+
 // cost is what taking the cell loses, by the tree's Rank.
 func (t *Tree) cost(id ID, largest int, now time.Time) float64 {
 	broken := float64(Size(largest) - Size(t.cells[id].level))
-	cost := t.rank.Broken*broken + shyCost*float64(t.cells[id].shy)
+	cost := t.rank.Broken*broken + shyCost*float64(t.cells[id].shy) + keptCost*float64(t.cells[id].kept)
 	if t.cells[id].spare == 0 {
 		return cost
 	}
@@ -528,17 +542,42 @@
 // Unkeep ends a reservation made with Keep.
 func (t *Tree) Unkeep(id ID) { t.adjust(id, func(n *node, size int32) { n.kept -= size }) }
 
-// Nearest finds the cell of the level with the fewest held accelerators, the
-// one that a waiting large job should reserve.
+// Nearest finds the cell that a waiting large job should reserve: the one with
+// the fewest accelerators held by guaranteed work, which is not moved, and then
+// by spare work.
 func (t *Tree) Nearest(level int) (ID, bool) {
 	best := ID(none)
-	var bestHeld int32
 	for _, id := range t.byLevel[level] {
 		n := &t.cells[id]
-		held := n.spare + n.firm
-		if n.down == 0 && n.kept == 0 && (best == none || held < bestHeld) {
-			best, bestHeld = id, held
+		if n.down == 0 && n.kept == 0 && n.shy == 0 && (best == none || nearer(n, &t.cells[best])) {
+			best = id
 		}
 	}
 	return best, best != none
 }
+
+func nearer(a, b *node) bool {
+	if a.firm != b.firm {
+		return a.firm < b.firm
+	}
+	return a.spare < b.spare
+}
+
+// Movable lists the spare jobs on a cell, if nothing else holds it and all
+// that they hold would fit on idle accelerators elsewhere.
+func (t *Tree) Movable(id ID) ([]string, bool) {
+	n := &t.cells[id]
+	if n.firm > 0 || n.down > 0 || n.spare == 0 {
+		return nil, false
+	}
+	names := t.sparesIn(id)
+	moved := 0
+	for _, name := range names {
+		moved += t.size(t.jobs[name])
+	}
+	idle := 0
+	for k, list := range t.idle.levels {
+		idle += len(list) * Size(k)
+	}
+	return names, moved <= idle
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,7 +96,7 @@
 	}
 	d := &Daemon{
 		set: set, logger: logger, queues: map[string]*queue.Queue{}, homes: map[string]*home{},
-		clients: map[string]placer.Worker{}, workers: httpjson.NewClient(peerConns, dialTimeout),
+		clients: map[string]placer.Worker{}, workers: httpjson.NewClient("worker", peerConns, dialTimeout),
 	}
 	d.own = &home{minter: minter, table: idempotency.NewTable(idempotency.Limits{Keys: set.Limits.Keys, Bytes: set.Limits.Bytes})}
 	d.homes[minter.Home()] = d.own
@@ -107,10 +107,10 @@
 // connect builds the adapters to the platform, the peers and the servers.
 func (d *Daemon) connect(incarnation int64) {
 	set := d.set
-	client := httpjson.NewClient(peerConns, dialTimeout)
+	client := httpjson.NewClient("platform", peerConns, dialTimeout)
 	d.log = platform.NewLog(client, set.Log)
 	d.list = platform.NewList(client, set.List)
-	servers := httpjson.NewClient(minionConns, dialTimeout)
+	servers := httpjson.NewClient("minion", minionConns, dialTimeout)
 	if t, ok := servers.Transport.(*http.Transport); ok {
 		d.minions = t
 	}
@@ -118,7 +118,7 @@
 	d.members = peer.NewMembers(peer.Config{
 		Self:  peer.Self{Name: set.Name, Address: set.Address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation},
 		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
-		Client: httpjson.NewClient(peerConns, dialTimeout), Logger: d.logger, LeftServer: d.serverLeft,
+		Client: httpjson.NewClient("peer", peerConns, dialTimeout), Logger: d.logger, LeftServer: d.serverLeft,
 	})
 	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Home()} })
 	for _, p := range set.Peers {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -13,8 +13,11 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/metric"
 )
 
 // MaxBody bounds every body that is read, in bytes.
@@ -47,11 +50,18 @@
 }
 
 // NewClient returns an HTTP client that keeps conns connections to each peer
-// open and gives up dialling after dial.
-func NewClient(conns int, dial time.Duration) *http.Client {
+// open and gives up dialling after dial. The bytes that it moves are counted
+// under role.
+func NewClient(role string, conns int, dial time.Duration) *http.Client {
 	d := &net.Dialer{Timeout: dial, KeepAlive: time.Minute}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countConn(conn, role), nil
+		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     time.Minute,
@@ -59,6 +69,31 @@
 	}}
 }
 
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in  *metrics.Counter
+	out *metrics.Counter
+}
+
+func countConn(c net.Conn, role string) net.Conn {
+	return &countedConn{Conn: c, in: metric.Bytes(role, "in"), out: metric.Bytes(role, "out")}
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(n)
+	return n, err
+}
+
 // Call sends in as JSON and decodes the answer into Out.
 func Call[In, Out any](ctx context.Context, c *http.Client, method, url string, in *In) (Out, error) {
 	return exchange[In, Out](ctx, c, method, url, in, nil, refuseOthers)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -30,6 +30,14 @@
 // Count adds one to a counter without labels.
 func Count(name string) { metrics.GetOrCreateCounter(prefix + name).Inc() }
 
+// Bytes is the counter of the bytes that went to or came from peers of a role.
+func Bytes(role, direction string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(prefix+`bytes_total{role=%q,direction=%q}`, role, direction))
+}
+
+// Add adds v to a counter without labels.
+func Add(name string, v float64) { metrics.GetOrCreateFloatCounter(prefix + name).Add(v) }
+
 // Observe adds the time since begun, in seconds, to a histogram.
 func Observe(name string, begun time.Time) {
 	metrics.GetOrCreateHistogram(prefix + name).UpdateDuration(begun)
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -37,6 +37,8 @@
 type victim struct {
 	id    string
 	seats []seat
+	// saved is set if every member saved its work.
+	saved bool
 }
 
 // launch carries a placement out on the workers.
@@ -162,6 +164,7 @@
 			}
 		}
 		out = append(out, v)
+		p.reclaims++
 		metric.Count("placer_reclaims_total")
 	}
 	return out
@@ -175,7 +178,7 @@
 	var wg sync.WaitGroup
 	for i, v := range victims {
 		wg.Go(func() {
-			p.checkpoint(v, deadline)
+			victims[i].saved = p.checkpoint(v, deadline)
 			errs[i] = p.stopSeats(v.seats)
 		})
 	}
@@ -186,12 +189,14 @@
 	return errors.Join(errs...)
 }
 
-func (p *Placer) checkpoint(v victim, deadline time.Time) {
+// checkpoint reports whether all members saved their work in time.
+func (p *Placer) checkpoint(v victim, deadline time.Time) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	each(v.seats, func(s seat) error {
+	errs := each(v.seats, func(s seat) error {
 		return s.client.Checkpoint(ctx, s.fence, s.lease.Job, s.lease.Generation)
 	})
+	return errors.Join(errs...) == nil
 }
 
 // each calls f for all seats at once and returns their errors by seat.
@@ -311,8 +316,13 @@
 		if j == nil || !j.evicting {
 			continue
 		}
+		ran := now.Sub(j.status.Started).Seconds()
+		if v.saved {
+			j.left = max(minLeft, j.left-ran)
+		} else {
+			metric.Add("placer_work_lost_accelerator_seconds_total", ran*float64(len(j.refs)*cell.Size(j.level)))
+		}
 		if stopped {
-			j.left = max(minLeft, j.left-now.Sub(j.status.Started).Seconds())
 			p.tree.Release(v.id)
 			j.members = nil
 		}
@@ -346,6 +356,9 @@
 	}
 	j.status.State = api.Running
 	j.status.Started = now
+	if j.first.IsZero() {
+		j.first = now
+	}
 	j.tries = 0
 	p.lookSoon(j, now)
 	metric.Seconds("job_wait_seconds", now.Sub(j.status.Submitted))
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -19,8 +19,10 @@
 	seats     []seat
 	finished  map[string]bool
 	notBefore time.Time
-	failures  int
-	tries     int
+	// first is when the job first ran.
+	first    time.Time
+	failures int
+	tries    int
 	// left is the run time that is not yet safe, in seconds.
 	left     float64
 	evicting bool
@@ -45,6 +47,8 @@
 type reservation struct {
 	job  *job
 	cell cell.ID
+	// moved is set once spare jobs were moved out of the cell.
+	moved bool
 }
 
 func newJob(in api.Job, zone string) *job {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -30,7 +30,6 @@
 	callTimeout = time.Second
 	maxJobs     = 20_000
 	keepEnded   = 10 * time.Minute
-	sweepEvery  = 200 * time.Millisecond
 )
 
 // Errors of the placer. Callers test for them with errors.Is.
@@ -117,7 +116,10 @@
 	read    bool
 	// dirty is set when something may have become placeable.
 	dirty bool
-	swept time.Time
+	// reclaims counts the jobs stopped to make room.
+	reclaims int
+	// wake is when the first pause of a waiting job ends.
+	wake  time.Time
 	stray []api.Job
 }
 
@@ -226,6 +228,7 @@
 	p.post(func() {
 		p.layout = layout
 		p.jobsMax = waiting
+		p.dirty = true
 		p.replant()
 	})
 }
@@ -262,11 +265,9 @@
 	p.forgetEnded(now)
 }
 
-// sweep has all waiting jobs looked at again from time to time, since a pause
-// or a back-off may have ended.
+// sweep has the waiting jobs looked at again once a pause of one has ended.
 func (p *Placer) sweep(now time.Time) {
-	if now.Sub(p.swept) >= sweepEvery {
-		p.swept = now
+	if !p.wake.IsZero() && !now.Before(p.wake) {
 		p.dirty = true
 	}
 }
@@ -296,6 +297,7 @@
 	j.status.State = state
 	j.status.Reason = reason
 	j.status.Ended = time.Now()
+	p.dirty = true
 	metric.Refusal("job", string(state)+"-"+reason)
 	p.journalEnd(j)
 }
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -15,18 +15,74 @@
 	depth        = 32
 	firstBackOff = 50 * time.Millisecond
 	maxBackOff   = 5 * time.Second
+	lookUnseen   = time.Second
+	patience     = time.Minute
+	settleIn     = 5 * time.Minute
 )
 
-// schedule starts what can be started: first work inside guaranteed shapes,
-// then spare work on what is idle.
+// schedule starts what can be started: first work that needs a guaranteed shape
+// whole, then spare work on what is idle, and last work that uses a part of a
+// guaranteed shape because nothing is idle.
 func (p *Placer) schedule(now time.Time) {
+	p.wake = time.Time{}
 	for _, q := range p.inOrder() {
-		p.scheduleQueue(q, cell.Guaranteed, now)
+		p.scheduleQueue(q, whole, now, &blocked{level: cell.MaxLevel + 1})
 	}
+	full := &blocked{level: cell.MaxLevel + 1}
 	for _, q := range p.inOrder() {
-		p.scheduleQueue(q, cell.Spare, now)
+		p.scheduleQueue(q, spare, now, full)
+	}
+	for _, q := range p.inOrder() {
+		p.scheduleQueue(q, partly, now, &blocked{level: cell.MaxLevel + 1})
 	}
 	p.reserve(now)
+	p.compact(now)
+}
+
+// pass is one of the passes of a schedule.
+type pass int
+
+// The passes of a schedule, in their order.
+const (
+	whole pass = iota
+	spare
+	partly
+)
+
+// takes reports whether the job is tried in the pass.
+func (p *Placer) takes(in pass, j *job) bool {
+	wanted := cell.Class(j.status.Job.Class)
+	switch in {
+	case whole:
+		return wanted == cell.Guaranteed || wanted == "" && p.exact(j)
+	case spare:
+		return wanted != cell.Guaranteed
+	}
+	return wanted == ""
+}
+
+// exact reports whether the customer is guaranteed a cell of just the job's
+// level.
+func (p *Placer) exact(j *job) bool {
+	for _, u := range p.tree.Units() {
+		if u.Customer() == j.status.Job.Customer && u.Level() == j.level {
+			return true
+		}
+	}
+	return false
+}
+
+// blocked remembers the lowest level of which no cell was left in a pass, so
+// that larger shapes are not tried in vain.
+type blocked struct {
+	level int
+}
+
+// pauseUntil has the schedule run again at that time.
+func (p *Placer) pauseUntil(at time.Time) {
+	if p.wake.IsZero() || at.Before(p.wake) {
+		p.wake = at
+	}
 }
 
 // inOrder lists the customers with waiting jobs, the one that holds fewest
@@ -50,23 +106,41 @@
 
 // scheduleQueue tries the customer's first jobs in turn; smaller ones behind a
 // job that does not fit may go before it.
-func (p *Placer) scheduleQueue(q *queue, class cell.Class, now time.Time) {
+func (p *Placer) scheduleQueue(q *queue, in pass, now time.Time, full *blocked) {
+	class := cell.Guaranteed
+	if in == spare {
+		class = cell.Spare
+	}
 	for _, j := range append([]*job(nil), q.jobs[:min(depth, len(q.jobs))]...) {
-		if now.Before(j.notBefore) || !j.wants(class) || p.mayRunUnseen(j, now) {
+		if !j.queued || !p.takes(in, j) || !p.may(j, now) {
+			continue
+		}
+		reserved := p.kept != nil && p.kept.job == j
+		if j.level >= full.level && !reserved {
 			continue
 		}
-		p.try(j, class, now)
+		if !p.try(j, class, now) && j.status.Job.Cells == 1 && !reserved {
+			full.level = j.level
+		}
 	}
 }
 
-// wants reports whether the job may run in the class.
-func (j *job) wants(class cell.Class) bool {
-	wanted := j.status.Job.Class
-	return wanted == "" || wanted == string(class)
+// may reports whether the job's pause is over and it can't be running already.
+func (p *Placer) may(j *job, now time.Time) bool {
+	if now.Before(j.notBefore) {
+		p.pauseUntil(j.notBefore)
+		return false
+	}
+	if p.mayRunUnseen(j, now) {
+		p.pauseUntil(now.Add(lookUnseen))
+		return false
+	}
+	return true
 }
 
-// try places the job and starts its launch.
-func (p *Placer) try(j *job, class cell.Class, now time.Time) {
+// try places the job and starts its launch. It reports false if no cell of that
+// shape is left.
+func (p *Placer) try(j *job, class cell.Class, now time.Time) bool {
 	mine := p.kept != nil && p.kept.job == j && class == cell.Spare
 	if mine {
 		p.tree.Unkeep(p.kept.cell)
@@ -83,13 +157,14 @@
 			p.unqueue(j)
 			p.ended(j, api.Refused, "infeasible")
 		}
-		return
+		return !errors.Is(err, cell.ErrBusy)
 	}
 	if mine {
 		p.kept = nil
 	}
 	p.unqueue(j)
 	p.launch(j, placement, now)
+	return true
 }
 
 // reserve keeps a cell for the spare job that has waited longest, so that
@@ -105,7 +180,7 @@
 	var oldest *job
 	for _, q := range p.queues {
 		for _, j := range q.jobs {
-			if j.level == 0 || !j.wants(cell.Spare) || now.Before(j.notBefore) {
+			if j.level == 0 || !p.takes(spare, j) || now.Before(j.notBefore) {
 				continue
 			}
 			if oldest == nil || j.status.Submitted.Before(oldest.status.Submitted) {
@@ -119,5 +194,39 @@
 	if id, ok := p.tree.Nearest(oldest.level); ok {
 		p.tree.Keep(id)
 		p.kept = &reservation{job: oldest, cell: id}
+		p.pauseUntil(oldest.status.Submitted.Add(patience))
+	}
+}
+
+// compact moves small spare jobs out of the reserved cell once the large job
+// has waited for a while and there is room for them elsewhere.
+func (p *Placer) compact(now time.Time) {
+	r := p.kept
+	if r == nil || r.moved || now.Sub(r.job.status.Submitted) < patience {
+		return
+	}
+	names, ok := p.tree.Movable(r.cell)
+	if !ok || p.settling(names, now) {
+		p.pauseUntil(now.Add(patience))
+		return
+	}
+	r.moved = true
+	victims := p.victims(names)
+	metric.Count("placer_compactions_total")
+	began := p.since
+	go func() {
+		err := p.reclaim(victims, now.Add(p.cfg.Checkpoint))
+		p.post(func() { p.onReclaimed(victims, err == nil, began) })
+	}()
+}
+
+// settling reports whether one of the jobs started too lately to be moved.
+func (p *Placer) settling(names []string, now time.Time) bool {
+	for _, name := range names {
+		j := p.jobs[name]
+		if j == nil || j.launching || j.evicting || now.Sub(j.status.Started) < settleIn {
+			return true
+		}
 	}
+	return false
 }
--- /dev/null
+++ b/internal/site/bench_test.go
@@ -0,0 +1,125 @@
+package site
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/examples"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// benchCallers is the number of callers of a benchmark for each processor.
+const benchCallers = 8
+
+// processor returns the processor time that this process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// bench runs call from many callers and reports the processor time of all
+// parties together for each request.
+func bench(b *testing.B, call func() error) {
+	b.Helper()
+	b.SetParallelism(benchCallers)
+	before := processor()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := call(); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(processor()-before)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+func benchSite(b *testing.B) (*Site, *client.Client) {
+	files, err := Sub(examples.Files, "robes")
+	assert.NilError(b, err)
+	for zone := range files.Overlays {
+		if zone != "si-a" {
+			delete(files.Overlays, zone)
+		}
+	}
+	s, err := Start(Config{Files: files, VMs: 1, Minions: 50, Logger: slog.New(slog.DiscardHandler), Deadlines: Deadlines()})
+	assert.NilError(b, err)
+	b.Cleanup(s.Close)
+	c := s.Client()
+	_, err = s.Publish(context.Background(), c)
+	assert.NilError(b, err)
+	time.Sleep(time.Second)
+	return s, c
+}
+
+var benchRequest = api.Request{ID: "bench", Customer: "parishes", Kind: "fitting", Body: make([]byte, 512)}
+
+// BenchmarkHop is the baseline: a bare HTTP hop of our own that hands the body
+// on to a backend server.
+func BenchmarkHop(b *testing.B) {
+	s, _ := benchSite(b)
+	var urls []string
+	for _, in := range s.Platform.List("", 0).Instances {
+		if in.Service == "booking" {
+			urls = append(urls, in.Address)
+		}
+	}
+	next := make(chan string, len(urls)*4)
+	for range 4 {
+		for _, u := range urls {
+			next <- u
+		}
+	}
+	out := httpjson.NewClient("hop", 64, time.Second)
+	address, err := s.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u := <-next
+		defer func() { next <- u }()
+		req, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, u+"/run", r.Body)
+		req.ContentLength = r.ContentLength
+		resp, err := out.Do(req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, _ = io.Copy(w, resp.Body)
+	}), nil)
+	assert.NilError(b, err)
+	in := httpjson.NewClient("caller", 256, time.Second)
+	bench(b, func() error {
+		_, err := httpjson.Call[api.Request, struct{}](context.Background(), in, http.MethodPost, "http://"+address, &benchRequest)
+		if err == httpjson.ErrDoubt {
+			return nil
+		}
+		return err
+	})
+}
+
+// BenchmarkDaemon sends requests without a key through one daemon.
+func BenchmarkDaemon(b *testing.B) { benchDaemon(b, client.Options{Once: true}) }
+
+// BenchmarkDaemonTicket sends every request under a ticket.
+func BenchmarkDaemonTicket(b *testing.B) { benchDaemon(b, client.Options{}) }
+
+func benchDaemon(b *testing.B, o client.Options) {
+	_, c := benchSite(b)
+	bench(b, func() error {
+		resp, err := c.Send(context.Background(), benchRequest, o)
+		if err == nil && resp.Outcome != api.Done {
+			b.Logf("%s: %s", resp.Outcome, resp.Reason)
+		}
+		return err
+	})
+}
