--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,7 +159,7 @@
 		d.done.Go(func() { duty(ctx) })
 	}
 	d.done.Go(func() {
-		if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(httpjson.CountListener(listener, "served")); !errors.Is(err, http.ErrServerClosed) {
 			d.logger.Error("listener failed", "error", err)
 		}
 	})
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -80,6 +80,26 @@
 	return &countedConn{Conn: c, in: metric.Bytes(role, "in"), out: metric.Bytes(role, "out")}
 }
 
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	role string
+}
+
+// CountListener returns a listener that counts bytes under role.
+func CountListener(l net.Listener, role string) net.Listener {
+	return &countedListener{Listener: l, role: role}
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countConn(conn, l.role), nil
+}
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -339,11 +339,20 @@
 	if old.GetAddress() != info.GetAddress() {
 		return m.add(info, v.heard)
 	}
+	if rumour(old, info) {
+		v.changed = time.Now()
+	}
 	v.info = info
-	v.changed = time.Now()
 	return v
 }
 
+// rumour reports whether a change is worth passing on to third parties. What
+// changes often, the version in force and the summary, is told directly only.
+func rumour(old, info *rpc.Member) bool {
+	return old.GetIncarnation() != info.GetIncarnation() || old.GetState() != info.GetState() ||
+		!slices.Equal(old.GetHomes(), info.GetHomes()) || (old.GetSummary() == nil) != (info.GetSummary() == nil)
+}
+
 // Peer is another VM as a caller of it sees it.
 type Peer struct {
 	Info   *rpc.Member
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -55,6 +55,7 @@
 	j.status.Workers = j.members
 	if p.abortStarting(placement.Evict) {
 		j.launching = false
+		j.members = nil
 		p.requeue(j, "reclaim")
 		j.notBefore = now.Add(firstBackOff)
 		return
@@ -66,14 +67,14 @@
 		err := p.reclaim(victims, now.Add(p.cfg.Checkpoint))
 		stopped := err == nil
 		p.post(func() { p.onReclaimed(victims, stopped, began) })
-		var doubt []string
+		var loose []string
 		if err == nil {
-			doubt, err = p.startGang(seats)
+			loose, err = p.startGang(seats)
 		}
 		p.post(func() {
 			if p.office && began.Equal(p.since) && j.status.Generation == generation {
 				j.launching = false
-				p.onLaunched(j, doubt, err)
+				p.onLaunched(j, loose, err)
 			}
 		})
 	}()
@@ -213,15 +214,17 @@
 // stopSeats stops the gang's members, and tells the placer about each worker
 // that did not confirm.
 func (p *Placer) stopSeats(seats []seat) error {
-	errs := each(seats, func(s seat) error {
-		ctx, cancel := call(callTimeout)
-		defer cancel()
-		return s.client.Stop(ctx, s.fence, s.lease.Job, s.lease.Generation)
-	})
+	errs := each(seats, p.stop)
 	p.reportDoubt(seats, errs, func(err error) bool { return err != nil })
 	return errors.Join(errs...)
 }
 
+func (p *Placer) stop(s seat) error {
+	ctx, cancel := call(callTimeout)
+	defer cancel()
+	return s.client.Stop(ctx, s.fence, s.lease.Job, s.lease.Generation)
+}
+
 // reportDoubt marks the workers whose state is not known for certain.
 func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) []string {
 	var names []string
@@ -250,7 +253,8 @@
 }
 
 // startGang holds all seats, and starts them only if every hold was granted
-// with time to spare; else it releases all.
+// with time to spare; else it releases all. With an error it returns the workers
+// on which a member may run all the same.
 func (p *Placer) startGang(seats []seat) ([]string, error) {
 	begun := time.Now()
 	err := p.hold(seats)
@@ -266,10 +270,23 @@
 		metric.Observe("gang_start_seconds", begun)
 		return nil, nil
 	}
-	if p.stopSeats(seats) != nil {
-		return p.reportDoubt(seats, errs, troubled), err
+	p.reportDoubt(seats, errs, troubled)
+	return p.undo(seats, errs), err
+}
+
+// undo stops all seats after a failed launch. It returns the workers on which a
+// member may have started and did not confirm the stop.
+func (p *Placer) undo(seats []seat, started []error) []string {
+	stopped := each(seats, p.stop)
+	p.reportDoubt(seats, stopped, func(err error) bool { return err != nil })
+	var loose []string
+	for i, s := range seats {
+		begun := len(started) > 0 && !errors.Is(started[i], worker.ErrUnsent) && !errors.Is(started[i], worker.ErrRefused) && !errors.Is(started[i], worker.ErrFenced)
+		if begun && stopped[i] != nil {
+			loose = append(loose, s.name)
+		}
 	}
-	return p.reportDoubt(seats, errs, troubled), err
+	return loose
 }
 
 func (p *Placer) hold(seats []seat) error {
@@ -331,7 +348,7 @@
 }
 
 // onLaunched records that the gang runs whole, or that it does not run.
-func (p *Placer) onLaunched(j *job, doubt []string, err error) {
+func (p *Placer) onLaunched(j *job, loose []string, err error) {
 	now := time.Now()
 	for _, name := range j.members {
 		if w := p.workers[name]; w != nil {
@@ -345,9 +362,11 @@
 	}
 	if err != nil {
 		metric.Retry("gang")
-		p.cfg.Logger.Info("gang not started", "job", j.status.Job.ID, "error", err, "doubt", doubt)
+		p.cfg.Logger.Info("gang not started", "job", j.status.Job.ID, "error", err, "loose", loose)
+		j.members = nil
 		p.requeue(j, "not started")
 		j.backOff(now)
+		p.awaitLapse(j, loose)
 		return
 	}
 	if j.cancelled || j.abort != "" {
@@ -375,7 +394,8 @@
 	}
 }
 
-// stopGang stops the job's members in the background.
+// stopGang stops the job's members in the background. The job does not start
+// again before all have confirmed or their leases have lapsed.
 func (p *Placer) stopGang(j *job) {
 	var seats []seat
 	for _, name := range j.members {
@@ -383,14 +403,39 @@
 			seats = append(seats, p.seat(name, worker.Lease{Job: j.status.Job.ID, Generation: j.status.Generation}))
 		}
 	}
+	if len(seats) == 0 {
+		return
+	}
 	begun := time.Now()
+	j.stops++
 	go func() {
-		if p.stopSeats(seats) == nil {
+		err := p.stopSeats(seats)
+		if err == nil {
 			metric.Observe("gang_stop_seconds", begun)
 		}
+		p.post(func() { p.onStopped(j, seats, err) })
 	}()
 }
 
+// onStopped lets the job start again, at once or when its leases have lapsed.
+func (p *Placer) onStopped(j *job, seats []seat, err error) {
+	j.stops--
+	p.dirty = true
+	if err == nil {
+		return
+	}
+	p.awaitLapse(j, seatNames(seats))
+}
+
+// awaitLapse keeps the job from starting until no lease on the workers can last.
+func (p *Placer) awaitLapse(j *job, workers []string) {
+	for _, name := range workers {
+		if w := p.workers[name]; w != nil && w.lapse.Add(p.cfg.Drift).After(j.notBefore) {
+			j.notBefore = w.lapse.Add(p.cfg.Drift)
+		}
+	}
+}
+
 // stopOn stops one member of a gang that should not run.
 func (p *Placer) stopOn(name, id string, generation uint64) {
 	w := p.workers[name]
