--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -96,11 +96,13 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, in io.Reader, out, errs *os.File) int {
-	return Run(args, &cmdutil.Streams{In: in, Out: out, Err: errs, Terminal: cmdutil.IsTerminal(out)})
+	streams := &cmdutil.Streams{In: in, Out: out, Err: errs, Terminal: cmdutil.IsTerminal(out)}
+	return Run(args, streams, func(vms []string) cmdutil.Client { return client.New(client.Config{Addresses: vms}) })
 }
 
-// Run runs the command line with the given streams and returns the exit code.
-func Run(args []string, streams *cmdutil.Streams) int {
+// Run runs the command line with the given streams and way to the entry VMs,
+// and returns the exit code.
+func Run(args []string, streams *cmdutil.Streams, connect func(vms []string) cmdutil.Client) int {
 	var cli CLI
 	code := -1
 	parser, err := kong.New(&cli, kong.Name("rhubarbshore"), kong.Description(description),
@@ -121,7 +123,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	f := &cmdutil.Factory{IO: streams, Timeout: timeout, Client: client.New(client.Config{Addresses: cli.VM})}
+	f := &cmdutil.Factory{IO: streams, Timeout: timeout, Client: connect(cli.VM)}
 	err = ctx.Run(f)
 	report(streams.Err, err)
 	return cmdutil.ExitCode(err)
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -21,11 +21,11 @@
 
 // Problem is one fault of a configuration and where it stands.
 type Problem struct {
-	File    string
-	Line    int
-	Key     string
-	Found   string
-	Allowed string
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Found   string `json:"found"`
+	Allowed string `json:"allowed"`
 }
 
 // String renders the problem on one line.
@@ -99,10 +99,11 @@
 		return nil, s.problems
 	}
 	s.verify(s.root, reflect.TypeFor[Config](), "")
-	if len(s.problems) > 0 {
+	cfg, err := s.decode()
+	if err != nil && len(s.problems) > 0 {
+		// A value of the wrong type, which is listed already.
 		return nil, s.problems
 	}
-	cfg, err := s.decode()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -57,13 +57,14 @@
 	inNumber int64
 	recent   map[string]bool
 	order    []string
-	stated   time.Time
-	wake     chan struct{}
+	// due is when this store restates the version, unless another one does.
+	due  time.Time
+	wake chan struct{}
 }
 
 // NewStore returns a store that knows no version yet.
 func NewStore(cfg StoreConfig) *Store {
-	return &Store{cfg: cfg, recent: map[string]bool{}, wake: make(chan struct{}, 1), stated: time.Now()}
+	return &Store{cfg: cfg, recent: map[string]bool{}, wake: make(chan struct{}, 1)}
 }
 
 // Version returns the version last accepted.
@@ -177,7 +178,7 @@
 	changed := v.ID != s.version.ID
 	s.version = v
 	if changed || restated {
-		s.stated = time.Now()
+		s.postpone()
 	}
 	if changed {
 		s.remember(v.ID)
@@ -270,27 +271,25 @@
 // store may do it; more than one does no harm.
 func (s *Store) restate(ctx context.Context) {
 	s.mu.Lock()
-	due := s.version.ID != "" && time.Since(s.stated) > s.cfg.Restate
-	v := s.version
+	v, due := s.version, s.due
 	s.mu.Unlock()
-	if !due {
-		return
-	}
-	pause := rand.N(s.cfg.Restate/4 + 1)
-	s.mu.Lock()
-	s.stated = time.Now().Add(pause - s.cfg.Restate)
-	due = pause < s.cfg.Restate/8
-	s.mu.Unlock()
-	if !due {
+	if v.ID == "" || time.Now().Before(due) {
 		return
 	}
 	data, err := v.Snapshot().Encode()
 	if err != nil {
 		return
 	}
-	if _, err := s.cfg.Log.Append(ctx, Stream, [][]byte{data}); err == nil {
-		s.mu.Lock()
-		s.stated = time.Now()
-		s.mu.Unlock()
+	if _, err := s.cfg.Log.Append(ctx, Stream, [][]byte{data}); err != nil {
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.postpone()
+}
+
+// postpone sets the next restating, by a drawn part later than due, so that
+// stores seldom do it at once.
+func (s *Store) postpone() {
+	s.due = time.Now().Add(s.cfg.Restate + rand.N(s.cfg.Restate/4+1))
 }
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -235,3 +235,27 @@
 		}
 	})
 }
+
+// TestParentRuleIsNeeded lets two operators change the same version. With the
+// rule one of them loses and knows it; without it the first change is undone
+// although its operator was told that it is in force.
+func TestParentRuleIsNeeded(t *testing.T) {
+	text := base(t)
+	start := Version{ID: "v1", Upto: 1, Number: 1, Files: Files{Base: text}}
+	var records [][]byte
+	for _, c := range []Change{
+		{ID: "share", Parent: "v1", Files: &Files{Base: text + "# share\n"}},
+		{ID: "worth", Parent: "v1", Files: &Files{Base: text + "# worth\n"}},
+	} {
+		c.Sum = c.Files.sum()
+		data, err := c.Encode()
+		assert.NilError(t, err)
+		records = append(records, data)
+	}
+	for _, anyParent := range []bool{false, true} {
+		first := start.fold(1, records[0], anyParent)
+		second := first.fold(2, records[1], anyParent)
+		assert.Equal(t, first.ID, "share")
+		assert.Equal(t, second.ID == first.ID, !anyParent)
+	}
+}
--- a/internal/config/version.go
+++ b/internal/config/version.go
@@ -122,10 +122,17 @@
 // depends on nothing but its arguments, so that all readers agree. It does not
 // judge the text: readers of another release may allow more or less, and still
 // have to agree on the order of versions.
-func (v Version) Fold(offset int64, data []byte) Version {
+func (v Version) Fold(offset int64, data []byte) Version { return v.fold(offset, data, false) }
+
+// fold is Fold; with anyParent it takes every change, for tests that show what
+// the rule about parents prevents.
+func (v Version) fold(offset int64, data []byte, anyParent bool) Version {
 	v.Upto = offset + 1
 	var c Change
-	if err := json.Unmarshal(data, &c); err != nil || c.Upto != 0 || c.ID == "" || c.Parent != v.ID {
+	if err := json.Unmarshal(data, &c); err != nil || c.Upto != 0 || c.ID == "" {
+		return v
+	}
+	if c.Parent != v.ID && !anyParent {
 		return v
 	}
 	files, ok := c.apply(v.Files)
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/twitchtv/twirp"
 
 	"rhubarbshore/internal/check"
 	"rhubarbshore/internal/httpjson"
@@ -227,11 +226,5 @@
 
 // unsent reports whether a call to a peer provably never reached it.
 func unsent(err error) bool {
-	var t twirp.Error
-	if errors.As(err, &t) {
-		if cause := errors.Unwrap(t); cause != nil {
-			err = cause
-		}
-	}
 	return errors.Is(httpjson.Classify(err), httpjson.ErrUnsent)
 }
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -226,7 +226,7 @@
 }
 
 // reportDoubt marks the workers whose state is not known for certain.
-func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) []string {
+func (p *Placer) reportDoubt(seats []seat, errs []error, matters func(err error) bool) {
 	var names []string
 	for i, err := range errs {
 		if matters(err) {
@@ -236,7 +236,6 @@
 	if len(names) > 0 {
 		p.post(func() { p.doubt(names) })
 	}
-	return names
 }
 
 // doubt has the workers fenced again at once, which shuts out calls that are
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -57,8 +57,10 @@
 		return wanted == cell.Guaranteed || wanted == "" && p.exact(j)
 	case spare:
 		return wanted != cell.Guaranteed
+	case partly:
+		return wanted == ""
 	}
-	return wanted == ""
+	return false
 }
 
 // exact reports whether the customer is guaranteed a cell of just the job's
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbshore/examples"
+	"rhubarbshore/internal/standin"
 	"rhubarbshore/pkg/api"
 	"rhubarbshore/pkg/client"
 )
@@ -82,3 +83,39 @@
 		assert.Equal(t, span.Reason, "finished")
 	}
 }
+
+// TestStartDuringOutage replaces an entry VM while the log is out: the new one
+// takes the configuration from its peers and serves at once.
+func TestStartDuringOutage(t *testing.T) {
+	s, c, ctx := start(t, 1)
+	s.Platform.SetFault(standin.Fault{Out: true})
+	killVM(s)
+	fresh := ""
+	for name, d := range s.VMs {
+		if name != "si-a-vm1" && name != "si-c-vm1" {
+			fresh = d.Address()
+		}
+	}
+	assert.NilError(t, s.AwaitConfig(ctx, c, 1))
+	alone := client.New(client.Config{Addresses: []string{fresh}})
+	resp, err := alone.Send(ctx, api.Request{Customer: "stock", Kind: "reminder", Body: []byte("x")}, client.Options{})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Outcome, api.Done, resp.Reason)
+	_, err = alone.Publish(ctx, api.Publish{Parent: "none", Base: "x"})
+	assert.ErrorIs(t, err, client.ErrRefused)
+	short, cancel := context.WithTimeout(ctx, time.Second)
+	resp, err = alone.Send(short, api.Request{Customer: "stock", Kind: "reminder", Body: []byte("y")}, client.Options{Key: "own"})
+	cancel()
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Outcome == api.Retry || resp.Outcome == api.Unknown, "a claim can't be settled while the log is out: %s", resp.Outcome)
+	for _, run := range s.Runs() {
+		assert.Assert(t, run.Body != "y")
+	}
+	s.Platform.SetFault(standin.Fault{})
+	s.cfg.Files.Base += "# changed\n"
+	view, err := alone.Config(ctx)
+	assert.NilError(t, err)
+	out, err := alone.Publish(ctx, api.Publish{Parent: view.Version, Base: s.cfg.Files.Base, Overlays: s.cfg.Files.Overlays})
+	assert.NilError(t, err)
+	assert.NilError(t, s.AwaitConfig(ctx, alone, out.Number))
+}
--- /dev/null
+++ b/pkg/client/example_test.go
@@ -0,0 +1,47 @@
+package client_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"rhubarbshore/examples"
+	"rhubarbshore/internal/site"
+	"rhubarbshore/pkg/api"
+	"rhubarbshore/pkg/client"
+)
+
+// A request is sent under a ticket and its outcome printed. The site stands in
+// for entry VMs; a program of yours would name their addresses.
+func ExampleClient_Send() {
+	files, err := site.Sub(examples.Files, "robes")
+	if err != nil {
+		panic(err)
+	}
+	s, err := site.Start(site.Config{Files: files, VMs: 1, Minions: 1, Logger: slog.New(slog.DiscardHandler), Deadlines: site.Deadlines()})
+	if err != nil {
+		panic(err)
+	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c := client.New(client.Config{Addresses: s.Addresses()})
+	if _, err := s.Publish(ctx, c); err != nil {
+		panic(err)
+	}
+
+	resp, err := c.Send(ctx, api.Request{Customer: "parishes", Kind: "reminder", Body: []byte("return the albs")}, client.Options{})
+	if err != nil {
+		panic(err)
+	}
+	switch resp.Outcome {
+	case api.Done:
+		fmt.Println(string(resp.Body))
+	case api.NotRun, api.Retry:
+		fmt.Println("nothing happened:", resp.Reason)
+	default:
+		fmt.Println("it may have run:", resp.Reason)
+	}
+	// Output: parishes reminder return the albs
+}
