--- a/internal/cmd/config/diff/diff.go
+++ b/internal/cmd/config/diff/diff.go
@@ -2,20 +2,31 @@
 package diff
 
 import (
-	"fmt"
+	"maps"
 	"os"
-	"sort"
-	"strings"
+	"slices"
 
-	"github.com/google/go-cmp/cmp"
+	"github.com/pmezard/go-difflib/difflib"
 
 	"rhubarbshore/internal/cmdutil"
 	"rhubarbshore/internal/config"
+	"rhubarbshore/pkg/api"
 )
 
 // Options are the command's flags.
 type Options struct {
 	Folder string `arg:"" help:"The folder with base.toml and an overlay for each availability zone."`
+	JSON   bool   `help:"Print the files that differ as JSON."`
+}
+
+// context is the number of lines shown around a difference.
+const context = 3
+
+// change is a file that differs.
+type change struct {
+	File string `json:"file"`
+	From string `json:"from"`
+	To   string `json:"to"`
 }
 
 // Help is shown by --help.
@@ -39,33 +50,52 @@
 	if err != nil {
 		return err
 	}
-	differs := o.print(f, config.BaseFile, view.Base, files.Base)
-	names := map[string]bool{}
-	for name := range view.Overlays {
-		names[name] = true
-	}
-	for name := range files.Overlays {
-		names[name] = true
-	}
-	sorted := make([]string, 0, len(names))
-	for name := range names {
-		sorted = append(sorted, name)
+	changes := compare(view, files)
+	if o.JSON {
+		err = f.IO.WriteJSON(changes)
+	} else {
+		err = print(f, changes)
 	}
-	sort.Strings(sorted)
-	for _, name := range sorted {
-		differs = o.print(f, name+".toml", view.Overlays[name], files.Overlays[name]) || differs
+	if err != nil {
+		return err
 	}
-	if differs {
+	if len(changes) > 0 {
 		return cmdutil.ErrSilent
 	}
 	return nil
 }
 
-func (o *Options) print(f *cmdutil.Factory, name, from, to string) bool {
-	if from == to {
-		return false
+// compare lists the files that differ, the base in front.
+func compare(view api.ConfigView, files config.Files) []change {
+	out := []change{}
+	add := func(file, from, to string) {
+		if from != to {
+			out = append(out, change{File: file, From: from, To: to})
+		}
 	}
-	text := cmp.Diff(strings.Split(from, "\n"), strings.Split(to, "\n"))
-	_, _ = fmt.Fprintf(f.IO.Out, "%s:\n%s", name, text)
-	return true
+	add(config.BaseFile, view.Base, files.Base)
+	names := slices.Collect(maps.Keys(view.Overlays))
+	for name := range files.Overlays {
+		if _, ok := view.Overlays[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		add(name+".toml", view.Overlays[name], files.Overlays[name])
+	}
+	return out
+}
+
+func print(f *cmdutil.Factory, changes []change) error {
+	for _, c := range changes {
+		unified := difflib.UnifiedDiff{
+			A: difflib.SplitLines(c.From), B: difflib.SplitLines(c.To),
+			FromFile: "in force/" + c.File, ToFile: "folder/" + c.File, Context: context,
+		}
+		if err := difflib.WriteUnifiedDiff(f.IO.Out, unified); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -196,8 +196,7 @@
 func (p *Placer) onFenced(seats []seat) bool {
 	for _, s := range seats {
 		if w := p.workers[s.name]; w != nil && w.fenced && !w.doubt && s.fence == p.fenceOf(w) {
-			p.recheck(time.Now())
-			return true
+			return p.recheck(time.Now())
 		}
 	}
 	return false
@@ -234,13 +233,22 @@
 	j.status.Started = now
 	if j.first.IsZero() {
 		j.first = now
+		p.observeStart(j, now)
 	}
 	j.tries = 0
 	p.lookSoon(j, now)
-	metric.Seconds("job_wait_seconds", now.Sub(j.status.Submitted))
 	p.cfg.Logger.Info("gang runs", "job", j.status.Job.ID, "customer", j.status.Job.Customer, "class", j.status.Class, "workers", len(j.members))
 }
 
+// observeStart notes how long the job waited for its first start.
+func (p *Placer) observeStart(j *job, now time.Time) {
+	waited := now.Sub(j.status.Submitted)
+	metric.Seconds("job_wait_seconds", waited)
+	if j.status.Job.Class == string(cell.Guaranteed) {
+		metric.Seconds("urgent_start_seconds", waited)
+	}
+}
+
 // lookSoon has the gang's workers asked early, so that a worker that fails all
 // it starts is noticed before the next renewal would be due.
 func (p *Placer) lookSoon(j *job, now time.Time) {
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -73,10 +73,11 @@
 
 // recheck rebuilds everything like takeOffice, but leaves each worker to another
 // placer that has fenced it meanwhile and still claims the office. It follows a
-// pause of this process and any sign of another placer.
-func (p *Placer) recheck(now time.Time) {
+// pause of this process and any sign of another placer. It reports false if the
+// last rebuilding began only a moment ago.
+func (p *Placer) recheck(now time.Time) bool {
 	if now.Sub(p.since) < retryFence {
-		return
+		return false
 	}
 	metric.Count("placer_rechecks_total")
 	p.takeOffice(now)
@@ -84,6 +85,7 @@
 		w.rival = true
 		w.heard = now
 	}
+	return true
 }
 
 // leaveOffice forgets everything. Open jobs are kept aside until Stray hands
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -195,6 +195,9 @@
 		q.push(it)
 		return
 	}
+	if it.attempts == 0 {
+		metric.Seconds("queue_seconds", now.Sub(it.req.Arrived))
+	}
 	it.attempts++
 	q.under++
 	q.cfg.Router.Begin(s)
