--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -9,6 +9,7 @@
 	"io/fs"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -174,14 +175,36 @@
 	return nil
 }
 
+// The ports from which FreeAddress draws. They lie below those that systems give to
+// outgoing connections.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+	maxDraws  = 100
+)
+
+// FreeAddress finds an address of the loopback interface to listen on later. No
+// outgoing connection can take it meanwhile.
+func FreeAddress() (string, error) {
+	var c net.ListenConfig
+	var err error
+	for range maxDraws {
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		listener, err = c.Listen(context.Background(), "tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+	}
+	return "", errorx.Decorate(err, "listen")
+}
+
 // StartVM starts one more entry VM.
 func (s *Site) StartVM(zone, name string) error {
-	listener, err := listen()
+	address, err := FreeAddress()
 	if err != nil {
 		return err
 	}
-	address := listener.Addr().String()
-	_ = listener.Close()
 	set := settings.Default()
 	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
 	set.Log, set.List = s.log, s.log
