--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -154,16 +154,8 @@
 	return out
 }
 
-// Room is the configuration of the zone's processors and memory.
-func (c *Config) Room(zone string) room.Config {
-	out := room.Config{Each: room.Size{Cores: c.Site.Cores, Memory: c.Site.Memory}}
-	for _, rack := range c.Site.Racks(zone) {
-		for _, w := range rack.Workers {
-			out.Workers = append(out.Workers, room.Worker{Name: w.Name, Accelerators: w.Accelerators})
-		}
-	}
-	return out
-}
+// Each is the size of every worker.
+func (s Site) Each() room.Size { return room.Size{Cores: s.Cores, Memory: s.Memory} }
 
 // Accelerators is the number of accelerators of the site.
 func (s Site) total() int {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -39,7 +39,7 @@
 			q.Router().SetLimits(s.Slots, connections)
 		})
 	}
-	d.placer.SetLayout(cfg.Tree(d.set.Zone), cfg.Room(d.set.Zone), waiting)
+	d.placer.SetLayout(cfg.Tree(d.set.Zone), cfg.Site.Each(), waiting)
 	d.routeList()
 }
 
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -87,10 +87,18 @@
 
 // Ratio is the quantile q of the ratios seen, by the most specific history that is
 // believed. It reports false if there is none.
-func (e *Estimator) Ratio(r Run, q float64) (float64, bool) {
+func (e *Estimator) Ratio(r Run, q float64) (float64, bool) { return e.beyond(r, 0, q) }
+
+// beyond is the quantile of those ratios that exceed the floor, by the most specific
+// history that can tell.
+func (e *Estimator) beyond(r Run, floor, q float64) (float64, bool) {
 	for _, k := range r.keys() {
-		if h := e.histories[k]; h != nil && h.all.TotalCount() >= enough {
-			return float64(h.all.ValueAtQuantile(100*q)) / unit, true
+		h := e.histories[k]
+		if h == nil || h.all.TotalCount() < enough {
+			continue
+		}
+		if ratio, ok := h.beyond(floor*unit, q); ok {
+			return ratio / unit, true
 		}
 	}
 	return 0, false
@@ -122,14 +130,8 @@
 	if r.Declared <= 0 {
 		return ran + time.Duration(overrun*float64(ran))
 	}
-	for _, k := range r.keys() {
-		h := e.histories[k]
-		if h == nil || h.all.TotalCount() < enough {
-			continue
-		}
-		if ratio, ok := h.beyond(ran.Seconds()/r.Declared.Seconds()*unit, q); ok {
-			return time.Duration(ratio / unit * float64(r.Declared))
-		}
+	if ratio, ok := e.beyond(r, ran.Seconds()/r.Declared.Seconds(), q); ok {
+		return time.Duration(ratio * float64(r.Declared))
 	}
 	return max(r.Declared, ran+time.Duration(overrun*float64(ran)))
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -228,45 +229,48 @@
 // merge joins the log's records with those that it lacks. An end stands, whatever
 // comes after it; what the log has is settled.
 func (j *Journal) merge(records []Record) Known {
-	known := Known{Over: map[string]api.State{}}
-	accepted := map[string]bool{}
 	for _, r := range records {
+		j.settle(r)
+	}
+	lacking := j.lacking()
+	known := Known{Over: map[string]api.State{}}
+	for _, r := range slices.Concat(lacking, records) {
 		if r.over() {
 			known.Over[r.ID] = r.End
 		}
 	}
+	accepted := map[string]bool{}
+	known.add(records, accepted, true)
+	known.add(lacking, accepted, false)
+	return known
+}
+
+// add lists the jobs of records that are neither over nor listed already.
+func (k *Known) add(records []Record, listed map[string]bool, durable bool) {
 	for _, r := range records {
-		j.settle(r)
-		if _, over := known.Over[r.id()]; over || accepted[r.id()] {
+		if _, over := k.Over[r.id()]; over || listed[r.id()] {
 			continue
 		}
-		accepted[r.id()] = true
-		known.Jobs = append(known.Jobs, Job{Job: *r.Job, Durable: true})
+		listed[r.id()] = true
+		k.Jobs = append(k.Jobs, Job{Job: *r.Job, Durable: durable})
 	}
-	j.mergeEntries(&known, accepted)
-	return known
 }
 
-func (j *Journal) mergeEntries(known *Known, accepted map[string]bool) {
+// lacking lists the records that the log lacks.
+func (j *Journal) lacking() []Record {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for id, e := range j.entries {
-		_, over := known.Over[id]
-		switch {
-		case e.settled || over:
-		case e.record.over():
-			known.Over[id] = e.record.End
-		case !accepted[id]:
-			known.Jobs = append(known.Jobs, Job{Job: *e.record.Job})
-		}
-	}
-	open := known.Jobs[:0]
-	for _, in := range known.Jobs {
-		if _, over := known.Over[in.Job.ID]; !over {
-			open = append(open, in)
+	return j.lackingLocked()
+}
+
+func (j *Journal) lackingLocked() []Record {
+	var out []Record
+	for _, e := range j.entries {
+		if !e.settled {
+			out = append(out, e.record)
 		}
 	}
-	known.Jobs = open
+	return out
 }
 
 // put keeps the record as one that the log lacks, and returns its version, 0 if
@@ -338,15 +342,9 @@
 	}
 }
 
-// ends lists ends that the log lacks.
+// ends lists ends that the log lacks, as many as go into one append.
 func (j *Journal) ends() []Record {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var out []Record
-	for _, e := range j.entries {
-		if !e.settled && e.record.over() && len(out) < flushBatch {
-			out = append(out, e.record)
-		}
-	}
-	return out
+	accepted := func(r Record) bool { return !r.over() }
+	out := slices.DeleteFunc(j.lacking(), accepted)
+	return out[:min(len(out), flushBatch)]
 }
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -130,12 +130,7 @@
 func (j *Journal) own() *rpc.ReplicaSet {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var records []Record
-	for _, e := range j.entries {
-		if !e.settled {
-			records = append(records, e.record)
-		}
-	}
+	records := j.lackingLocked()
 	if len(records) == 0 {
 		return nil
 	}
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -121,17 +121,24 @@
 	names := slices.Sorted(maps.Keys(slots))
 	var out []seat
 	for _, name := range names {
-		l := worker.Lease{
-			Job: j.status.Job.ID, Generation: j.status.Generation, Customer: j.status.Job.Customer,
-			Class: j.status.Class, Wanted: j.status.Job.Class, Durable: j.status.Durable, Worth: j.status.Job.Worth, Tasks: j.status.Job.Tasks,
-			Parts: j.refs, Members: names, Accelerators: slots[name],
-			Spec: worker.Spec{Tasks: j.status.Job.Tasks * len(slots[name]) / total, Seconds: j.left(), Saved: j.saved, Command: j.status.Job.Command},
-		}
+		l := j.lease(names, j.status.Job.Tasks*len(slots[name])/total)
+		l.Parts, l.Accelerators = j.refs, slots[name]
 		out = append(out, p.seat(name, l))
 	}
 	return out
 }
 
+// lease is what the job's leases on all its workers have in common, for a worker with
+// so many of its tasks.
+func (j *job) lease(members []string, tasks int) worker.Lease {
+	in := j.status.Job
+	return worker.Lease{
+		Job: in.ID, Generation: j.status.Generation, Customer: in.Customer, Class: j.status.Class, Wanted: in.Class,
+		Durable: j.status.Durable, Worth: in.Worth, Tasks: in.Tasks, Members: members,
+		Spec: worker.Spec{Tasks: tasks, Seconds: j.left(), Saved: j.saved, Command: in.Command},
+	}
+}
+
 func (p *Placer) seat(name string, l worker.Lease) seat {
 	w := p.workers[name]
 	return seat{name: name, client: w.client, stops: &w.stops, fence: p.fenceOf(w), lease: l}
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -31,19 +31,34 @@
 			continue
 		}
 		j.evicting = true
-		v := victim{id: id}
-		for _, name := range j.members {
-			if p.workers[name] != nil {
-				v.seats = append(v.seats, p.seat(name, worker.Lease{Job: id, Generation: j.status.Generation}))
-			}
-		}
-		out = append(out, v)
+		out = append(out, victim{id: id, seats: p.seatsOf(id, j.status.Generation, j.members)})
 		p.reclaims++
 		metric.Count("placer_reclaims_total")
 	}
 	return out
 }
 
+// seatsOf lists the seats of a generation of a job on those workers that are known.
+func (p *Placer) seatsOf(id string, generation uint64, workers []string) []seat {
+	var out []seat
+	for _, name := range workers {
+		if p.workers[name] != nil {
+			out = append(out, p.seat(name, worker.Lease{Job: id, Generation: generation}))
+		}
+	}
+	return out
+}
+
+// evict moves the jobs out in the background. They wait again once they have stopped.
+func (p *Placer) evict(ids []string, now time.Time) {
+	victims := p.victims(ids)
+	began := p.since
+	go func() {
+		err := p.reclaim(victims, now.Add(p.cfg.Checkpoint))
+		p.post(func() { p.onReclaimed(victims, err == nil, began) })
+	}()
+}
+
 // reclaim lets the victims save their work until the deadline and stops them.
 // A worker that does not confirm in time fails the launch.
 func (p *Placer) reclaim(victims []victim, deadline time.Time) error {
@@ -209,12 +224,7 @@
 
 // stopMembers stops a generation of a job on the workers.
 func (p *Placer) stopMembers(id string, generation uint64, workers []string) {
-	var seats []seat
-	for _, name := range workers {
-		if p.workers[name] != nil {
-			seats = append(seats, p.seat(name, worker.Lease{Job: id, Generation: generation}))
-		}
-	}
+	seats := p.seatsOf(id, generation, workers)
 	if len(seats) == 0 {
 		return
 	}
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -159,17 +159,15 @@
 	placed := j.placed()
 	if j.cancelled {
 		p.ended(j, api.Cancelled, "caller")
+		if placed {
+			p.clear(j)
+		}
+		return
 	}
-	switch {
-	case placed && j.cancelled:
-		p.clear(j)
-	case placed:
+	if placed {
 		p.free(j.status.Job.ID)
 		p.stopGang(j)
 	}
-	if j.cancelled {
-		return
-	}
 	j.evicting = false
 	j.abort = ""
 	j.members = nil
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -116,7 +116,8 @@
 	tree    *cell.Tree
 	layout  cell.Config
 	book    *room.Book
-	rooms   room.Config
+	// each is the size of every worker.
+	each    room.Size
 	jobsMax map[string]int
 	workers map[string]*member
 	jobs    map[string]*job
@@ -166,7 +167,7 @@
 	p.halts = map[string]*halt{}
 	p.kept = nil
 	p.tree = cell.NewTree(p.layout)
-	p.book = room.New(p.rooms)
+	p.book = room.New(room.Config{Racks: p.layout.Racks, Each: p.each})
 	for _, w := range p.workers {
 		w.reset()
 	}
@@ -261,12 +262,12 @@
 // Holding reports whether this VM holds the zone's office.
 func (p *Placer) Holding() bool { return p.holding.Load() }
 
-// SetLayout replaces the zone's layout and guarantees. Running jobs keep their
-// cells where these still exist.
-func (p *Placer) SetLayout(layout cell.Config, rooms room.Config, waiting map[string]int) {
+// SetLayout replaces the zone's layout and guarantees, and the size of every worker.
+// Running jobs keep their cells where these still exist.
+func (p *Placer) SetLayout(layout cell.Config, each room.Size, waiting map[string]int) {
 	p.post(func() {
 		p.layout = layout
-		p.rooms = rooms
+		p.each = each
 		p.jobsMax = waiting
 		p.dirty = true
 		p.replant()
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -50,7 +50,7 @@
 			held[j.status.Job.Customer] += j.each.Times(j.status.Job.Tasks).Cores
 		}
 	}
-	return waiting(p.plain, held)
+	return leastHeld(p.plain, held)
 }
 
 // schedulePlain starts what there is room for. Smaller jobs may go before one that
@@ -86,11 +86,9 @@
 	names := slices.Sorted(maps.Keys(tasks))
 	var out []seat
 	for _, name := range names {
-		out = append(out, p.seat(name, worker.Lease{
-			Job: in.ID, Generation: j.status.Generation, Customer: in.Customer, Class: j.status.Class, Wanted: in.Class,
-			Durable: j.status.Durable, Worth: in.Worth, Tasks: in.Tasks, Members: names, Cores: in.Cores, Memory: in.Memory, Reserve: j.each.Memory,
-			Spec: worker.Spec{Tasks: tasks[name], Seconds: j.left(), Saved: j.saved, Command: in.Command},
-		}))
+		l := j.lease(names, tasks[name])
+		l.Cores, l.Memory, l.Reserve = in.Cores, in.Memory, j.each.Memory
+		out = append(out, p.seat(name, l))
 	}
 	return out
 }
@@ -110,9 +108,8 @@
 }
 
 // retakeParts registers the accelerators of a job that runs already.
-func (p *Placer) retakeParts(j *job) {
+func (p *Placer) retakeParts(j *job, parts []cell.Part) {
 	taken := map[string]int{}
-	parts, _ := p.parts(j.refs)
 	for _, part := range parts {
 		for _, s := range p.tree.Slots(part.Cell) {
 			taken[s.Worker]++
@@ -126,8 +123,7 @@
 func (p *Placer) restorePlain(g *gang) {
 	j := p.adopt(g.first)
 	p.resume(j, g, cell.Spare)
-	p.book.Hold(g.first.Job, g.tasks(), j.each)
-	p.makeRoom(j.members)
+	p.holdPlain(j, g.tasks())
 }
 
 // tasks are the gang's tasks by worker.
@@ -139,8 +135,8 @@
 	return out
 }
 
-// replantPlain registers a job that runs in a zone with another layout.
-func (p *Placer) replantPlain(j *job, tasks map[string]int) {
+// holdPlain registers a job without accelerators that runs already.
+func (p *Placer) holdPlain(j *job, tasks map[string]int) {
 	p.book.Hold(j.status.Job.ID, tasks, j.each)
 	p.makeRoom(j.members)
 }
@@ -152,13 +148,7 @@
 	if len(evict) == 0 || p.abortStarting(evict) {
 		return
 	}
-	victims := p.victims(evict)
-	began := p.since
-	deadline := time.Now().Add(p.cfg.Checkpoint)
-	go func() {
-		err := p.reclaim(victims, deadline)
-		p.post(func() { p.onReclaimed(victims, err == nil, began) })
-	}()
+	p.evict(evict, time.Now())
 }
 
 // limitsDiffer reports whether the worker has to be told other limits at once.
@@ -218,7 +208,7 @@
 		return
 	}
 	if ratio, ok := p.sizes.Ratio(estimate.Run{Customer: j.status.Job.Customer}, likelySize); ok {
-		j.each.Memory = min(p.rooms.Each.Memory, j.status.Job.Memory*ratio*margin)
+		j.each.Memory = min(p.each.Memory, j.status.Job.Memory*ratio*margin)
 	}
 }
 
@@ -235,8 +225,8 @@
 	j.peak = room.Size{Cores: max(j.peak.Cores, used.Cores), Memory: max(j.peak.Memory, used.Memory)}
 	settled := now.Sub(j.status.Started) >= settledUsage
 	each := room.Size{
-		Cores:  min(p.rooms.Each.Cores, counted(j.peak.Cores, j.status.Job.Cores, j.each.Cores, settled)),
-		Memory: min(p.rooms.Each.Memory, counted(j.peak.Memory, j.status.Job.Memory, j.each.Memory, settled)),
+		Cores:  min(p.each.Cores, counted(j.peak.Cores, j.status.Job.Cores, j.each.Cores, settled)),
+		Memory: min(p.each.Memory, counted(j.peak.Memory, j.status.Job.Memory, j.each.Memory, settled)),
 	}
 	if each == j.each {
 		return
--- a/internal/placer/rebuild.go
+++ b/internal/placer/rebuild.go
@@ -214,7 +214,7 @@
 	j.ends = r.Ends
 	j.refs = g.first.Parts
 	p.resume(j, g, class)
-	p.retakeParts(j)
+	p.retakeParts(j, parts)
 }
 
 // resume marks the job as running as it was found.
@@ -268,9 +268,9 @@
 
 // replant builds the tree anew for a changed layout.
 func (p *Placer) replant() {
-	old, rooms := p.tree, p.book
+	old, book := p.tree, p.book
 	p.tree = cell.NewTree(p.layout)
-	p.book = room.New(p.rooms)
+	p.book = room.New(room.Config{Racks: p.layout.Racks, Each: p.each})
 	p.kept = nil
 	for name, w := range p.workers {
 		if w.down {
@@ -286,7 +286,7 @@
 			continue
 		}
 		if j.isPlain() {
-			p.replantPlain(j, rooms.Tasks(j.status.Job.ID))
+			p.holdPlain(j, book.Tasks(j.status.Job.ID))
 			continue
 		}
 		parts, ok := p.parts(j.refs)
@@ -300,7 +300,7 @@
 			continue
 		}
 		j.status.Class = string(class)
-		p.retakeParts(j)
+		p.retakeParts(j, parts)
 	}
 }
 
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -114,12 +114,12 @@
 			held[j.status.Job.Customer] += float64(j.accelerators())
 		}
 	}
-	return waiting(p.queues, held)
+	return leastHeld(p.queues, held)
 }
 
-// waiting lists the queues with jobs, that of the customer that holds least in
+// leastHeld lists the queues with jobs, that of the customer that holds least in
 // front.
-func waiting(queues map[string]*queue, held map[string]float64) []*queue {
+func leastHeld(queues map[string]*queue, held map[string]float64) []*queue {
 	var out []*queue
 	for _, name := range slices.Sorted(maps.Keys(queues)) {
 		if len(queues[name].jobs) > 0 {
@@ -253,13 +253,8 @@
 		return
 	}
 	r.moved = true
-	victims := p.victims(names)
 	metric.Count("placer_compactions_total")
-	began := p.since
-	go func() {
-		err := p.reclaim(victims, now.Add(p.cfg.Checkpoint))
-		p.post(func() { p.onReclaimed(victims, err == nil, began) })
-	}()
+	p.evict(names, now)
 }
 
 // settling reports whether one of the jobs started too lately to be moved.
--- a/internal/room/reclaim.go
+++ b/internal/room/reclaim.go
@@ -46,7 +46,7 @@
 	if w == nil || w.used.Cores == 0 {
 		return nil
 	}
-	lent := b.each.Cores - b.Part(name, w.taken).Cores
+	lent := b.each.Cores - b.part(w).Cores
 	if w.used.Cores <= lent {
 		return nil
 	}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -13,6 +13,8 @@
 
 	"github.com/google/btree"
 	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/cell"
 )
 
 // Errors of this package. Callers test for them with errors.Is.
@@ -58,16 +60,10 @@
 	degree = 16
 )
 
-// Worker is a worker as it is declared.
-type Worker struct {
-	Name         string
-	Accelerators int
-}
-
-// Config describes a zone for New. All workers have the same processors and memory.
+// Config describes a zone for New. Each is the size of every worker.
 type Config struct {
-	Workers []Worker
-	Each    Size
+	Racks []cell.Rack
+	Each  Size
 }
 
 // worker is a worker with what is placed on it.
@@ -122,29 +118,30 @@
 // New returns the account of an idle zone.
 func New(cfg Config) *Book {
 	b := &Book{each: cfg.Each, byName: map[string]*worker{}, jobs: map[string]*job{}, index: btree.NewG(degree, before)}
-	for _, w := range cfg.Workers {
-		v := &worker{name: w.Name, accelerators: w.Accelerators}
-		b.byName[w.Name] = v
-		b.enter(v)
-		b.workers = append(b.workers, v)
+	for _, r := range cfg.Racks {
+		for _, w := range r.Workers {
+			v := &worker{name: w.Name, accelerators: w.Accelerators}
+			b.byName[w.Name] = v
+			b.enter(v)
+			b.workers = append(b.workers, v)
+		}
 	}
 	return b
 }
 
-// Part is what belongs to n accelerators of the worker.
-func (b *Book) Part(name string, n int) Size {
-	w := b.byName[name]
-	if w == nil || w.accelerators == 0 {
+// part is what belongs to the accelerators of the worker that are taken.
+func (b *Book) part(w *worker) Size {
+	if w.accelerators == 0 {
 		return Size{}
 	}
-	share := float64(min(n, w.accelerators)) / float64(w.accelerators)
+	share := float64(min(w.taken, w.accelerators)) / float64(w.accelerators)
 	return Size{Cores: b.each.Cores * share, Memory: b.each.Memory * share}
 }
 
 // free is the room for jobs without accelerators, below zero if there is too little
 // for those that run.
 func (b *Book) free(w *worker) Size {
-	part := b.Part(w.name, w.taken)
+	part := b.part(w)
 	return Size{
 		Cores:  b.each.Cores - part.Cores - w.used.Cores,
 		Memory: b.each.Memory - part.Memory - w.used.Memory,
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -92,10 +92,10 @@
 	return s, nil
 }
 
-// listen opens a free port of the loopback interface.
-func listen() (net.Listener, error) {
+// listen opens a port of the loopback interface, any free one for 0.
+func listen(port int) (net.Listener, error) {
 	var c net.ListenConfig
-	listener, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := c.Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", port))
 	if err != nil {
 		return nil, errorx.Decorate(err, "listen")
 	}
@@ -104,7 +104,7 @@
 
 // serve listens on a free port of the loopback interface.
 func (s *Site) serve(h http.Handler, track func(net.Conn, http.ConnState)) (string, error) {
-	listener, err := listen()
+	listener, err := listen(0)
 	if err != nil {
 		return "", err
 	}
@@ -186,17 +186,24 @@
 // FreeAddress finds an address of the loopback interface to listen on later. No
 // outgoing connection can take it meanwhile.
 func FreeAddress() (string, error) {
-	var c net.ListenConfig
+	var listener net.Listener
 	var err error
 	for range maxDraws {
-		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort))
-		var listener net.Listener
-		listener, err = c.Listen(context.Background(), "tcp", address)
+		listener, err = listen(firstPort + rand.IntN(lastPort-firstPort))
 		if err == nil {
-			return address, listener.Close()
+			return listener.Addr().String(), listener.Close()
 		}
 	}
-	return "", errorx.Decorate(err, "listen")
+	return "", err
+}
+
+// Settings are those of an entry VM at the address that finds its platform at url.
+func Settings(zone, name, address, url string, deadlines settings.Deadlines) settings.Settings {
+	set := settings.Default()
+	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
+	set.Log, set.List = url, url
+	set.Deadlines = deadlines
+	return set
 }
 
 // StartVM starts one more entry VM.
@@ -205,10 +212,7 @@
 	if err != nil {
 		return err
 	}
-	set := settings.Default()
-	set.Name, set.Zone, set.Listen, set.Address = name, zone, address, address
-	set.Log, set.List = s.log, s.log
-	set.Deadlines = s.cfg.Deadlines
+	set := Settings(zone, name, address, s.log, s.cfg.Deadlines)
 	dc := daemon.Config{Settings: set, Logger: s.cfg.Logger}
 	if s.cfg.Wrap != nil {
 		dc.Wrap = s.cfg.Wrap(name)
