A run that never came is given up although its stop is repeated

Each repeated stop moved the time after which a worker's list has to name the run past the renewal under way; and runs restored on a worker that had left had no link, so their lease never lapsed. Ruled out: capacity kept by plans (they expire), missing recovery (the leader was back 0.2 s after power returned). Change: the first confirmation counts; every worker that the scheduler knows has a link. A stop counts the restart it costs, so idle gangs aren't cheapest.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -195,6 +195,10 @@
 
 // lapse tells the scheduler of workers whose leases have surely run out.
 func (t *term) lapse(now time.Time) {
+	// A worker may be known from the stored state only, and have left since.
+	for _, id := range t.core.WorkerIDs() {
+		t.link(id, "")
+	}
 	for id, l := range t.links {
 		if (l.failures > 0 || l.address == "") && now.After(l.expires) {
 			t.core.Lapse(now, id)
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -140,9 +140,9 @@
 	return stops, cost, true
 }
 
-// minLoss is the least loss in core-seconds that stopping a run counts for: it
-// has to be placed and started again.
-const minLoss = 5.0
+// restartLoss is the time in seconds that a stopped run loses besides its work: it
+// waits for room again, and is ordered and started.
+const restartLoss = 1.5
 
 // loss is the work, in core-seconds, that stopping a run throws away.
 func (c *Core) loss(now time.Time, r *run) float64 {
@@ -158,7 +158,7 @@
 	if s.spec.Gang {
 		width = float64(len(s.tasks))
 	}
-	return minLoss + ran*s.spec.Need.weight()*width
+	return (restartLoss + ran) * s.spec.Need.weight() * width
 }
 
 // reserve keeps room for a gang on the workers that are expected to be free
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -162,6 +162,15 @@
 	return w != nil && (len(w.runs) > 0 || !w.synced)
 }
 
+// WorkerIDs lists the workers that are registered or where something is counted.
+func (c *Core) WorkerIDs() []string {
+	ids := make([]string, len(c.order))
+	for i, w := range c.order {
+		ids[i] = w.id
+	}
+	return ids
+}
+
 // Knows reports whether the worker is listed or anything is counted there.
 func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
 
@@ -254,7 +263,7 @@
 	}
 	switch result {
 	case Accepted, RejectedOld:
-		r.answered = now
+		r.confirm(now)
 	case Rejected:
 		w.suspended = now.Add(refusalPause)
 		c.ended(now, r, Vanished, "")
@@ -269,11 +278,19 @@
 func (c *Core) StopAnswered(now time.Time, id, name string, number int) {
 	if w := c.workers[id]; w != nil {
 		if r := w.runs[runKey{name, number}]; r != nil {
-			r.answered = now
+			r.confirm(now)
 		}
 	}
 }
 
+// confirm notes the first answer to an order about the run. From then on the
+// worker lists the run until its end is taken note of.
+func (r *run) confirm(now time.Time) {
+	if r.answered.IsZero() {
+		r.answered = now
+	}
+}
+
 // stop orders the end of a run.
 func (c *Core) stop(now time.Time, r *run, why string) {
 	if r.stopping.IsZero() {
