Leases of earlier leaders end with a worker's first answer

Ruled out: slow loading of state (39 ms), a lost registry entry. Change: a worker that has answered the new token bounds its lease by itself; a worker with runs of unknown size gets no work; configuration is read every second; speed is taken between two reports; the log drops lines after its end.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -40,6 +40,7 @@
 	next        time.Time
 	renewed     time.Time
 	failures    int
+	claimed     bool // it has answered this leader, so it obeys no earlier one
 }
 
 // now estimates the worker's clock, never ahead of it.
@@ -183,6 +184,12 @@
 	if !t.core.Report(now, e.held.Report) {
 		return
 	}
+	if !l.claimed {
+		// Earlier leaders can renew no more, and no lease is longer than this.
+		l.claimed = true
+		l.expires = time.Time{}
+		l.granted(now, t.cfg.Scheduler.MaxLease)
+	}
 	if e.held.Clock > 0 {
 		l.clock, l.clockAt = e.held.Clock, now
 	}
--- a/internal/logpipe/logpipe.go
+++ b/internal/logpipe/logpipe.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	lines   chan []byte
 	dropped int
+	closed  bool
 	out     io.Writer
 	done    chan struct{}
 }
@@ -32,6 +33,9 @@
 func (p *Pipe) Write(line []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return len(line), nil
+	}
 	select {
 	case p.lines <- bytes.Clone(line):
 	default:
@@ -69,9 +73,11 @@
 	}
 }
 
-// Close writes what is queued. No line may be written after it.
+// Close writes what is queued. Lines that come later are dropped: some goroutine
+// may still have one when the process ends.
 func (p *Pipe) Close() {
 	p.mu.Lock()
+	p.closed = true
 	close(p.lines)
 	p.mu.Unlock()
 	<-p.done
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,9 +34,12 @@
 	// workerConns covers a renewal and orders beside it.
 	workerConns = 3
 	peerConns   = 4
-	// configWait is how long a read waits for a new configuration. Keep-alive
-	// probes notice a connection that has gone silent sooner.
-	configWait = 10 * time.Second
+	// configWait is how long a read waits for a new configuration, and
+	// configMargin how much longer it may take. Together they are less than the
+	// two seconds in which a version has to be in force, as a connection may go
+	// silent and a read may miss what is added while the store drops its history.
+	configWait   = time.Second
+	configMargin = 400 * time.Millisecond
 	// configPause spaces readings after a failed one.
 	configPause = 150 * time.Millisecond
 	// memoryShare of the VM's memory starts the collector's hardest work.
@@ -200,7 +203,7 @@
 			snap, next, err = n.source.Config(call)
 			cancel()
 		} else {
-			call, cancel := context.WithTimeout(ctx, wait+time.Second)
+			call, cancel := context.WithTimeout(ctx, wait+configMargin)
 			snap, next, err = n.source.NextConfig(call, from, wait)
 			cancel()
 		}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -12,9 +12,8 @@
 	// Workers report whole percents with each renewal, every two seconds.
 	hangFactor = 0.3
 	hangFloor  = 4 * time.Second
-	// slowSample is the work in percent that a run must show before its speed
-	// counts.
-	slowSample = 8
+	// slowWindow is how long a run must have been seen before its speed counts.
+	slowWindow = 1500 * time.Millisecond
 	// slowGain is how many times as fast elsewhere a run must be expected to
 	// finish, from its start, for it to be moved.
 	slowGain = 2.0
@@ -41,7 +40,7 @@
 		w.fails = 0
 	default:
 	}
-	if cause != Done || r.begun.IsZero() || r.task.saved != "" || r.task.step.spec.Lasting {
+	if cause != Done || r.begun.IsZero() || r.first > 0 || r.task.saved != "" || r.task.step.spec.Lasting {
 		return
 	}
 	name := r.task.step.occ.job.queue.Name
@@ -65,32 +64,43 @@
 // watchRun stops a run that stands still, or that would be done sooner if it
 // began anew elsewhere.
 func (c *Core) watchRun(now time.Time, r *run) {
-	if r.task == nil || r.begun.IsZero() || r.dead || r.task.step.spec.Lasting || r.task.step.spec.Gang {
+	if r.task == nil || r.begun.IsZero() || r.task.step.spec.Lasting || r.task.step.spec.Gang {
 		return
 	}
 	s := r.task.step
 	expect := c.expected(s)
-	limit := max(time.Duration(hangFactor*float64(expect)), hangFloor)
-	if now.Sub(r.moved) > limit && now.Sub(r.worker.heard) < hangFloor {
-		r.worker.fails++
-		r.worker.suspended = now.Add(quarantine)
-		c.stop(now, r, reasonSlow)
+	if r.listed.Sub(r.moved) > max(time.Duration(hangFactor*float64(expect)), hangFloor) {
+		c.moveOff(now, r)
 		return
 	}
-	if r.percent < slowSample || now.Sub(r.begun) < hangFloor/2 {
+	rest, ok := r.rest(now)
+	if !ok || c.away(r) {
 		return
 	}
-	rest := time.Duration(float64(now.Sub(r.begun)) * (100 - r.percent) / r.percent)
 	anew := expect
 	if s.spec.Checkpoints {
 		anew = time.Duration(float64(expect)*(100-r.percent)/100) + c.cfg.Restore
 	}
-	if float64(rest) > slowGain*float64(anew) && rest-anew > hangFloor/2 && !c.away(r) {
-		r.worker.suspended = now.Add(quarantine)
-		c.stop(now, r, reasonSlow)
+	if float64(rest) > slowGain*float64(anew) && rest-anew > hangFloor/2 {
+		c.moveOff(now, r)
 	}
 }
 
+// moveOff stops a run that does badly, and leaves its worker out for a while.
+func (c *Core) moveOff(now time.Time, r *run) {
+	r.worker.suspended = now.Add(quarantine)
+	c.stop(now, r, reasonSlow)
+}
+
+// rest estimates how long a run still takes, from what it has reported.
+func (r *run) rest(now time.Time) (time.Duration, bool) {
+	seen, did := r.listed.Sub(r.begun), r.percent-r.first
+	if seen < slowWindow || did <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(seen)*(100-r.percent)/did) - now.Sub(r.listed), true
+}
+
 // away reports whether a run is slow because of where it runs.
 func (c *Core) away(r *run) bool {
 	s := r.task.step.spec
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -46,12 +46,14 @@
 	room     Resources
 	answered time.Time // when the worker last confirmed an order about it
 	begun    time.Time // when it was first listed as running
+	first    float64   // percent at that time
 	percent  float64
+	listed   time.Time // when percent was last reported
 	moved    time.Time // when percent last rose
 	saved    string
 	stopping time.Time // when its stop was ordered
 	reason   string    // why it was stopped
-	dead     bool      // its task doesn't count on it any more
+	blind    bool      // it isn't known what it takes: its job is over or unknown
 }
 
 type step struct {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,6 +39,7 @@
 	heard  time.Time
 	runs   map[runKey]*run
 	used   Resources
+	blind  int // runs of which it isn't known what they take
 	// planned is room kept for tasks that wait for it.
 	planned Resources
 	// fails counts runs in a row that failed here.
@@ -71,7 +72,7 @@
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time, silence time.Duration) bool {
-	return w.listed && w.synced && !w.info.Draining && !now.Before(w.suspended) && now.Sub(w.heard) < silence
+	return w.listed && w.synced && w.blind == 0 && !w.info.Draining && !now.Before(w.suspended) && now.Sub(w.heard) < silence
 }
 
 // SeeWorker takes in a worker's entry of the registry.
@@ -216,21 +217,24 @@
 func (c *Core) progress(now time.Time, w *worker, key runKey, row RunningTask) {
 	r := w.runs[key]
 	if r == nil {
-		r = &run{name: row.Task, number: row.Run, worker: w, answered: now, dead: true}
+		r = &run{name: row.Task, number: row.Run, worker: w, answered: now}
 		if t := c.find(row.Task); t != nil {
 			r.room = t.step.spec.room()
+		} else {
+			r.blind = true
+			w.blind++
 		}
 		w.add(r)
 		c.stop(now, r, "no such run is known")
 		return
 	}
 	if r.begun.IsZero() {
-		r.begun, r.moved = now, now
+		r.begun, r.moved, r.first = now, now, row.Percent
 	}
 	if row.Percent > r.percent {
 		r.moved = now
 	}
-	r.percent = row.Percent
+	r.percent, r.listed = row.Percent, now
 	if row.Saved != "" {
 		r.saved = row.Saved
 	}
@@ -307,6 +311,9 @@
 	w := r.worker
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.minus(r.room)
+	if r.blind {
+		w.blind--
+	}
 	t := r.task
 	if t == nil || t.live != r {
 		return
