A job's description is dropped only after its outcome is stored

A job that ended was put on the list to drop at once, and any earlier append that succeeded dropped it; a leader deposed in between left neither description nor outcome. And a worker that had left kept its tasks for good (LOST 4 to 13): each attempt to reach it counted as a renewal. Ruled out: a read of the state that misses records. Change: what may be dropped belongs to the batch with the outcome; a link that fails only looks, and asks for no lease; a winner that still loads counts as leading, so that no second standby campaigns.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -360,7 +360,8 @@
 func (m *Member) Pinged(in Ping) Pong {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.leading {
+	won := m.current.Life == m.life && m.current.Epoch > m.led
+	if !m.leading && !won {
 		return Pong{}
 	}
 	now := time.Now()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -138,7 +138,7 @@
 	sequence int64
 	version  int64
 	fresh    time.Time // of the feed of jobs
-	forget   []string
+	forget   []string // jobs whose outcome is stored and whose description is not yet dropped
 	forgotAt time.Time
 	unstored map[string]bool // jobs whose outcome isn't stored yet
 
@@ -158,7 +158,7 @@
 }
 
 func (b *batch) empty() bool {
-	return len(b.records) == 0 && len(b.starts) == 0 && len(b.seen) == 0 && len(b.replies) == 0
+	return len(b.records) == 0 && len(b.starts) == 0 && len(b.seen) == 0 && len(b.replies) == 0 && len(b.outcome) == 0
 }
 
 // event changes the leader's state; the loop applies one after the other.
@@ -355,7 +355,6 @@
 		t.pending.outcome = append(t.pending.outcome, id)
 	}
 	t.pending.starts = append(t.pending.starts, e.Starts...)
-	t.forget = append(t.forget, e.Forget...)
 }
 
 // store appends what is pending, unless an append is under way.
@@ -452,6 +451,7 @@
 	for _, id := range b.outcome {
 		delete(t.unstored, id)
 	}
+	t.forget = append(t.forget, b.outcome...)
 	for _, reply := range b.replies {
 		reply()
 	}
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -126,8 +126,11 @@
 			}
 			wait = 0
 		}
+		if l.failures > 0 {
+			wait = 0 // asks for no lease either, so that the last one can run out
+		}
 		r := fleet.Renewal{Token: t.epoch, Seen: l.seen, Wait: wait}
-		if grant := min(lease, limit.Sub(now)); grant > 0 && !l.clockAt.IsZero() {
+		if grant := min(lease, limit.Sub(now)); grant > 0 && !l.clockAt.IsZero() && l.failures == 0 {
 			r.Deadline = l.deadline(now, grant)
 			l.granted(now, grant)
 		}
