Leader tests: the history without fences is the same in every run

Cause: whether the mutant broke TWICE hung on which worker got the second run, and on stops that came before the late starts.

--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -542,7 +542,8 @@
 				time.Sleep(300 * time.Millisecond)
 				p.fleet.SetFault(standin.OrderFault{Lose: 1, Late: 4 * time.Second})
 				p.submit(job(1, 1, step(8, 1)))
-				time.Sleep(1700 * time.Millisecond)
+				// The last attempt of each start is under way, no stop yet.
+				time.Sleep(1300 * time.Millisecond)
 				first.cancel()
 				p.fleet.SetFault(standin.OrderFault{})
 				p.fleet.SetDraining("w00")
