Guaranteed work comes before other urgent work; plans bind equals and lower

Urgent work of customers over their guarantee, and room kept for waiting gangs of priority 1, stood in the way of guaranteed work. Change: levels (guaranteed, urgent, others by priority) order work, decide what may be stopped, and whose plans count. Stopping a run that makes checkpoints costs its restore only.

--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -74,15 +74,15 @@
 func (c *Core) cheapest(now time.Time, t *task, rack string, victims map[*run]bool) (*worker, []*run) {
 	s := t.step
 	need := s.spec.room()
-	priority := s.occ.job.queue.Priority
+	level := s.occ.job.level
 	var best *worker
 	var bestStops []*run
 	bestCost := 0.0
 	for _, w := range c.order {
-		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.planned).Fits(need) {
+		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
 			continue
 		}
-		stops, cost, ok := c.makeRoom(now, w, need, priority, victims)
+		stops, cost, ok := c.makeRoom(now, w, need, level, victims)
 		if !ok {
 			continue
 		}
@@ -94,9 +94,9 @@
 	return best, bestStops
 }
 
-// makeRoom picks runs of lower priority to stop so that need fits on the worker.
-func (c *Core) makeRoom(now time.Time, w *worker, need Resources, priority int, victims map[*run]bool) ([]*run, float64, bool) {
-	free := w.free()
+// makeRoom picks runs of less important work to stop so that need fits on the worker.
+func (c *Core) makeRoom(now time.Time, w *worker, need Resources, level int, victims map[*run]bool) ([]*run, float64, bool) {
+	free := w.free(level)
 	type choice struct {
 		r    *run
 		loss float64
@@ -107,7 +107,7 @@
 			free = free.plus(r.room)
 			continue
 		}
-		if r.task == nil || r.task.step.occ.job.queue.Priority <= priority {
+		if r.task == nil || r.task.step.occ.job.level <= level || r.task.step.occ.job.level == levelUrgent && level > levelGuaranteed {
 			continue
 		}
 		choices = append(choices, choice{r, c.loss(now, r)})
@@ -152,7 +152,7 @@
 		ran = now.Sub(r.begun).Seconds()
 	}
 	if s.spec.Checkpoints {
-		ran = min(ran, c.cfg.SaveEvery.Seconds()) + c.cfg.Restore.Seconds()
+		ran = c.cfg.Restore.Seconds() // a stop makes a checkpoint
 	}
 	width := 1.0
 	if s.spec.Gang {
@@ -180,18 +180,19 @@
 	}
 	var options []option
 	need := s.spec.room()
+	level := s.occ.job.level
 	for _, w := range c.order {
 		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) {
 			continue
 		}
-		if w.info.Capacity.minus(w.planned).Fits(need) {
-			options = append(options, option{w, c.waitFor(now, w, need)})
+		if w.info.Capacity.minus(w.kept(level)).Fits(need) {
+			options = append(options, option{w, c.waitFor(now, w, need, level)})
 		}
 	}
 	sort.SliceStable(options, func(i, k int) bool { return options[i].wait < options[k].wait })
 	i := 0
 	for _, t := range s.tasks {
-		for i < len(options) && (!options[i].w.info.Capacity.minus(options[i].w.planned).Fits(need) || !s.spreadAllows(options[i].w)) {
+		for i < len(options) && (!options[i].w.info.Capacity.minus(options[i].w.kept(level)).Fits(need) || !s.spreadAllows(options[i].w)) {
 			i++
 		}
 		if i == len(options) {
@@ -208,8 +209,8 @@
 }
 
 // waitFor estimates when need is free on the worker.
-func (c *Core) waitFor(now time.Time, w *worker, need Resources) time.Duration {
-	free := w.free()
+func (c *Core) waitFor(now time.Time, w *worker, need Resources, level int) time.Duration {
+	free := w.free(level)
 	if free.Fits(need) {
 		return 0
 	}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -28,23 +28,74 @@
 type plan struct {
 	worker *worker
 	room   Resources
+	level  int
 	until  time.Time
 }
 
 func (t *task) setPlan(w *worker, until time.Time) {
-	t.plan = &plan{worker: w, room: t.step.spec.room(), until: until}
-	w.planned = w.planned.plus(t.plan.room)
+	t.plan = &plan{worker: w, room: t.step.spec.room(), level: t.step.occ.job.level, until: until}
+	w.plans = append(w.plans, t.plan)
 }
 
 func (t *task) dropPlan() {
-	if t.plan != nil {
-		t.plan.worker.planned = t.plan.worker.planned.minus(t.plan.room)
-		t.plan = nil
+	if t.plan == nil {
+		return
 	}
+	w := t.plan.worker
+	for i, p := range w.plans {
+		if p == t.plan {
+			w.plans = append(w.plans[:i], w.plans[i+1:]...)
+			break
+		}
+	}
+	t.plan = nil
+}
+
+// Levels of importance. Work may be stopped for work of a lower level, if that is
+// urgent.
+const (
+	// levelGuaranteed: priority 0, and all such work of its customer fits in what
+	// the customer is guaranteed.
+	levelGuaranteed = iota
+	// levelUrgent: other work of priority 0.
+	levelUrgent
+	// levelOther is that of priority 1; lower priorities follow.
+	levelOther
+)
+
+// setLevels finds the level of each job.
+func (c *Core) setLevels() {
+	need := map[string]int64{}
+	for _, j := range c.active {
+		if j.queue.Priority == 0 {
+			need[j.spec.Customer] += j.spec.accelerators()
+		}
+	}
+	for _, j := range c.active {
+		switch {
+		case j.queue.Priority > 0:
+			j.level = levelOther + j.queue.Priority - 1
+		case need[j.spec.Customer] <= c.guaranteed[j.spec.Customer]:
+			j.level = levelGuaranteed
+		default:
+			j.level = levelUrgent
+		}
+	}
+}
+
+// accelerators is the most that the job uses at a time, if its steps follow each
+// other.
+func (j *Job) accelerators() int64 {
+	most := int64(0)
+	for i := range j.Steps {
+		most = max(most, int64(j.Steps[i].Count)*j.Steps[i].Need.Accelerators)
+	}
+	return most
 }
 
 // schedule starts what can be started, in order of importance.
 func (c *Core) schedule(now time.Time) {
+	c.setLevels()
 	c.sortActive(now)
 	c.countRacks()
 	reserved := false
@@ -85,7 +136,7 @@
 	return true
 }
 
-// sortActive orders jobs by priority, then by what they can still earn, then by
+// sortActive orders jobs by level, then by what they can still earn, then by
 // the deadline up to which they earn it.
 func (c *Core) sortActive(now time.Time) {
 	for _, j := range c.active {
@@ -93,8 +144,8 @@
 	}
 	sort.SliceStable(c.active, func(i, k int) bool {
 		a, b := c.active[i], c.active[k]
-		if a.queue.Priority != b.queue.Priority {
-			return a.queue.Priority < b.queue.Priority
+		if a.level != b.level {
+			return a.level < b.level
 		}
 		if a.rank != b.rank {
 			return a.rank < b.rank
@@ -248,7 +299,7 @@
 		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
 			continue
 		}
-		n := times(w.free(), need)
+		n := times(w.free(s.occ.job.level), need)
 		room[w.info.Rack] += n
 		if room[w.info.Rack] > most {
 			best, most = w.info.Rack, room[w.info.Rack]
@@ -276,7 +327,7 @@
 	var best *worker
 	var bestCost float64
 	for _, w := range c.order {
-		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !w.free().Fits(need) || !s.suits(w) || !s.spreadAllows(w) {
+		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !w.free(s.occ.job.level).Fits(need) || !s.suits(w) || !s.spreadAllows(w) {
 			continue
 		}
 		cost := c.placeCost(t, w, need)
@@ -294,7 +345,7 @@
 )
 
 func (c *Core) placeCost(t *task, w *worker, need Resources) float64 {
-	left := w.free().minus(need)
+	left := w.free(t.step.occ.job.level).minus(need)
 	cost := float64(left.Accelerators) + float64(left.CPU)/math.Max(1, float64(w.info.Capacity.CPU))
 	if t.avoid == w.id {
 		cost += avoidCost
@@ -323,7 +374,7 @@
 		Worker: w.id, Address: w.info.Address, Task: t.name, Run: number, Text: j.spec.Text, Saved: t.saved,
 	})
 	c.cfg.Logger.Info("run is started", "task", t.name, "run", number, "worker", w.id, "rack", w.info.Rack,
-		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.since).Milliseconds(), "free_before", w.free().Accelerators+t.live.room.Accelerators,
+		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.since).Milliseconds(), "free_before", w.info.Capacity.minus(w.used).plus(t.live.room).Accelerators,
 		"rank", j.rank, "saved", t.saved != "")
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -91,6 +91,7 @@
 	work     float64 // core-seconds declared
 	estimate time.Duration
 	rank     int
+	level    int
 }
 
 // Config holds the figures of the deployment.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -39,9 +39,8 @@
 	heard  time.Time
 	runs   map[runKey]*run
 	used   Resources
-	blind  int // runs of which it isn't known what they take
-	// planned is room kept for tasks that wait for it.
-	planned Resources
+	blind  int     // runs of which it isn't known what they take
+	plans  []*plan // room kept for tasks that wait for it
 	// fails counts runs in a row that failed here.
 	fails     int
 	suspended time.Time // no new work before
@@ -67,8 +66,20 @@
 	w.used = w.used.plus(r.room)
 }
 
-// free is what new work may use, beside what is kept for others.
-func (w *worker) free() Resources { return w.info.Capacity.minus(w.used).minus(w.planned) }
+// kept is the room that work of a level must leave to others: what is planned
+// for work at least as important.
+func (w *worker) kept(level int) Resources {
+	var sum Resources
+	for _, p := range w.plans {
+		if p.level <= level {
+			sum = sum.plus(p.room)
+		}
+	}
+	return sum
+}
+
+// free is what new work of a level may use.
+func (w *worker) free(level int) Resources { return w.info.Capacity.minus(w.used).minus(w.kept(level)) }
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time, silence time.Duration) bool {
