Accepted jobs in eight streams; a new leader loads beside its fence

Change: jobs go to a stream by their ID, state, jobs and registry are read at the same time, a leaving leader stays until the next one leads, reads of the configuration wait 1 s and may take 1.5 s more. Urgent work waits up to 0.7 s for others to end before it stops them.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -21,8 +21,8 @@
 	"rhubarbshore/internal/store"
 )
 
-// Topic holds the record of the leader.
-const Topic = "lead"
+// stream holds the record of the leader.
+var stream = store.Stream{Topic: "lead"}
 
 const leaderKey = "leader"
 
@@ -56,8 +56,8 @@
 
 // Log is what an election needs of the store.
 type Log interface {
-	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
-	Newest(ctx context.Context, topic string) ([]store.Record, int64, error)
+	Append(ctx context.Context, s store.Stream, records []store.Record, o store.AppendOptions) (int64, error)
+	Newest(ctx context.Context, s store.Stream) ([]store.Record, int64, error)
 }
 
 // Holder is a leader as the store records it.
@@ -264,7 +264,7 @@
 func (m *Member) refresh(ctx context.Context, failed Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	records, end, err := m.cfg.Log.Newest(ctx, Topic)
+	records, end, err := m.cfg.Log.Newest(ctx, stream)
 	if err != nil {
 		m.cfg.Logger.Warn("who leads can't be read", "error", err)
 		m.pause(ctx, storePause)
@@ -327,7 +327,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	offset, err := m.cfg.Log.Append(call, Topic, []store.Record{{Key: leaderKey, Value: value}}, store.AppendOptions{Conditional: true, At: at})
+	offset, err := m.cfg.Log.Append(call, stream, []store.Record{{Key: leaderKey, Value: value}}, store.AppendOptions{Conditional: true, At: at})
 	if err != nil {
 		m.cfg.Logger.Info("campaign not won", "at", at, "error", err)
 		return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"rhubarbshore/internal/httpjson"
@@ -19,8 +20,15 @@
 	"rhubarbshore/internal/store"
 )
 
-// Topic holds accepted jobs by their ID. Every VM writes to it.
-const Topic = "jobs"
+// Parts is the number of streams of accepted jobs. A stream takes its appends one
+// after the other, so one alone would hold jobs up while the store is slow.
+const Parts = 8
+
+// Stream holds the accepted jobs of a part by their ID. Every VM writes to it.
+func Stream(part int) store.Stream { return store.Stream{Topic: "jobs", Part: part} }
+
+// PartOf is the part of a job.
+func PartOf(id string) int { return int(xxhash.Sum64String(id) % Parts) }
 
 // ErrUncertain: the call may have taken effect.
 var ErrUncertain = errorx.NewType(errorx.NewNamespace("intake"), "uncertain").New("the outcome is unknown")
@@ -36,7 +44,7 @@
 
 // Log is what the intake needs of the store.
 type Log interface {
-	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
+	Append(ctx context.Context, s store.Stream, records []store.Record, o store.AppendOptions) (int64, error)
 }
 
 // Guide knows the VM that schedules.
@@ -79,9 +87,9 @@
 	// comeBack is the Retry-After while the store is away, whose outages last
 	// seconds.
 	comeBack = time.Second
-	// maxQueue bounds jobs that wait for the store; beyond it a VM of 184 MB
-	// would run out of memory with jobs of 10 KB each.
-	maxQueue = 2000
+	// maxQueue bounds jobs that wait for the store; each lane holds
+	// that many, which with 10 KB a job fills a tenth of a VM of 184 MB.
+	maxQueue = 250
 	// maxRecords bounds the jobs of one append, for its size in bytes.
 	maxRecords = 100
 	// hopTimeout is how long a call to the scheduling VM may take before its
@@ -103,13 +111,26 @@
 // Intake accepts jobs. All calls of a VM share its appends.
 type Intake struct {
 	cfg   Config
+	lanes [Parts]*lane
+}
+
+// lane queues the jobs of one part.
+type lane struct {
+	cfg   Config
+	part  int
 	mu    sync.Mutex
 	queue []*submission
 	wake  chan struct{}
 }
 
 // New returns an Intake; Run has to be called for it to accept.
-func New(cfg Config) *Intake { return &Intake{cfg: cfg, wake: make(chan struct{}, 1)} }
+func New(cfg Config) *Intake {
+	in := &Intake{cfg: cfg}
+	for part := range in.lanes {
+		in.lanes[part] = &lane{cfg: cfg, part: part, wake: make(chan struct{}, 1)}
+	}
+	return in
+}
 
 // Submit stores the job. A nil error means that it is stored; a BusyError that
 // it never runs because of this call.
@@ -122,16 +143,8 @@
 		return errorx.Decorate(err, "encode job %s", j.ID)
 	}
 	s := &submission{ctx: ctx, record: store.Record{Key: j.ID, Value: value}, begun: time.Now(), result: make(chan error, 1)}
-	in.mu.Lock()
-	if len(in.queue) >= maxQueue {
-		in.mu.Unlock()
-		return &BusyError{Why: "too many jobs wait for the store", After: comeBack}
-	}
-	in.queue = append(in.queue, s)
-	in.mu.Unlock()
-	select {
-	case in.wake <- struct{}{}:
-	default:
+	if err := in.lanes[PartOf(j.ID)].put(s); err != nil {
+		return err
 	}
 	err = <-s.result
 	metric.Observe("accept_seconds", s.begun)
@@ -140,46 +153,69 @@
 
 // Run appends what is submitted until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range in.lanes {
+		wg.Go(func() { l.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// put queues a job.
+func (l *lane) put(s *submission) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) >= maxQueue {
+		return &BusyError{Why: "too many jobs wait for the store", After: comeBack}
+	}
+	l.queue = append(l.queue, s)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (l *lane) run(ctx context.Context) {
 	pause := firstPause
 	for {
-		batch := in.take()
+		batch := l.take()
 		if len(batch) == 0 {
 			select {
-			case <-in.wake:
+			case <-l.wake:
 				continue
 			case <-ctx.Done():
 				return
 			}
 		}
-		if in.append(ctx, batch) {
+		if l.append(ctx, batch) {
 			pause = firstPause
 			continue
 		}
-		in.giveBack(batch)
+		l.giveBack(batch)
 		time.Sleep(pause)
 		pause = min(pause*2, maxPause)
 	}
 }
 
-func (in *Intake) take() []*submission {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	n := min(len(in.queue), maxRecords)
-	batch := in.queue[:n:n]
-	in.queue = in.queue[n:]
+func (l *lane) take() []*submission {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := min(len(l.queue), maxRecords)
+	batch := l.queue[:n:n]
+	l.queue = l.queue[n:]
 	return batch
 }
 
 // append stores a batch and answers its submitters; it returns false if the
 // batch isn't stored.
-func (in *Intake) append(ctx context.Context, batch []*submission) bool {
+func (l *lane) append(ctx context.Context, batch []*submission) bool {
 	records := make([]store.Record, len(batch))
 	for i, s := range batch {
 		records[i] = s.record
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := in.cfg.Log.Append(ctx, Topic, records, store.AppendOptions{})
+	_, err := l.cfg.Log.Append(ctx, Stream(l.part), records, store.AppendOptions{})
 	if err == nil {
 		for _, s := range batch {
 			s.result <- nil
@@ -187,7 +223,7 @@
 		return true
 	}
 	uncertain := !errors.Is(err, store.ErrRefused)
-	in.cfg.Logger.Warn("jobs not stored", "jobs", len(batch), "uncertain", uncertain, "error", err)
+	l.cfg.Logger.Warn("jobs not stored", "jobs", len(batch), "uncertain", uncertain, "error", err)
 	for _, s := range batch {
 		s.uncertain = s.uncertain || uncertain
 	}
@@ -195,7 +231,7 @@
 }
 
 // giveBack queues again what may still be stored in time and answers the rest.
-func (in *Intake) giveBack(batch []*submission) {
+func (l *lane) giveBack(batch []*submission) {
 	var again []*submission
 	for _, s := range batch {
 		switch {
@@ -209,9 +245,9 @@
 			again = append(again, s)
 		}
 	}
-	in.mu.Lock()
-	in.queue = append(again, in.queue...)
-	in.mu.Unlock()
+	l.mu.Lock()
+	l.queue = append(again, l.queue...)
+	l.mu.Unlock()
 }
 
 // Question is what VMs ask the scheduling VM. One field is set.
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -18,20 +18,21 @@
 	return j, err
 }
 
-// followJobs reads newly accepted jobs from an offset on.
-func (t *term) followJobs(ctx context.Context, from int64) {
+// followJobs reads newly accepted jobs of a part from an offset on.
+func (t *term) followJobs(ctx context.Context, part int, from int64) {
+	stream := intake.Stream(part)
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
-		page, err := t.cfg.Log.Read(call, intake.Topic, from, feedWait)
+		page, err := t.cfg.Log.Read(call, stream, from, feedWait)
 		cancel()
 		switch {
 		case errors.Is(err, store.ErrGone):
 			records, next, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) {
-				return t.cfg.Log.Newest(ctx, intake.Topic)
+				return t.cfg.Log.Newest(ctx, stream)
 			})
 			if err == nil {
 				from = next
-				t.post(ctx, jobsEvent{records})
+				t.post(ctx, jobsEvent{part, records})
 			}
 		case err != nil:
 			if ctx.Err() == nil {
@@ -40,15 +41,18 @@
 			time.Sleep(retryPause * 5)
 		default:
 			from = page.Next
-			t.post(ctx, jobsEvent{page.Records})
+			t.post(ctx, jobsEvent{part, page.Records})
 		}
 	}
 }
 
-type jobsEvent struct{ records []store.Record }
+type jobsEvent struct {
+	part    int
+	records []store.Record
+}
 
 func (e jobsEvent) apply(t *term, now time.Time) {
-	t.fresh = now
+	t.fresh[e.part] = now
 	t.addJobs(now, e.records)
 }
 
@@ -119,7 +123,7 @@
 	default:
 		out.waiting = t.core.Waiting(q.queue)
 	}
-	if errors.Is(out.err, scheduler.ErrUnknown) && now.Sub(t.fresh) > feedFresh {
+	if errors.Is(out.err, scheduler.ErrUnknown) && now.Sub(t.fresh[intake.PartOf(q.job+q.cancel)]) > feedFresh {
 		out.err = ErrNotSure
 	}
 	send := func() { q.answer <- out }
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -189,7 +189,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	_, err = p.log.View("intake").Append(ctx, intake.Topic, []store.Record{{Key: j.ID, Value: value}}, store.AppendOptions{})
+	_, err = p.log.View("intake").Append(ctx, intake.Stream(intake.PartOf(j.ID)), []store.Record{{Key: j.ID, Value: value}}, store.AppendOptions{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -490,11 +490,11 @@
 // unstored acknowledges appends to the leader's topic without storing them.
 type unstored struct{ leader.Log }
 
-func (u unstored) Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error) {
-	if topic == leader.Topic {
+func (u unstored) Append(ctx context.Context, s store.Stream, records []store.Record, o store.AppendOptions) (int64, error) {
+	if s == leader.Stream {
 		records = records[:0]
 	}
-	return u.Log.Append(ctx, topic, records, o)
+	return u.Log.Append(ctx, s, records, o)
 }
 
 // unfenced sends every order with the same token.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/fleet"
@@ -21,9 +22,9 @@
 	"rhubarbshore/internal/store"
 )
 
-// Topic holds the scheduler's state: a record a task that has started, and one a
+// Stream holds the scheduler's state: a record a task that has started, and one a
 // job that is over. Only the leader writes to it, under its epoch.
-const Topic = "state"
+var Stream = store.Stream{Topic: "state"}
 
 const (
 	producer = "leader"
@@ -41,9 +42,9 @@
 
 // Log is what a leader needs of the store.
 type Log interface {
-	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (store.Page, error)
-	Newest(ctx context.Context, topic string) ([]store.Record, int64, error)
+	Append(ctx context.Context, s store.Stream, records []store.Record, o store.AppendOptions) (int64, error)
+	Read(ctx context.Context, s store.Stream, from int64, wait time.Duration) (store.Page, error)
+	Newest(ctx context.Context, s store.Stream) ([]store.Record, int64, error)
 }
 
 // Registry lists workers.
@@ -137,8 +138,8 @@
 	flight   *batch
 	sequence int64
 	version  int64
-	fresh    time.Time // of the feed of jobs
-	forget   []string  // jobs whose outcome is stored and whose description is not yet dropped
+	fresh    [intake.Parts]time.Time // when each stream of jobs was last read
+	forget   []string                // jobs whose outcome is stored and whose description is not yet dropped
 	forgotAt time.Time
 	unstored map[string]bool // jobs whose outcome isn't stored yet
 
@@ -186,20 +187,18 @@
 		core: scheduler.New(l.cfg.Scheduler),
 	}
 	t.lastWrite.Store(time.Now().UnixNano())
-	if err := t.fence(ctx); err != nil {
-		t.cfg.Logger.Warn("lead not taken", "epoch", epoch, "error", err)
-		return
-	}
-	fencedAt := time.Now()
-	from, registry, err := t.load(ctx)
+	in, err := t.load(ctx)
 	if err != nil {
-		t.cfg.Logger.Warn("state not loaded", "epoch", epoch, "error", err)
+		t.cfg.Logger.Warn("lead not taken", "epoch", epoch, "error", err)
 		return
 	}
-	t.cfg.Logger.Info("leading", "epoch", epoch, "load_ms", time.Since(fencedAt).Milliseconds(), "workers", len(t.links))
+	t.adopt(in)
+	t.cfg.Logger.Info("leading", "epoch", epoch, "load_ms", time.Since(t.begun).Milliseconds(), "workers", len(t.links))
 	metric.Seconds("load_seconds", time.Since(t.begun))
-	go t.followJobs(ctx, from)
-	go t.followRegistry(ctx, registry)
+	for part := range intake.Parts {
+		go t.followJobs(ctx, part, in.jobsNext[part])
+	}
+	go t.followRegistry(ctx, in.registry.Next)
 	l.current.Store(t)
 	t.loop(ctx)
 	l.current.CompareAndSwap(t, nil)
@@ -210,7 +209,7 @@
 	pause := retryPause
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := t.cfg.Log.Append(call, Topic, []store.Record{t.mark()}, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: 0})
+		_, err := t.cfg.Log.Append(call, Stream, []store.Record{t.mark()}, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: 0})
 		cancel()
 		if err == nil {
 			t.lastWrite.Store(time.Now().UnixNano())
@@ -232,20 +231,61 @@
 	return store.Record{Key: markKey, Value: strconv.AppendInt(nil, t.epoch, 10)}
 }
 
-// load reads the stored state, the open jobs and the workers. It returns where
-// to read on.
-func (t *term) load(ctx context.Context) (jobsFrom, registryFrom int64, err error) {
+// loaded is what a new leader reads: the state its predecessors stored, the open
+// jobs and the workers, with the offsets to read on from.
+type loaded struct {
+	state     []store.Record
+	jobs      [intake.Parts][]store.Record
+	jobsNext  [intake.Parts]int64
+	registry  fleet.Registry
+	requested time.Time
+}
+
+// load reads all that the leader has to know. Only the state has to be read after
+// the fence; the rest is read beside it, as every call is slow if the store is.
+func (t *term) load(ctx context.Context) (loaded, error) {
+	var in loaded
+	in.requested = t.cfg.Now()
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := t.fence(ctx); err != nil {
+			return err
+		}
+		records, _, err := t.newest(ctx, Stream)
+		in.state = records
+		return err
+	})
+	for part := range intake.Parts {
+		g.Go(func() error {
+			var err error
+			in.jobs[part], in.jobsNext[part], err = t.newest(ctx, intake.Stream(part))
+			return err
+		})
+	}
+	g.Go(func() error {
+		var err error
+		in.registry, _, err = retry(ctx, func(ctx context.Context) (fleet.Registry, int64, error) {
+			reg, err := t.cfg.Registry.Workers(ctx)
+			return reg, 0, err
+		})
+		return err
+	})
+	return in, g.Wait()
+}
+
+func (t *term) newest(ctx context.Context, s store.Stream) ([]store.Record, int64, error) {
+	return retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) { return t.cfg.Log.Newest(ctx, s) })
+}
+
+// adopt builds the scheduler's state from what was read.
+func (t *term) adopt(in loaded) {
 	now := t.cfg.Now()
 	if snap := t.cfg.Catalog(); snap != nil {
 		t.setPolicy(snap)
 	}
-	records, _, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) { return t.cfg.Log.Newest(ctx, Topic) })
-	if err != nil {
-		return 0, 0, err
-	}
-	for _, r := range records {
+	for _, r := range in.state {
 		if r.Key == markKey {
 			continue
 		}
@@ -253,21 +293,11 @@
 			t.cfg.Logger.Error("stored state not readable", "key", r.Key, "error", err)
 		}
 	}
-	jobs, jobsFrom, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) { return t.cfg.Log.Newest(ctx, intake.Topic) })
-	if err != nil {
-		return 0, 0, err
+	for part := range in.jobs {
+		t.addJobs(now, in.jobs[part])
+		t.fresh[part] = in.requested
 	}
-	t.addJobs(now, jobs)
-	t.fresh = now
-	reg, _, err := retry(ctx, func(ctx context.Context) (fleet.Registry, int64, error) {
-		reg, err := t.cfg.Registry.Workers(ctx)
-		return reg, 0, err
-	})
-	if err != nil {
-		return 0, 0, err
-	}
-	t.seeWorkers(now, reg)
-	return jobsFrom, reg.Next, nil
+	t.seeWorkers(now, in.registry)
 }
 
 // retry repeats a reading until it succeeds or ctx ends.
@@ -390,7 +420,7 @@
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		begun := time.Now()
-		_, err := t.cfg.Log.Append(call, Topic, b.records, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: sequence})
+		_, err := t.cfg.Log.Append(call, Stream, b.records, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: sequence})
 		cancel()
 		if err == nil {
 			t.lastWrite.Store(begun.UnixNano())
@@ -465,16 +495,25 @@
 	}
 }
 
-// dropJobs drops the descriptions of jobs whose outcome is stored. Losing the
-// call costs only space: the next leader drops them.
+// dropJobs drops the descriptions of jobs whose outcome is stored. Losing a call
+// costs only space: the next leader drops them.
 func (t *term) dropJobs(ids []string) {
-	records := make([]store.Record, len(ids))
-	for i, id := range ids {
-		records[i] = store.Record{Key: id}
+	var byPart [intake.Parts][]store.Record
+	for _, id := range ids {
+		part := intake.PartOf(id)
+		byPart[part] = append(byPart[part], store.Record{Key: id})
+	}
+	for part, records := range byPart {
+		if len(records) > 0 {
+			t.dropPart(part, records)
+		}
 	}
+}
+
+func (t *term) dropPart(part int, records []store.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := t.cfg.Log.Append(ctx, intake.Topic, records, store.AppendOptions{}); err != nil {
-		t.cfg.Logger.Info("descriptions of ended jobs not dropped", "jobs", len(ids), "error", err)
+	if _, err := t.cfg.Log.Append(ctx, intake.Stream(part), records, store.AppendOptions{}); err != nil {
+		t.cfg.Logger.Info("descriptions of ended jobs not dropped", "jobs", len(records), "error", err)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,11 +35,12 @@
 	workerConns = 3
 	peerConns   = 4
 	// configWait is how long a read waits for a new configuration, and
-	// configMargin how much longer it may take. Together they are less than the
-	// two seconds in which a version has to be in force, as a connection may go
-	// silent and a read may miss what is added while the store drops its history.
+	// configMargin how much longer it may take while the store is slow. A version
+	// has to be in force within two seconds; a read may miss what is added while
+	// the store drops its history, and a connection that goes silent is given
+	// three seconds more.
 	configWait   = time.Second
-	configMargin = 400 * time.Millisecond
+	configMargin = 1500 * time.Millisecond
 	// configPause spaces readings after a failed one.
 	configPause = 150 * time.Millisecond
 	// memoryShare of the VM's memory starts the collector's hardest work.
@@ -54,6 +55,7 @@
 	leaveAfter = 2500 * time.Millisecond
 	// exitMargin is left of the grace period when the process ends.
 	exitMargin  = 900 * time.Millisecond
+	leaderPause = 50 * time.Millisecond
 	minimumIdle = 15 * time.Second
 	maxHeader   = 16 << 10
 )
@@ -251,6 +253,9 @@
 	defer cancel()
 	n.member.HandOver(ctx)
 	time.Sleep(min(leaveAfter, time.Until(end)))
+	for n.leader.Leading() && time.Until(end) > 0 {
+		time.Sleep(leaderPause) // the next one still loads
+	}
 	for _, srv := range n.servers {
 		if err := srv.Shutdown(ctx); err != nil {
 			n.cfg.Logger.Warn("connections were open at the end", "error", err)
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -45,12 +45,51 @@
 		}
 		t.setPlan(w, now.Add(planLife))
 	}
+	if now.Sub(tasks[0].step.since) < c.stopWait(tasks[0].step) {
+		return true // what ends by itself needs no stop
+	}
 	for _, r := range order {
 		c.preempt(now, r, tasks[0])
 	}
 	return true
 }
 
+// stopWait is how long urgent work waits for others to end by themselves before
+// they are stopped: part of what its objective leaves beside the work itself.
+func (c *Core) stopWait(s *step) time.Duration {
+	return min(time.Duration(waitShare*float64(s.spec.Estimate)), maxStopWait)
+}
+
+// stopPlanned stops what still stands in the way of planned urgent work.
+func (c *Core) stopPlanned(now time.Time, tasks []*task) {
+	s := tasks[0].step
+	if now.Sub(s.since) < c.stopWait(s) {
+		return
+	}
+	need := map[*worker]Resources{}
+	var order []*worker
+	for _, t := range tasks {
+		w := t.plan.worker
+		if _, ok := need[w]; !ok {
+			order = append(order, w)
+		}
+		need[w] = need[w].plus(t.plan.room)
+	}
+	for _, w := range order {
+		// The plans themselves are part of what is kept there.
+		stops, _, ok := c.makeRoom(now, w, Resources{}, s.occ.job.level, nil)
+		if !ok {
+			for _, t := range tasks {
+				t.dropPlan()
+			}
+			return
+		}
+		for _, r := range stops {
+			c.preempt(now, r, tasks[0])
+		}
+	}
+}
+
 // preempt stops a run, and with it its gang, for a more important task.
 func (c *Core) preempt(now time.Time, r *run, by *task) {
 	runs := []*run{r}
@@ -144,6 +183,16 @@
 // waits for room again, and is ordered and started.
 const restartLoss = 1.5
 
+// waitShare and maxStopWait bound stopWait. Objectives of urgent work leave half
+// of its run time, of which stopping takes 0.4 s; it has to begin within 2.9 s.
+const (
+	waitShare   = 0.15
+	maxStopWait = 700 * time.Millisecond
+)
+
+// urgentLoss is how many times as much stopping urgent work counts: it can't wait.
+const urgentLoss = 10
+
 // loss is the work, in core-seconds, that stopping a run throws away.
 func (c *Core) loss(now time.Time, r *run) float64 {
 	s := r.task.step
@@ -158,7 +207,11 @@
 	if s.spec.Gang {
 		width = float64(len(s.tasks))
 	}
-	return (restartLoss + ran) * s.spec.Need.weight() * width
+	loss := (restartLoss + ran) * s.spec.Need.weight() * width
+	if s.occ.job.level == levelUrgent {
+		loss *= urgentLoss
+	}
+	return loss
 }
 
 // reserve keeps room for a gang on the workers that are expected to be free
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -421,8 +421,13 @@
 			return false
 		}
 	}
-	if s.tasks[0].plan != nil && c.startPlanned(now, s.tasks) {
-		return false
+	if s.tasks[0].plan != nil {
+		if c.startPlanned(now, s.tasks) {
+			return false
+		}
+		if s.tasks[0].plan != nil && s.occ.job.level <= levelUrgent {
+			c.stopPlanned(now, s.tasks)
+		}
 	}
 	plans := s.takePlans()
 	s.rack = ""
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -31,7 +31,7 @@
 	cfg    LogConfig
 	mu     sync.Mutex
 	rand   *rand.Rand
-	topics map[string]*topic
+	topics map[store.Stream]*topic
 	fault  LogFault
 	byVM   map[string]LogFault
 	calls  int
@@ -51,7 +51,7 @@
 
 // NewLog returns an empty log.
 func NewLog(cfg LogConfig) *Log {
-	return &Log{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), topics: map[string]*topic{}, byVM: map[string]LogFault{}}
+	return &Log{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), topics: map[store.Stream]*topic{}, byVM: map[string]LogFault{}}
 }
 
 // SetFault sets what VMs without a fault of their own meet.
@@ -73,7 +73,7 @@
 }
 
 // Drop forgets the history of a topic; the newest record of each key stays.
-func (l *Log) Drop(name string) {
+func (l *Log) Drop(name store.Stream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.topic(name)
@@ -88,7 +88,7 @@
 	return l.calls
 }
 
-func (l *Log) topic(name string) *topic {
+func (l *Log) topic(name store.Stream) *topic {
 	t := l.topics[name]
 	if t == nil {
 		t = &topic{newest: map[string]store.Record{}, producers: map[string]*producer{}, changed: make(chan struct{})}
@@ -163,7 +163,7 @@
 }
 
 // Append implements store.Log.
-func (v *View) Append(ctx context.Context, name string, records []store.Record, o store.AppendOptions) (int64, error) {
+func (v *View) Append(ctx context.Context, name store.Stream, records []store.Record, o store.AppendOptions) (int64, error) {
 	f, err := v.meet(ctx)
 	if err != nil {
 		return 0, err
@@ -184,7 +184,7 @@
 	return offset, err
 }
 
-func (l *Log) append(name string, records []store.Record, o store.AppendOptions) (int64, error) {
+func (l *Log) append(name store.Stream, records []store.Record, o store.AppendOptions) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.topic(name)
@@ -211,7 +211,7 @@
 }
 
 // Read implements store.Log.
-func (v *View) Read(ctx context.Context, name string, from int64, wait time.Duration) (store.Page, error) {
+func (v *View) Read(ctx context.Context, name store.Stream, from int64, wait time.Duration) (store.Page, error) {
 	if _, err := v.meet(ctx); err != nil {
 		return store.Page{}, err
 	}
@@ -242,7 +242,7 @@
 }
 
 // Newest implements store.Log.
-func (v *View) Newest(ctx context.Context, name string) ([]store.Record, int64, error) {
+func (v *View) Newest(ctx context.Context, name store.Stream) ([]store.Record, int64, error) {
 	if _, err := v.meet(ctx); err != nil {
 		return nil, 0, err
 	}
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -9,9 +9,9 @@
 
 // Log is a log of keyed topics.
 type Log interface {
-	Append(ctx context.Context, topic string, records []Record, o AppendOptions) (int64, error)
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
-	Newest(ctx context.Context, topic string) ([]Record, int64, error)
+	Append(ctx context.Context, s Stream, records []Record, o AppendOptions) (int64, error)
+	Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error)
+	Newest(ctx context.Context, s Stream) ([]Record, int64, error)
 }
 
 // unhealthyAfter is how long calls have to fail before the store counts as away:
@@ -47,22 +47,22 @@
 }
 
 // Append implements Log.
-func (w *Watched) Append(ctx context.Context, topic string, records []Record, o AppendOptions) (int64, error) {
-	offset, err := w.log.Append(ctx, topic, records, o)
+func (w *Watched) Append(ctx context.Context, s Stream, records []Record, o AppendOptions) (int64, error) {
+	offset, err := w.log.Append(ctx, s, records, o)
 	w.Note(err)
 	return offset, err
 }
 
 // Read implements Log.
-func (w *Watched) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error) {
-	page, err := w.log.Read(ctx, topic, from, wait)
+func (w *Watched) Read(ctx context.Context, s Stream, from int64, wait time.Duration) (Page, error) {
+	page, err := w.log.Read(ctx, s, from, wait)
 	w.Note(err)
 	return page, err
 }
 
 // Newest implements Log.
-func (w *Watched) Newest(ctx context.Context, topic string) ([]Record, int64, error) {
-	records, end, err := w.log.Newest(ctx, topic)
+func (w *Watched) Newest(ctx context.Context, s Stream) ([]Record, int64, error) {
+	records, end, err := w.log.Newest(ctx, s)
 	w.Note(err)
 	return records, end, err
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,12 @@
 	Offset int64 // set where the newest records are listed
 }
 
+// Stream is a partition of a topic. Records of one key belong in one stream.
+type Stream struct {
+	Topic string
+	Part  int
+}
+
 // Page is a run of records. Next is the offset to read from next.
 type Page struct {
 	Records []Record
