--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -29,6 +29,7 @@
 
 // Options are the command's flags.
 type Options struct {
+	Path       string `help:"What to run: one pool on the users' platform, or a placer for each availability zone." enum:"pool,zones" default:"pool"`
 	Deployment string `help:"The example to run." enum:"robes,splints" default:"robes"`
 	Requests   int    `help:"Requests to send." default:"2000"`
 	Verbose    bool   `help:"Show the daemons' logs."`
@@ -37,14 +38,20 @@
 
 // Help is shown by --help.
 func (o *Options) Help() string {
-	return `Three availability zones with an entry VM each, the platform, 50 workers and
+	return `By default, three entry VMs schedule gangs and tasks on workers, all against
+stand-ins of the users' platform on loopback. The VM that schedules is killed, the
+store goes away and comes back, and a worker crashes. The command exits with 1 if a
+job is not completed or a rule is broken.
+
+With --path zones, three availability zones with an entry VM each, the platform, 50 workers and
 minions run on loopback. While requests and gang jobs are under way one entry VM
 is killed and replaced, the platform's log goes out and comes back, and a minion
 loses its answers. In the end the stand-ins' ledger is compared with what callers
 were told; the command exits with 1 if they differ.
 
-Example:
-  rhubarbshore demo --requests 5000`
+Examples:
+  rhubarbshore demo
+  rhubarbshore demo --path zones --requests 5000`
 }
 
 // Run runs the demo.
@@ -55,6 +62,9 @@
 	if o.Verbose {
 		logger = slog.New(slog.NewTextHandler(f.IO.Err, nil))
 	}
+	if o.Path == "pool" {
+		return o.runPool(f, logger)
+	}
 	files, err := site.Sub(examples.Files, o.Deployment)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cmd/demo/pool.go
@@ -0,0 +1,186 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/internal/node"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/platform"
+	"rhubarbshore/platform/platformtest"
+)
+
+// Sizes of the demo of the pool.
+const (
+	poolVMs     = 3
+	poolWorkers = 6
+	poolJobs    = 24
+	poolTime    = 90 * time.Second
+	poolOutage  = 1500 * time.Millisecond
+)
+
+// poolReport is what the demo of the pool found.
+type poolReport struct {
+	Jobs      int      `json:"jobs"`
+	Completed int      `json:"completed"`
+	Attempts  int      `json:"attempts"`
+	Runs      int      `json:"runs"`
+	Broken    []string `json:"broken"`
+}
+
+// runPool runs entry VMs against stand-ins of the users' platform, stops the one
+// that schedules, takes the store away and crashes a worker while jobs run.
+func (o *Options) runPool(f *cmdutil.Factory, logger *slog.Logger) error {
+	ctx, cancel := context.WithTimeout(context.Background(), poolTime)
+	defer cancel()
+	p, err := platformtest.New(platformtest.Config{Workers: poolWorkers, Work: func(string) time.Duration { return 700 * time.Millisecond }})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	p.Publish(1)
+	nodes, addresses, err := startNodes(ctx, p, logger)
+	if err != nil {
+		return err
+	}
+	say(f.IO.Err, "%d entry VMs and %d workers with 8 accelerators each", poolVMs, poolWorkers)
+	rep, err := playPool(ctx, f, p, nodes, addresses)
+	for _, n := range nodes {
+		n.Kill()
+	}
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		err = f.IO.WriteJSON(rep)
+	} else {
+		_, err = fmt.Fprintf(f.IO.Out, "jobs %d, completed %d, attempts to hand them in %d, runs %d, rules broken %d\n",
+			rep.Jobs, rep.Completed, rep.Attempts, rep.Runs, len(rep.Broken))
+	}
+	if err == nil && (rep.Completed < rep.Jobs || len(rep.Broken) > 0) {
+		return errorx.AssertionFailed.New("%d of %d jobs completed; broken: %v", rep.Completed, rep.Jobs, rep.Broken)
+	}
+	return err
+}
+
+func startNodes(ctx context.Context, p *platformtest.Platform, logger *slog.Logger) ([]*node.Node, []string, error) {
+	var nodes []*node.Node
+	var addresses []string
+	dir, err := os.MkdirTemp("", "rhubarbshore")
+	if err != nil {
+		return nil, nil, errorx.Decorate(err, "folder for settings")
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // what is left is in the system's temporary folder
+	for i := range poolVMs {
+		ports, err := freePorts(ctx, 3)
+		if err != nil {
+			return nil, nil, err
+		}
+		vm := fmt.Sprintf("vm-%d", i+1)
+		path := filepath.Join(dir, vm+".toml")
+		if err := os.WriteFile(path, []byte(p.Settings(vm, ports[0], ports[1], ports[2])), 0o600); err != nil {
+			return nil, nil, errorx.Decorate(err, "write settings")
+		}
+		set, err := platform.LoadFile(path)
+		if err != nil {
+			return nil, nil, err
+		}
+		n := node.New(node.Config{Settings: set, Logger: logger.With("vm", vm)})
+		if err := n.Start(ctx); err != nil {
+			return nil, nil, err
+		}
+		nodes = append(nodes, n)
+		addresses = append(addresses, set.Clients)
+	}
+	return nodes, addresses, nil
+}
+
+// freePorts finds ports of loopback that nobody listens on.
+func freePorts(ctx context.Context, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		var lc net.ListenConfig
+		l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errorx.Decorate(err, "listen")
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// playPool hands jobs in while parts of the site fail, and awaits them.
+func playPool(ctx context.Context, f *cmdutil.Factory, p *platformtest.Platform, nodes []*node.Node, addresses []string) (poolReport, error) {
+	rep := poolReport{Jobs: poolJobs}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	for i := range poolJobs {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+			c := platformtest.NewClient(p, addresses)
+			id, priority := fmt.Sprintf("%016x", i+1), i%3
+			attempts, err := c.Submit(ctx, id, priority, demoSteps(i))
+			state := scheduler.Queued
+			if err == nil {
+				state, err = c.Await(ctx, id, priority)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			rep.Attempts += attempts
+			if err != nil {
+				failed = err
+			} else if state == scheduler.Completed {
+				rep.Completed++
+			}
+		})
+	}
+	wg.Go(func() { breakPool(f, p, nodes) })
+	wg.Wait()
+	rep.Runs, rep.Broken = p.Fleet.Starts(), p.Fleet.Broken()
+	return rep, failed
+}
+
+// demoSteps varies what jobs ask for: gangs, steps that follow others, and tasks
+// of one accelerator.
+func demoSteps(i int) []scheduler.Step {
+	s := scheduler.Step{
+		Count: 1 + i%4, Need: scheduler.Resources{CPU: 2000, Memory: 2048, Accelerators: int64(1) << (i % 4)},
+		Estimate: time.Second, Gang: i%2 == 0,
+	}
+	if i%5 != 0 {
+		return []scheduler.Step{s}
+	}
+	after := scheduler.Step{Count: 3, Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, Estimate: time.Second, After: []int{0}}
+	return []scheduler.Step{s, after}
+}
+
+// breakPool makes parts of the site fail, one after the other.
+func breakPool(f *cmdutil.Factory, p *platformtest.Platform, nodes []*node.Node) {
+	time.Sleep(time.Second)
+	for _, n := range nodes {
+		if n.Leading() {
+			say(f.IO.Err, "killing the entry VM that schedules")
+			n.Kill()
+			break
+		}
+	}
+	time.Sleep(time.Second)
+	say(f.IO.Err, "taking the platform's store away for %s", poolOutage)
+	p.Log.SetFault(standin.LogFault{Refuse: true})
+	time.Sleep(poolOutage)
+	p.Log.SetFault(standin.LogFault{})
+	say(f.IO.Err, "crashing a worker")
+	p.Crash("i-0000")
+}
--- /dev/null
+++ b/internal/cmd/join/process_test.go
@@ -0,0 +1,168 @@
+package join_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/cmd/root"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/platform/platformtest"
+)
+
+// childVariable makes the test binary behave as the rhubarbshore command.
+const childVariable = "RHUBARBSHORE_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		os.Exit(root.Main([]string{"join"}, os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// daemon is an entry VM's process with its settings.
+type daemon struct {
+	settings, clients, ready, log string
+	cmd                           *exec.Cmd
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newDaemon(t *testing.T, p *platformtest.Platform, vm string) *daemon {
+	t.Helper()
+	dir := t.TempDir()
+	clients, ready, internal := freePort(t), freePort(t), freePort(t)
+	d := &daemon{
+		settings: filepath.Join(dir, "settings.toml"), log: filepath.Join(dir, "log"),
+		clients: fmt.Sprintf("127.0.0.1:%d", clients), ready: fmt.Sprintf("127.0.0.1:%d", ready),
+	}
+	assert.NilError(t, os.WriteFile(d.settings, []byte(p.Settings(vm, clients, ready, internal)), 0o600))
+	d.start(t)
+	return d
+}
+
+func (d *daemon) start(t *testing.T) {
+	t.Helper()
+	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	d.cmd = exec.Command(os.Args[0])
+	d.cmd.Env = append(os.Environ(), childVariable+"=1", "RHUBARBSHORE_NODE_FILE="+d.settings)
+	d.cmd.Stdout, d.cmd.Stderr = out, out
+	assert.NilError(t, d.cmd.Start())
+	t.Cleanup(func() { d.end(syscall.SIGKILL) })
+}
+
+// end signals the process and waits until it is gone.
+func (d *daemon) end(sig syscall.Signal) {
+	if d.cmd.ProcessState == nil {
+		_ = d.cmd.Process.Signal(sig) // it may have ended already
+		_ = d.cmd.Wait()
+	}
+}
+
+func (d *daemon) leads(t *testing.T) bool {
+	t.Helper()
+	data, err := os.ReadFile(d.log)
+	assert.NilError(t, err)
+	return strings.LastIndex(string(data), `"msg":"leading"`) > strings.LastIndex(string(data), `"msg":"no longer leading"`)
+}
+
+func (d *daemon) awaitReady(t *testing.T) {
+	t.Helper()
+	for range 100 {
+		resp, err := http.Get("http://" + d.ready + "/v1/readiness")
+		if err == nil {
+			assert.NilError(t, resp.Body.Close())
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("%s is not ready after ten seconds", d.ready)
+}
+
+// Three daemons as processes: the one that schedules is killed, restarted, and its
+// successor stopped as planned, while jobs run. Every job completes, each task
+// once, and the planned stop ends with exit code 0.
+func TestJobsSurviveTheirSchedulersProcess(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	p, err := platformtest.New(platformtest.Config{Workers: 4, Work: func(string) time.Duration { return 900 * time.Millisecond }})
+	assert.NilError(t, err)
+	defer p.Close()
+	p.Publish(1)
+	var daemons []*daemon
+	var addresses []string
+	for i := range 3 {
+		d := newDaemon(t, p, fmt.Sprint("vm-", i))
+		daemons = append(daemons, d)
+		addresses = append(addresses, d.clients)
+	}
+	for _, d := range daemons {
+		d.awaitReady(t)
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, 20)
+	for i := range errs {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 250 * time.Millisecond)
+			errs[i] = submitAndAwait(ctx, p, addresses, i)
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for _, d := range daemons {
+		if d.leads(t) {
+			d.end(syscall.SIGKILL)
+			time.Sleep(1500 * time.Millisecond)
+			d.start(t)
+			break
+		}
+	}
+	for _, d := range daemons {
+		if d.leads(t) && d.cmd.ProcessState == nil {
+			d.end(syscall.SIGTERM)
+			assert.Equal(t, d.cmd.ProcessState.ExitCode(), 0)
+			d.start(t)
+			break
+		}
+	}
+	wg.Wait()
+	for _, err := range errs {
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, p.Fleet.Broken(), []string(nil))
+}
+
+func submitAndAwait(ctx context.Context, p *platformtest.Platform, addresses []string, i int) error {
+	c := platformtest.NewClient(p, addresses)
+	id, priority := fmt.Sprintf("%016x", i+1), i%3
+	steps := []scheduler.Step{{
+		Count: 1 + i%3, Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: int64(1) << (i % 4)}, Estimate: time.Second, Gang: i%2 == 0,
+	}}
+	if _, err := c.Submit(ctx, id, priority, steps); err != nil {
+		return err
+	}
+	state, err := c.Await(ctx, id, priority)
+	if err == nil && state != scheduler.Completed {
+		err = fmt.Errorf("job %s is %s", id, state)
+	}
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,6 +244,21 @@
 	n.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset())
 }
 
+// Leading reports whether this VM schedules.
+func (n *Node) Leading() bool { return n.leader.Leading() }
+
+// Kill ends the daemon as a crash would, as far as that can be done within a
+// process.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, srv := range n.servers {
+		if err := srv.Close(); err != nil {
+			n.cfg.Logger.Warn("server not closed", "error", err)
+		}
+	}
+	n.wg.Wait()
+}
+
 // Stop hands the lead over, waits until clients are led elsewhere and ends.
 func (n *Node) Stop() {
 	begun := time.Now()
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -14,6 +14,8 @@
 	hangFloor  = 4 * time.Second
 	// slowWindow is how long a run must have been seen before its speed counts.
 	slowWindow = 1500 * time.Millisecond
+	// minSamples is how many runs have to have ended before their mean counts.
+	minSamples = 3
 	// slowGain is how many times as fast elsewhere a run must be expected to
 	// finish, from its start, for it to be moved.
 	slowGain = 2.0
@@ -55,7 +57,7 @@
 
 // expected is how long a task of the step runs on a sound worker near its data.
 func (c *Core) expected(s *step) time.Duration {
-	if rt := c.rates[s.occ.job.queue.Name]; rt != nil && rt.samples >= 3 {
+	if rt := c.rates[s.occ.job.queue.Name]; rt != nil && rt.samples >= minSamples {
 		return max(rt.mean, s.spec.Estimate/2)
 	}
 	return s.spec.Estimate
@@ -74,12 +76,13 @@
 		return
 	}
 	rest, ok := r.rest(now)
-	if !ok || c.away(r) {
-		return
+	rt := c.rates[s.occ.job.queue.Name]
+	if !ok || c.away(r) || rt == nil || rt.samples < minSamples {
+		return // declared run times alone are too often wrong
 	}
-	anew := expect
+	anew := max(rt.mean, s.spec.Estimate)
 	if s.spec.Checkpoints {
-		anew = time.Duration(float64(expect)*(100-r.percent)/100) + c.cfg.Restore
+		anew = time.Duration(float64(anew)*(100-r.percent)/100) + c.cfg.Restore
 	}
 	if float64(rest) > slowGain*float64(anew) && rest-anew > hangFloor/2 {
 		c.moveOff(now, r)
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,419 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/scheduler"
+)
+
+// pool drives a core in virtual time: starts are stored and accepted at once.
+type pool struct {
+	t      *testing.T
+	core   *scheduler.Core
+	now    time.Time
+	runs   map[string]scheduler.Start // by task, those that are on workers
+	from   map[string]time.Time       // when they began
+	hung   bool
+	timed  bool    // runs end by themselves after length
+	length float64 // seconds that a run takes
+	gone   map[string][]scheduler.EndedTask
+	ends   int64
+}
+
+func newPool(t *testing.T, workers int) *pool {
+	t.Helper()
+	p := &pool{t: t, length: 8, now: time.Unix(1_800_000_000, 0), runs: map[string]scheduler.Start{}, from: map[string]time.Time{}, gone: map[string][]scheduler.EndedTask{}}
+	p.core = scheduler.New(scheduler.Config{
+		Logger: slog.New(slog.DiscardHandler), MaxLease: 10 * time.Second, Penalty: 3, KeepEnded: time.Hour, Silence: time.Hour,
+		Restore: 250 * time.Millisecond, SaveEvery: 500 * time.Millisecond,
+	})
+	for i := range workers {
+		p.addWorker(i, "a")
+	}
+	return p
+}
+
+func workerID(i int) string { return fmt.Sprintf("w%02d", i) }
+
+// addWorker adds a worker of eight accelerators; four make a rack.
+func (p *pool) addWorker(i int, kind string) {
+	p.core.SeeWorker(p.now, scheduler.Worker{
+		ID: workerID(i), Address: "x:1", Service: "s", Rack: fmt.Sprint("r", i/4), Labels: []string{kind, fmt.Sprint("r", i/4)},
+		Capacity: scheduler.Resources{CPU: 64000, Memory: 64000, Accelerators: 8},
+	})
+	p.report(i)
+}
+
+func (p *pool) report(i int) {
+	id := workerID(i)
+	rep := scheduler.Report{Worker: id, Sent: p.now, Full: true, Ended: p.gone[id]}
+	delete(p.gone, id)
+	for task, s := range p.runs {
+		if s.Worker == id {
+			percent := 10.0
+			if !p.hung {
+				percent = min(100, 100*p.now.Sub(p.from[task]).Seconds()/p.length)
+			}
+			rep.Running = append(rep.Running, scheduler.RunningTask{Task: task, Run: s.Run, Percent: percent})
+		}
+	}
+	p.core.Report(p.now, rep)
+}
+
+// step lets time pass and carries out what the core decides.
+func (p *pool) step(d time.Duration) scheduler.Effects {
+	p.now = p.now.Add(d)
+	for task, begun := range p.from {
+		if p.timed && p.now.Sub(begun).Seconds() >= p.length {
+			p.finish(task, scheduler.Done)
+		}
+	}
+	p.core.Tick(p.now)
+	out := p.core.Flush(p.now)
+	for _, s := range out.Starts {
+		p.runs[s.Task] = s
+		p.from[s.Task] = p.now
+		p.core.StartAnswered(p.now, s.Worker, s.Task, s.Run, scheduler.Accepted)
+	}
+	for _, s := range out.Stops {
+		if p.runs[s.Task].Run == s.Run {
+			p.finish(s.Task, scheduler.Stopped)
+		}
+	}
+	return out
+}
+
+// finish ends a run; its worker reports it with its next report.
+func (p *pool) finish(task string, cause scheduler.Cause) {
+	s, ok := p.runs[task]
+	if !ok {
+		return
+	}
+	delete(p.runs, task)
+	delete(p.from, task)
+	p.ends++
+	p.gone[s.Worker] = append(p.gone[s.Worker], scheduler.EndedTask{Number: p.ends, Task: task, Run: s.Run, Cause: cause})
+}
+
+// settle takes steps with reports in between until nothing more is started.
+func (p *pool) settle(workers int) {
+	for range 40 {
+		p.step(50 * time.Millisecond)
+		for i := range workers {
+			p.report(i)
+		}
+	}
+}
+
+func (p *pool) submit(id string, priority int, customer string, steps ...scheduler.Step) string {
+	p.core.AddJob(p.now, scheduler.Job{
+		ID: id, Customer: customer, Accepted: p.now.UnixMilli(), Steps: steps,
+		Queue: scheduler.Queue{Name: fmt.Sprint("q", priority), Service: "s", Priority: priority, Attempts: 2, Stretch: 2, Target: time.Second},
+	})
+	return id
+}
+
+func tasks(count int, accelerators int64) scheduler.Step {
+	return scheduler.Step{Count: count, Need: scheduler.Resources{CPU: 1000, Memory: 100, Accelerators: accelerators}, Estimate: 8 * time.Second}
+}
+
+func gang(count int, accelerators int64) scheduler.Step {
+	s := tasks(count, accelerators)
+	s.Gang = true
+	return s
+}
+
+// on counts the running tasks of a job by worker.
+func (p *pool) on(job string) map[string]int {
+	out := map[string]int{}
+	for task, s := range p.runs {
+		if task[:len(job)] == job {
+			out[s.Worker]++
+		}
+	}
+	return out
+}
+
+func (p *pool) state(id string) scheduler.State {
+	s, err := p.core.JobState(id)
+	assert.NilError(p.t, err)
+	return s
+}
+
+// Load: everything is in use when urgent guaranteed work comes.
+func TestGuaranteedWorkTakesItsShapeBack(t *testing.T) {
+	p := newPool(t, 4)
+	p.core.SetPolicy(nil, map[string]int64{"c": 16})
+	p.submit("spare", 2, "other", tasks(32, 1))
+	p.settle(4)
+	assert.Equal(t, len(p.runs), 32)
+	p.submit("urgent", 0, "c", gang(2, 8))
+	p.settle(4)
+	assert.Equal(t, len(p.on("urgent")), 2)
+}
+
+// Load: urgent work of a customer over its guarantee holds the pool when another
+// customer asks for what it is guaranteed.
+func TestGuaranteedWorkComesBeforeOtherUrgentWork(t *testing.T) {
+	p := newPool(t, 2)
+	p.core.SetPolicy(nil, map[string]int64{"small": 8, "large": 8})
+	p.submit("large", 0, "large", tasks(2, 8))
+	p.settle(2)
+	p.submit("small", 0, "small", gang(1, 8))
+	p.settle(2)
+	assert.Equal(t, len(p.on("small")), 1)
+	p.submit("more", 0, "large", gang(1, 8))
+	p.settle(2)
+	assert.Equal(t, len(p.on("small")), 1, "guaranteed work is not stopped")
+}
+
+// Load: urgent tight gangs between work of many ages. It loses least to stop the
+// youngest in one rack, and a gang over two racks would take three times as long.
+func TestUrgentTightGangStopsWhatLosesLeastInOneRack(t *testing.T) {
+	p := newPool(t, 8)
+	p.submit("old", 1, "o", tasks(4, 8))
+	p.settle(8)
+	p.step(5 * time.Second)
+	for i := range 8 {
+		p.report(i)
+	}
+	p.submit("new", 1, "o", tasks(4, 8))
+	p.settle(8)
+	assert.Equal(t, len(p.runs), 8)
+	s := gang(3, 8)
+	s.Tight = true
+	p.submit("urgent", 0, "c", s)
+	p.settle(8)
+	racks := map[int]bool{}
+	for w := range p.on("urgent") {
+		var n int
+		_, err := fmt.Sscanf(w, "w%d", &n)
+		assert.NilError(t, err)
+		racks[n/4] = true
+	}
+	assert.Equal(t, len(p.on("urgent")), 3)
+	assert.Equal(t, len(racks), 1)
+	assert.Equal(t, len(p.on("old")), 4, "the younger work is stopped")
+}
+
+// Load: a wide gang waits among many small tasks that never leave whole workers.
+func TestRoomIsKeptForAWideGang(t *testing.T) {
+	p := newPool(t, 4)
+	p.timed = true
+	p.submit("small-0", 2, "o", tasks(32, 1))
+	p.settle(4)
+	p.submit("wide", 1, "c", gang(4, 8))
+	for round := 1; round <= 12; round++ {
+		p.submit(fmt.Sprint("small-", round), 2, "o", tasks(8, 1))
+		p.settle(4)
+		if len(p.on("wide")) == 4 {
+			return
+		}
+	}
+	t.Fatalf("the gang has not begun; %d small tasks run", len(p.runs))
+}
+
+// Load: a gang waits for reserved workers while others become free.
+func TestWaitingGangTakesRoomThatIsFree(t *testing.T) {
+	p := newPool(t, 4)
+	p.submit("long", 1, "o", tasks(2, 8))
+	p.settle(4)
+	p.submit("short", 1, "o", tasks(2, 8))
+	p.settle(4)
+	p.submit("wide", 1, "c", gang(2, 8))
+	p.settle(4)
+	for task := range p.runs {
+		if task[:5] == "short" {
+			p.finish(task, scheduler.Done)
+		}
+	}
+	p.settle(4)
+	assert.Equal(t, len(p.on("wide")), 2)
+}
+
+func TestTasksWaitForTheirDataForAWhile(t *testing.T) {
+	p := newPool(t, 8)
+	p.submit("full", 1, "o", func() scheduler.Step { s := tasks(4, 8); s.Rack = "r1"; return s }())
+	p.settle(8)
+	s := tasks(1, 8)
+	s.Rack = "r1"
+	p.submit("near", 1, "c", s)
+	p.settle(8)
+	assert.Equal(t, len(p.on("near")), 0, "sixteen seconds would be lost elsewhere")
+	p.step(17 * time.Second)
+	p.settle(8)
+	assert.Equal(t, len(p.on("near")), 1)
+}
+
+func TestLabelsAndSpreadAreKept(t *testing.T) {
+	p := newPool(t, 2)
+	p.addWorker(2, "b")
+	labelled := tasks(3, 1)
+	labelled.Label = "b"
+	p.submit("label", 1, "c", labelled)
+	spread := tasks(6, 1)
+	spread.Spread = 2
+	p.submit("spread", 1, "c", spread)
+	p.settle(3)
+	assert.DeepEqual(t, p.on("label"), map[string]int{"w02": 3})
+	assert.DeepEqual(t, p.on("spread"), map[string]int{"w00": 2, "w01": 2, "w02": 2})
+}
+
+func TestStepsFollowEachOther(t *testing.T) {
+	p := newPool(t, 2)
+	after := tasks(1, 1)
+	after.After = []int{0}
+	p.submit("steps", 1, "c", tasks(2, 1), after)
+	p.settle(2)
+	assert.Equal(t, len(p.runs), 2)
+	p.finish("steps.0.0.0", scheduler.Done)
+	p.settle(2)
+	assert.Equal(t, len(p.runs), 1)
+	p.finish("steps.0.0.1", scheduler.Done)
+	p.settle(2)
+	assert.Equal(t, len(p.runs), 1)
+	p.finish("steps.0.1.0", scheduler.Done)
+	p.settle(2)
+	assert.Equal(t, p.state("steps"), scheduler.Completed)
+}
+
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	p := newPool(t, 1)
+	p.core.AddJob(p.now, scheduler.Job{
+		ID: "timed", Accepted: p.now.UnixMilli(), Repeat: 2, First: p.now.Add(10 * time.Second).UnixMilli(), Interval: 5 * time.Second,
+		Queue: scheduler.Queue{Name: "q", Service: "s", Priority: 1, Attempts: 1}, Steps: []scheduler.Step{tasks(1, 1)},
+	})
+	p.settle(1)
+	assert.Equal(t, len(p.runs), 0)
+	p.step(8 * time.Second)
+	assert.Equal(t, len(p.runs), 1)
+	p.step(5 * time.Second)
+	assert.Equal(t, len(p.runs), 2, "occurrences may overlap")
+	p.finish("timed.0.0.0", scheduler.Done)
+	p.finish("timed.1.0.0", scheduler.Done)
+	p.settle(1)
+	assert.Equal(t, p.state("timed"), scheduler.Completed)
+}
+
+func TestLastingTasksStartAgainHoweverTheyEnd(t *testing.T) {
+	p := newPool(t, 1)
+	s := tasks(1, 1)
+	s.Lasting = true
+	p.submit("lasting", 1, "c", s)
+	p.settle(1)
+	for i, cause := range []scheduler.Cause{scheduler.Done, scheduler.Fault, scheduler.Fault, scheduler.Fault, scheduler.Lapsed} {
+		p.finish("lasting.0.0.0", cause)
+		p.settle(1)
+		p.step(20 * time.Second)
+		p.report(0)
+		p.settle(1)
+		assert.Equal(t, p.runs["lasting.0.0.0"].Run, i+2)
+	}
+	_, err := p.core.Cancel(p.now, "lasting")
+	assert.NilError(t, err)
+	p.settle(1)
+	assert.Equal(t, len(p.runs), 0)
+	assert.Equal(t, p.state("lasting"), scheduler.Cancelled)
+}
+
+// A failed run of a gang counts once, though all of its members end.
+func TestGangFailsOnceForEachRun(t *testing.T) {
+	p := newPool(t, 2)
+	p.submit("gang", 1, "c", gang(3, 1))
+	p.settle(2)
+	fail := func() {
+		p.finish("gang.0.0.1", scheduler.Fault)
+		p.finish("gang.0.0.0", scheduler.Broken)
+		p.finish("gang.0.0.2", scheduler.Broken)
+		p.settle(2)
+	}
+	fail()
+	assert.Equal(t, p.state("gang"), scheduler.Running)
+	assert.Equal(t, p.runs["gang.0.0.0"].Run, 2)
+	fail()
+	assert.Equal(t, p.state("gang"), scheduler.Failed)
+	assert.Equal(t, len(p.runs), 0)
+}
+
+// Load: a worker fails all that it starts.
+func TestFailingWorkerIsLeftOut(t *testing.T) {
+	p := newPool(t, 2)
+	for i := range 12 {
+		id := p.submit(fmt.Sprintf("job%02d", i), 1, "c", tasks(1, 1))
+		p.settle(2)
+		cause := scheduler.Done
+		if p.on(id)["w00"] > 0 {
+			cause = scheduler.Fault
+		}
+		p.finish(id+".0.0.0", cause)
+		p.settle(2)
+		if cause == scheduler.Fault {
+			p.finish(id+".0.0.0", scheduler.Done)
+			p.settle(2)
+		}
+		assert.Equal(t, p.state(id), scheduler.Completed)
+	}
+}
+
+// Load: work on a worker stands still.
+func TestHungWorkIsMoved(t *testing.T) {
+	p := newPool(t, 2)
+	p.hung = true
+	p.submit("hung", 1, "c", tasks(1, 1))
+	p.settle(2)
+	first := p.runs["hung.0.0.0"].Worker
+	for range 6 {
+		p.step(time.Second)
+		p.report(0)
+		p.report(1)
+	}
+	p.settle(2)
+	assert.Equal(t, p.runs["hung.0.0.0"].Run, 2)
+	assert.Assert(t, p.runs["hung.0.0.0"].Worker != first)
+}
+
+// What a leader stores is enough for the next one to go on.
+func TestStoredStateIsTakenOver(t *testing.T) {
+	p := newPool(t, 2)
+	after := tasks(1, 1)
+	after.After = []int{0}
+	kept := map[string][]byte{}
+	keep := func(e scheduler.Effects) {
+		for _, r := range e.Records {
+			kept[r.Key] = r.Value
+		}
+	}
+	spec := scheduler.Job{
+		ID: "job", Accepted: p.now.UnixMilli(), Queue: scheduler.Queue{Name: "q", Service: "s", Priority: 1, Attempts: 2},
+		Steps: []scheduler.Step{tasks(2, 1), after},
+	}
+	p.core.AddJob(p.now, spec)
+	keep(p.step(0))
+	p.finish("job.0.0.0", scheduler.Done)
+	p.report(0)
+	p.report(1)
+	keep(p.step(0))
+
+	next := newPool(t, 0)
+	next.runs = p.runs
+	for key, value := range kept {
+		assert.NilError(t, next.core.Restore(next.now, key, value))
+	}
+	next.core.AddJob(next.now, spec)
+	next.now = next.now.Add(time.Second)
+	next.addWorker(0, "a")
+	next.addWorker(1, "a")
+	next.settle(2)
+	assert.Equal(t, len(next.runs), 1, "what is done is not started again, and what runs goes on")
+	assert.Equal(t, next.runs["job.0.0.1"].Run, 1)
+	next.finish("job.0.0.1", scheduler.Done)
+	next.settle(2)
+	next.finish("job.0.1.0", scheduler.Done)
+	next.settle(2)
+	assert.Equal(t, next.state("job"), scheduler.Completed)
+}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -210,6 +210,13 @@
 	return t.add(records), nil
 }
 
+// Put writes a record as the platform itself does: no fault stands in its way.
+func (l *Log) Put(s store.Stream, r store.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.topic(s).add([]store.Record{r})
+}
+
 // Read implements store.Log.
 func (v *View) Read(ctx context.Context, name store.Stream, from int64, wait time.Duration) (store.Page, error) {
 	if _, err := v.meet(ctx); err != nil {
