Cut workers are noticed sooner; first leases are short

Cause: work was ordered to workers of a cut zone for up to 4.5 s and then waited for a lease of 10 s; clients waited three seconds for a store that gave no answer. Change: renewals wait 1 s; a worker without answer gets no new work for 2 s; a start asks for 3 s, which the renewal after it extends; an intake without answer says so after 1.2 s.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -84,6 +84,9 @@
 	// refuseAfter is how long a job is tried against a store that refuses it:
 	// about a quarter of the shortest objective of the first sites.
 	refuseAfter = 60 * time.Millisecond
+	// giveUpAfter is how long a job is tried against a store that gives no answer.
+	// Then its client is told, and may come to a VM that reaches the store.
+	giveUpAfter = 1200 * time.Millisecond
 	// comeBack is the Retry-After while the store is away, whose outages last
 	// seconds.
 	comeBack = time.Second
@@ -235,7 +238,7 @@
 	var again []*submission
 	for _, s := range batch {
 		switch {
-		case s.uncertain && s.ctx.Err() != nil:
+		case s.uncertain && (s.ctx.Err() != nil || time.Since(s.begun) > giveUpAfter):
 			s.result <- ErrUncertain
 		case s.uncertain:
 			again = append(again, s)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -460,7 +460,7 @@
 func (e storedEvent) apply(t *term, now time.Time) { t.stored(now, e.err) }
 
 // stored carries out what waited for the batch under way.
-func (t *term) stored(_ time.Time, err error) {
+func (t *term) stored(now time.Time, err error) {
 	b := t.flight
 	t.flight = nil
 	if err != nil {
@@ -470,8 +470,11 @@
 	}
 	for _, s := range b.starts {
 		if l := t.links[s.Worker]; l != nil {
-			go t.start(s, l.deadline(b.sent, t.cfg.Scheduler.MaxLease))
-			l.granted(b.sent, t.cfg.Scheduler.MaxLease)
+			// However late it is carried out, the lease ends before the next leader
+			// stops waiting for those that were ordered when the batch was sent.
+			until := earlier(now.Add(startLease), b.sent.Add(t.cfg.Scheduler.MaxLease))
+			go t.start(s, l.deadline(now, until.Sub(now)))
+			l.granted(now, until.Sub(now))
 			l.poke()
 		}
 	}
@@ -495,6 +498,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // dropJobs drops the descriptions of jobs whose outcome is stored. Losing a call
 // costs only space: the next leader drops them.
 func (t *term) dropJobs(ids []string) {
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -12,9 +12,13 @@
 
 const (
 	// renewWait is the longest time that a renewal waits for an end.
-	renewWait = 2 * time.Second
+	renewWait = time.Second
 	// renewMargin is how much longer than it waits a renewal may take.
-	renewMargin = 800 * time.Millisecond
+	renewMargin = 600 * time.Millisecond
+	// startLease is the lease that a start asks for; the next renewal, at once,
+	// asks for the longest. If neither is answered, the task may start elsewhere
+	// that much sooner.
+	startLease = 3 * time.Second
 	// claimTimeout bounds a renewal that doesn't wait.
 	claimTimeout = 700 * time.Millisecond
 	// noteWithin is how recently a worker must have answered to be told to forget
@@ -181,6 +185,7 @@
 	switch {
 	case e.err != nil || e.held.Verdict == fleet.OtherLife || e.held.Verdict == fleet.Unhealthy || e.held.Verdict == fleet.Malformed:
 		l.failures++
+		t.core.Suspect(now, e.id)
 		l.next = now.Add(min(linkPause<<min(l.failures-1, 4), maxLinkPause))
 		if l.failures == 1 || l.failures%16 == 0 {
 			t.cfg.Logger.Warn("worker did not renew", "worker", e.id, "verdict", e.held.Verdict.String(), "failures", l.failures, "error", e.err)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -180,6 +180,13 @@
 	return w != nil && (len(w.runs) > 0 || !w.synced)
 }
 
+// Suspect notes that a worker did not answer; it gets no new work for a while.
+func (c *Core) Suspect(now time.Time, id string) {
+	if w := c.workers[id]; w != nil && w.suspended.Before(now.Add(refusalPause)) {
+		w.suspended = now.Add(refusalPause)
+	}
+}
+
 // WorkerIDs lists the workers that are registered or where something is counted.
 func (c *Core) WorkerIDs() []string {
 	ids := make([]string, len(c.order))
@@ -222,7 +229,7 @@
 		return true
 	}
 	for _, r := range w.sortedRuns() {
-		if !listed[runKey{r.name, r.number}] && !r.answered.IsZero() && rep.Sent.Sub(r.answered) > 0 &&
+		if !listed[runKey{r.name, r.number}] && !r.answered.IsZero() && !rep.Sent.Before(r.answered) &&
 			(r.begun.IsZero() || now.Sub(r.answered) > vanishGrace) {
 			c.ended(now, r, Vanished, r.saved)
 		}
