Orders end with the term of the leader that gave them

A deposed leader's start was repeated after the worker had restarted, which knows no token then. Change: no attempt is made once the term is over.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -130,6 +130,7 @@
 	core  *scheduler.Core
 	inbox chan event
 	end   context.CancelFunc
+	ctx   context.Context //nolint:containedctx // it is the term itself: orders end with it
 	begun time.Time
 
 	// The rest belongs to the loop.
@@ -182,7 +183,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := &term{
-		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, begun: l.cfg.Now(),
+		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, ctx: ctx, begun: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{seen: map[string]note{}}, unstored: map[string]bool{},
 		core: scheduler.New(l.cfg.Scheduler),
 	}
@@ -378,7 +379,7 @@
 // collect sends stops and adds the rest to what is to be stored.
 func (t *term) collect(e scheduler.Effects) {
 	for _, s := range e.Stops {
-		go t.stop(s)
+		go t.stop(t.ctx, s)
 	}
 	for _, r := range e.Records {
 		t.pending.records = append(t.pending.records, store.Record{Key: r.Key, Value: r.Value})
@@ -473,7 +474,7 @@
 			// However late it is carried out, the lease ends before the next leader
 			// stops waiting for those that were ordered when the batch was sent.
 			until := earlier(now.Add(startLease), b.sent.Add(t.cfg.Scheduler.MaxLease))
-			go t.start(s, l.deadline(now, until.Sub(now)))
+			go t.start(t.ctx, s, l.deadline(now, until.Sub(now)))
 			l.granted(now, until.Sub(now))
 			l.poke()
 		}
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -245,14 +245,17 @@
 }
 
 // start carries a start to its worker.
-func (t *term) start(s scheduler.Start, deadline int64) {
+func (t *term) start(ctx context.Context, s scheduler.Start, deadline int64) {
 	begun := time.Now()
 	unanswered := false
 	result := scheduler.Uncertain
 	last := fleet.Malformed
 	var lastErr error
 	for range orderTries {
-		call, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		if ctx.Err() != nil {
+			return // a worker that has restarted would obey a deposed leader
+		}
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		a, err := t.cfg.Workers.Start(call, s, t.epoch, deadline)
 		cancel()
 		lastErr, last = err, a.Verdict
@@ -273,10 +276,10 @@
 			"unanswered", unanswered, "error", lastErr, "took_ms", time.Since(begun).Milliseconds())
 	}
 	if last == fleet.Fenced && lastErr == nil {
-		t.inbox <- storedEvent{err: ErrDeposed}
+		t.post(ctx, storedEvent{err: ErrDeposed})
 		return
 	}
-	t.inbox <- startedEvent{s, result}
+	t.post(ctx, startedEvent{s, result})
 }
 
 func startResult(v fleet.Verdict, unanswered bool) scheduler.StartResult {
@@ -306,18 +309,21 @@
 }
 
 // stop carries a stop to its worker.
-func (t *term) stop(s scheduler.Stop) {
+func (t *term) stop(ctx context.Context, s scheduler.Stop) {
 	for range orderTries {
-		call, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		a, err := t.cfg.Workers.Stop(call, s, t.epoch)
 		cancel()
 		if err == nil {
 			if a.Verdict == fleet.Fenced {
-				t.inbox <- storedEvent{err: ErrDeposed}
+				t.post(ctx, storedEvent{err: ErrDeposed})
 				return
 			}
 			if a.Verdict == fleet.Taken || a.Verdict == fleet.Old {
-				t.inbox <- stoppedEvent{s}
+				t.post(ctx, stoppedEvent{s})
 				return
 			}
 			t.cfg.Logger.Warn("stop not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", a.Verdict.String())
