--- a/internal/cmd/join/join.go
+++ b/internal/cmd/join/join.go
@@ -37,6 +37,10 @@
 
 // Run serves until a signal asks the daemon to stop.
 func (o *Options) Run(f *cmdutil.Factory) error {
+	if o.signals == nil {
+		o.signals = make(chan os.Signal, 4)
+		signal.Notify(o.signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(o.Level)); err != nil {
 		return err
@@ -48,10 +52,6 @@
 	if err != nil {
 		return err
 	}
-	if o.signals == nil {
-		o.signals = make(chan os.Signal, 4)
-		signal.Notify(o.signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	}
 	n := node.New(node.Config{Settings: set, Logger: logger.With("vm", set.VM)})
 	if err := n.Start(context.Background()); err != nil {
 		return err
--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -81,7 +81,8 @@
 	t.Helper()
 	data, err := os.ReadFile(d.log)
 	assert.NilError(t, err)
-	return strings.LastIndex(string(data), `"msg":"leading"`) > strings.LastIndex(string(data), `"msg":"no longer leading"`)
+	last := func(msg string) int { return strings.LastIndex(string(data), `"msg":"`+msg+`"`) }
+	return last("leading") > max(last("no longer leading"), last("started"))
 }
 
 func (d *daemon) awaitReady(t *testing.T) {
@@ -133,6 +134,7 @@
 			d.end(syscall.SIGKILL)
 			time.Sleep(1500 * time.Millisecond)
 			d.start(t)
+			d.awaitReady(t)
 			break
 		}
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -287,9 +287,13 @@
 		m.cfg.Logger.Info("another VM leads", "vm", held.VM, "epoch", held.Epoch, "before", m.current.VM)
 		m.current, m.rank, m.peers = held, -1, nil
 	}
-	return m.current.Epoch == failed.Epoch && !(m.current.Life == m.life && m.current.Epoch > m.led)
+	return m.current.Epoch == failed.Epoch && !m.won()
 }
 
+// won reports whether a campaign has been won and its lead not taken up. The
+// caller holds the lock.
+func (m *Member) won() bool { return m.current.Life == m.life && m.current.Epoch > m.led }
+
 // othersHear asks other standbys whether the leader answers them.
 func (m *Member) othersHear(ctx context.Context) bool {
 	m.mu.Lock()
@@ -360,8 +364,7 @@
 func (m *Member) Pinged(in Ping) Pong {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	won := m.current.Life == m.life && m.current.Epoch > m.led
-	if !m.leading && !won {
+	if !m.leading && !m.won() {
 		return Pong{}
 	}
 	now := time.Now()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -30,10 +30,10 @@
 // PartOf is the part of a job.
 func PartOf(id string) int { return int(xxhash.Sum64String(id) % Parts) }
 
-// ErrUncertain: the call may have taken effect.
+// ErrUncertain tells that the call may have taken effect.
 var ErrUncertain = errorx.NewType(errorx.NewNamespace("intake"), "uncertain").New("the outcome is unknown")
 
-// BusyError: nothing was done, and nothing will be. After says when to try again.
+// BusyError tells that nothing was done, and nothing will be. After says when to try again.
 type BusyError struct {
 	Why   string
 	After time.Duration
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -94,16 +94,16 @@
 	return 400*time.Millisecond + time.Duration(hash(name)%4000)*time.Millisecond, p.failer(name, run)
 }
 
-func splitTask(task string) (id string, k, step, index int) {
+func splitTask(task string) (id string, k, step int) {
 	parts := strings.Split(task, ".")
-	_, _ = fmt.Sscan(strings.Join(parts[1:], " "), &k, &step, &index)
-	return parts[0], k, step, index
+	_, _ = fmt.Sscan(strings.Join(parts[1:3], " "), &k, &step)
+	return parts[0], k, step
 }
 
 func (p *pool) spec(task string) *scheduler.Step {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	id, _, step, _ := splitTask(task)
+	id, _, step := splitTask(task)
 	j := p.jobs[id]
 	if j == nil || step >= len(j.Steps) {
 		return nil
@@ -113,7 +113,7 @@
 
 // check is run by the workers at each start.
 func (p *pool) check(task string) string {
-	id, k, step, _ := splitTask(task)
+	id, k, step := splitTask(task)
 	p.mu.Lock()
 	j := p.jobs[id]
 	p.mu.Unlock()
@@ -258,7 +258,7 @@
 // run plays f in virtual time and returns what it found.
 func run(t *testing.T, workers int, f func(p *pool)) (broken []string) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		p := newPool(workers)
 		p.log.SetFault(standin.LogFault{})
 		f(p)
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -126,29 +126,12 @@
 		if l.busy || now.Before(l.next) || l.address == "" || (!runs && l.seen <= l.noted) {
 			continue
 		}
-		wait := renewWait
-		if l.clockAt.IsZero() || !runs {
-			wait = 0 // the first answer tells what runs there
-		}
-		if l.uncommitted {
-			if now.Sub(l.renewed) < lease/4 {
-				continue
-			}
-			wait = 0
-		}
-		if l.failures > 0 {
-			wait = 0 // asks for no lease either, so that the last one can run out
-		}
-		r := fleet.Renewal{Token: t.epoch, Wait: wait}
-		if l.seen > l.noted {
-			// A worker that has restarted numbers its ends anew, and would forget
-			// some that were never listed; so its life is looked at first.
-			if l.failures == 0 && now.Sub(l.heard) < noteWithin {
-				r.Seen = l.seen
-			} else {
-				r.Wait = 0
-			}
+		if l.uncommitted && now.Sub(l.renewed) < lease/4 {
+			continue
 		}
+		r := l.renewal(now, t.epoch, runs)
+		// A worker that doesn't answer is asked for no lease, so that the last one
+		// can run out.
 		if grant := min(lease, limit.Sub(now)); grant > 0 && !l.clockAt.IsZero() && l.failures == 0 {
 			r.Deadline = l.deadline(now, grant)
 			l.granted(now, grant)
@@ -158,6 +141,24 @@
 	}
 }
 
+// renewal makes a renewal without a lease.
+func (l *link) renewal(now time.Time, token int64, runs bool) fleet.Renewal {
+	r := fleet.Renewal{Token: token, Wait: renewWait}
+	if l.clockAt.IsZero() || !runs || l.uncommitted || l.failures > 0 {
+		r.Wait = 0
+	}
+	if l.seen > l.noted {
+		// A worker that has restarted numbers its ends anew, and would forget
+		// some that were never listed; so its life is looked at first.
+		if l.failures == 0 && now.Sub(l.heard) < noteWithin {
+			r.Seen = l.seen
+		} else {
+			r.Wait = 0
+		}
+	}
+	return r
+}
+
 func (t *term) hold(ctx context.Context, id, address string, r fleet.Renewal) {
 	timeout := claimTimeout
 	if r.Wait > 0 {
@@ -183,19 +184,13 @@
 	}
 	l.busy = false
 	switch {
-	case e.err != nil || e.held.Verdict == fleet.OtherLife || e.held.Verdict == fleet.Unhealthy || e.held.Verdict == fleet.Malformed:
-		l.failures++
-		t.core.Suspect(now, e.id)
-		l.next = now.Add(min(linkPause<<min(l.failures-1, 4), maxLinkPause))
-		if l.failures == 1 || l.failures%16 == 0 {
-			t.cfg.Logger.Warn("worker did not renew", "worker", e.id, "verdict", e.held.Verdict.String(), "failures", l.failures, "error", e.err)
-		}
-		metric.Count("renewal_failures_total")
-		return
-	case e.held.Verdict == fleet.Fenced:
+	case e.err == nil && e.held.Verdict == fleet.Fenced:
 		t.cfg.Logger.Warn("worker obeys a later leader", "worker", e.id, "epoch", t.epoch)
 		t.end()
 		return
+	case e.err != nil || e.held.Verdict != fleet.Taken:
+		e.failed(t, l, now)
+		return
 	}
 	if l.failures > 0 {
 		t.cfg.Logger.Info("worker renews again", "worker", e.id, "failures", l.failures)
@@ -227,6 +222,17 @@
 	l.next = now
 }
 
+// failed notes a renewal that got no useful answer.
+func (e heldEvent) failed(t *term, l *link, now time.Time) {
+	l.failures++
+	t.core.Suspect(now, e.id)
+	l.next = now.Add(min(linkPause<<min(l.failures-1, 4), maxLinkPause))
+	if l.failures == 1 || l.failures%16 == 0 {
+		t.cfg.Logger.Warn("worker did not renew", "worker", e.id, "verdict", e.held.Verdict.String(), "failures", l.failures, "error", e.err)
+	}
+	metric.Count("renewal_failures_total")
+}
+
 // lapse tells the scheduler of workers whose leases have surely run out.
 func (t *term) lapse(now time.Time) {
 	// A worker may be known from the stored state only, and have left since.
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -249,17 +249,9 @@
 // scheduleTasks starts the waiting tasks of a step that is no gang.
 func (c *Core) scheduleTasks(now time.Time, s *step) {
 	for _, t := range s.tasks {
-		if t.phase != waiting || t.live != nil {
+		if t.phase != waiting || t.live != nil || c.awaitsPlan(now, t) {
 			continue
 		}
-		if t.plan != nil {
-			if c.startPlanned(now, []*task{t}) {
-				continue
-			}
-			if t.plan != nil {
-				continue
-			}
-		}
 		if s.spec.Tight && s.rack == "" {
 			s.rack = c.roomiestRack(now, s)
 		}
@@ -280,6 +272,12 @@
 	}
 }
 
+// awaitsPlan starts a task whose planned room is free, and reports whether there
+// is nothing else to do for it now.
+func (c *Core) awaitsPlan(now time.Time, t *task) bool {
+	return t.plan != nil && (c.startPlanned(now, []*task{t}) || t.plan != nil)
+}
+
 // mixed reports whether the step's tasks differ in where they may run.
 func (s *step) mixed() bool {
 	for _, t := range s.tasks {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -81,7 +81,6 @@
 	queue    Queue
 	state    State
 	occs     []*occurrence
-	opened   int // occurrences whose time has come
 	done     int
 	started  bool
 	stored   bool
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -44,16 +44,13 @@
 	// fails counts runs in a row that failed here.
 	fails     int
 	suspended time.Time // no new work before
-	// slow is the measured run time here against that elsewhere.
-	slow    float64
-	samples int
 }
 
 // worker returns the worker with the ID, which may not be listed (yet).
 func (c *Core) worker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, runs: map[runKey]*run{}, slow: 1}
+		w = &worker{id: id, runs: map[runKey]*run{}}
 		c.workers[id] = w
 		c.order = append(c.order, w)
 		sortWorkers(c.order)
