--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -70,8 +71,10 @@
 	Logger *slog.Logger
 	// Local returns the scheduler of this VM, or nil if another one schedules.
 	Local func() Local
-	// Healthy reports whether the store answers this VM.
-	Healthy func() bool
+	// Healthy reports whether the store answers this VM, and FailingFor for how
+	// long it hasn't.
+	Healthy    func() bool
+	FailingFor func() time.Duration
 }
 
 const (
@@ -87,9 +90,10 @@
 	// giveUpAfter is how long a job is tried against a store that gives no answer.
 	// Then its client is told, and may come to a VM that reaches the store.
 	giveUpAfter = 1200 * time.Millisecond
-	// comeBack is the Retry-After while the store is away, whose outages last
-	// seconds.
-	comeBack = time.Second
+	// comeBack and maxComeBack bound the Retry-After while the store is away, whose
+	// outages last seconds.
+	comeBack    = time.Second
+	maxComeBack = 4 * time.Second
 	// maxQueue bounds jobs that wait for the store; each lane holds
 	// that many, which with 10 KB a job fills a tenth of a VM of 184 MB.
 	maxQueue = 250
@@ -139,7 +143,8 @@
 // it never runs because of this call.
 func (in *Intake) Submit(ctx context.Context, j scheduler.Job) error {
 	if !in.cfg.Healthy() {
-		return &BusyError{Why: "the store does not answer this VM", After: comeBack}
+		why := fmt.Sprintf("the store has not answered this VM for %d ms", in.cfg.FailingFor().Milliseconds())
+		return &BusyError{Why: why, After: in.retryAfter()}
 	}
 	value, err := json.Marshal(j)
 	if err != nil {
@@ -154,6 +159,12 @@
 	return err
 }
 
+// retryAfter is when to come again: an outage is expected to last about as long as
+// it has lasted.
+func (in *Intake) retryAfter() time.Duration {
+	return min(max(in.cfg.FailingFor(), comeBack), maxComeBack)
+}
+
 // Run appends what is submitted until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/logpipe/logpipe.go
+++ b/internal/logpipe/logpipe.go
@@ -11,6 +11,10 @@
 	"rhubarbshore/internal/metric"
 )
 
+// atomicWrite is how many bytes a pipe takes as a whole (PIPE_BUF on Linux), so that
+// readers of several processes' output see whole lines.
+const atomicWrite = 4096
+
 // Pipe is a bounded queue of lines in front of a writer.
 type Pipe struct {
 	mu      sync.Mutex
@@ -51,15 +55,7 @@
 	for line := range p.lines {
 		buf.Reset()
 		buf.Write(line)
-		for more := true; more && buf.Len() < 32<<10; {
-			select {
-			case next, ok := <-p.lines:
-				more = ok
-				buf.Write(next)
-			default:
-				more = false
-			}
-		}
+		held := p.fill(&buf)
 		p.mu.Lock()
 		dropped := p.dropped
 		p.dropped = 0
@@ -67,12 +63,34 @@
 		if dropped > 0 {
 			fmt.Fprintf(&buf, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 		}
-		if _, err := p.out.Write(buf.Bytes()); err != nil {
-			metric.Count("log_write_failures_total")
+		p.write(buf.Bytes())
+		if len(held) > 0 {
+			p.write(held)
 		}
 	}
 }
 
+// fill adds lines that wait, as long as they fit. It returns one that did not.
+func (p *Pipe) fill(buf *bytes.Buffer) []byte {
+	for {
+		select {
+		case next, ok := <-p.lines:
+			if !ok || buf.Len()+len(next) > atomicWrite {
+				return next
+			}
+			buf.Write(next)
+		default:
+			return nil
+		}
+	}
+}
+
+func (p *Pipe) write(lines []byte) {
+	if _, err := p.out.Write(lines); err != nil {
+		metric.Count("log_write_failures_total")
+	}
+}
+
 // Close writes what is queued. Lines that come later are dropped: some goroutine
 // may still have one when the process ends.
 func (p *Pipe) Close() {
--- /dev/null
+++ b/internal/logpipe/logpipe_test.go
@@ -0,0 +1,46 @@
+package logpipe_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/logpipe"
+)
+
+// slowWriter is a reader that takes nothing until it is released.
+type slowWriter struct {
+	release chan struct{}
+	buf     bytes.Buffer
+	largest int
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.largest = max(w.largest, len(p))
+	return w.buf.Write(p)
+}
+
+func TestLinesAreNeverWaitedFor(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	p := logpipe.New(w, 100)
+	begun := time.Now()
+	for i := range 1000 {
+		_, err := fmt.Fprintf(p, "line %d %s\n", i, strings.Repeat("x", 1000))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(begun) < 5*time.Second, "nobody reads, and nobody waits")
+	close(w.release)
+	p.Close()
+	_, err := fmt.Fprintln(p, "after the end")
+	assert.NilError(t, err)
+	lines := strings.Split(strings.TrimSpace(w.buf.String()), "\n")
+	assert.Assert(t, strings.HasPrefix(lines[0], "line 0 "))
+	assert.Assert(t, len(lines) >= 100 && len(lines) < 110, "%d lines", len(lines))
+	assert.Assert(t, strings.Contains(w.buf.String(), "log lines dropped"))
+	assert.Assert(t, w.largest <= 4096+100, "readers see whole lines")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 		VM: set.VM, Address: set.Internal, Log: n.log, Client: peers, Logger: cfg.Logger, Work: n.leader, WriteAge: n.leader.WriteAge,
 	})
 	n.intake = intake.New(intake.Config{
-		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy,
+		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
 		Local: func() intake.Local {
 			if n.leader.Leading() {
 				return n.leader
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -359,7 +359,7 @@
 				if t.run > 0 {
 					c.out.Records = append(c.out.Records, Record{Key: t.name})
 				}
-				if t.live != nil {
+				if t.live != nil && state != Completed { // a gang's members end together
 					c.stop(now, t.live, why)
 				}
 			}
--- a/internal/store/health.go
+++ b/internal/store/health.go
@@ -35,6 +35,16 @@
 	return w.failed.IsZero() || time.Since(w.failed) < unhealthyAfter
 }
 
+// FailingFor returns for how long all calls have failed, or 0.
+func (w *Watched) FailingFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failed.IsZero() {
+		return 0
+	}
+	return time.Since(w.failed)
+}
+
 // Note takes in how a call ended. Answers that deny a condition are answers.
 func (w *Watched) Note(err error) {
 	w.mu.Lock()
