Scheduling rounds follow changes; workers are looked up by rack

Cause: a round cost 0.73 ms with 50 workers and 23 ms with 500, at each event. Ruled out: the store and renewals (the profile shows 96 % in the choice of workers). Change: a round runs only if something has changed, racks have an index, and a shape that fits nowhere is tried once a round.

--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -131,8 +131,8 @@
 	var best *worker
 	var bestStops []*run
 	bestCost := 0.0
-	for _, w := range c.order {
-		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
+	for _, w := range c.in(rack) {
+		if !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
 			continue
 		}
 		stops, cost, ok := c.makeRoom(now, w, need, level, victims)
@@ -248,8 +248,8 @@
 	var options []option
 	need := s.spec.room()
 	level := s.occ.job.level
-	for _, w := range c.order {
-		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) {
+	for _, w := range c.in(rack) {
+		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
 			continue
 		}
 		if w.info.Capacity.minus(w.kept(level)).Fits(need) {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -97,7 +97,8 @@
 func (c *Core) schedule(now time.Time) {
 	c.setLevels()
 	c.sortActive(now)
-	c.countRacks()
+	c.indexRacks()
+	clear(c.full)
 	reserved := false
 	for _, j := range c.active {
 		for _, o := range j.occs {
@@ -174,17 +175,42 @@
 	return 2
 }
 
-// countRacks sums the workers of each rack.
-func (c *Core) countRacks() {
-	clear(c.racks)
-	if c.racks == nil {
-		c.racks = map[string]int{}
+// shape is what a waiting task looks for. If one finds nothing, no equal one does
+// in the same round, as nothing becomes free within it.
+type shape struct {
+	need          Resources
+	level         int
+	service, rack string
+	label         string
+}
+
+// indexRacks lists the workers of each rack.
+func (c *Core) indexRacks() {
+	for rack, workers := range c.racks {
+		c.racks[rack] = workers[:0]
 	}
 	for _, w := range c.order {
 		if w.listed {
-			c.racks[w.info.Rack]++
+			c.racks[w.info.Rack] = append(c.racks[w.info.Rack], w)
+		}
+	}
+	c.rackNames = c.rackNames[:0]
+	for rack, workers := range c.racks {
+		if len(workers) == 0 {
+			delete(c.racks, rack)
+			continue
 		}
+		c.rackNames = append(c.rackNames, rack)
 	}
+	sort.Strings(c.rackNames)
+}
+
+// in lists the workers of a rack, or all.
+func (c *Core) in(rack string) []*worker {
+	if rack == "" {
+		return c.order
+	}
+	return c.racks[rack]
 }
 
 // suits reports whether tasks of the step may run on the worker at all.
@@ -256,7 +282,7 @@
 			s.rack = c.roomiestRack(now, s)
 		}
 		w := c.choose(now, t, s.homeRack())
-		if w == nil && s.homeRack() != "" && (now.Sub(s.since) > c.patience(s) || c.racks[s.homeRack()] == 0) {
+		if w == nil && s.homeRack() != "" && (now.Sub(s.since) > c.patience(s) || len(c.racks[s.homeRack()]) == 0) {
 			w = c.choose(now, t, "")
 		}
 		if w != nil {
@@ -322,10 +348,19 @@
 func (c *Core) choose(now time.Time, t *task, rack string) *worker {
 	s := t.step
 	need := s.spec.room()
+	key := shape{need, s.occ.job.level, s.occ.job.queue.Service, rack, s.spec.Label}
+	if c.full[key] {
+		return nil
+	}
 	var best *worker
 	var bestCost float64
-	for _, w := range c.order {
-		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !w.free(s.occ.job.level).Fits(need) || !s.suits(w) || !s.spreadAllows(w) {
+	room := false
+	for _, w := range c.in(rack) {
+		if !w.usable(now, c.cfg.Silence) || !w.free(s.occ.job.level).Fits(need) || !s.suits(w) {
+			continue
+		}
+		room = true
+		if !s.spreadAllows(w) {
 			continue
 		}
 		cost := c.placeCost(t, w, need)
@@ -333,6 +368,9 @@
 			best, bestCost = w, cost
 		}
 	}
+	if !room && !c.planning {
+		c.full[key] = true
+	}
 	return best
 }
 
@@ -475,8 +513,8 @@
 // rackFree sums the free accelerators of a rack, or of all workers.
 func (c *Core) rackFree(now time.Time, rack string, level int) int64 {
 	n := int64(0)
-	for _, w := range c.order {
-		if (rack == "" || w.info.Rack == rack) && w.usable(now, c.cfg.Silence) {
+	for _, w := range c.in(rack) {
+		if w.usable(now, c.cfg.Silence) {
 			n += max(w.free(level).Accelerators, 0)
 		}
 	}
@@ -501,7 +539,7 @@
 // workers.
 func (c *Core) gangRacks(now time.Time, s *step) []string {
 	if s.spec.Rack != "" {
-		if now.Sub(s.since) > c.patience(s) || c.racks[s.spec.Rack] == 0 {
+		if now.Sub(s.since) > c.patience(s) || len(c.racks[s.spec.Rack]) == 0 {
 			return []string{s.spec.Rack, ""}
 		}
 		return []string{s.spec.Rack}
@@ -511,11 +549,12 @@
 	}
 	racks := make([]string, 0, len(c.racks)+1)
 	possible := false
-	for rack := range c.racks {
-		racks = append(racks, rack)
-		possible = possible || c.rackHolds(s, rack)
+	for _, rack := range c.rackNames {
+		if c.rackHolds(s, rack) {
+			possible = true
+			racks = append(racks, rack)
+		}
 	}
-	sort.Strings(racks)
 	if !possible || now.Sub(s.since) > c.patience(s) {
 		racks = append(racks, "")
 	}
@@ -525,8 +564,8 @@
 // rackHolds reports whether an empty rack would hold all of the step's tasks.
 func (c *Core) rackHolds(s *step, rack string) bool {
 	n := int64(0)
-	for _, w := range c.order {
-		if w.listed && w.info.Rack == rack && s.suits(w) {
+	for _, w := range c.racks[rack] {
+		if s.suits(w) {
 			n += times(w.info.Capacity, s.spec.room())
 		}
 	}
@@ -535,6 +574,13 @@
 
 // fitAll finds a worker for each task of the step in free room, or returns nil.
 func (c *Core) fitAll(now time.Time, s *step, rack string) []*worker {
+	need := s.spec.room().Accelerators * int64(len(s.tasks))
+	if need > 0 && c.rackFree(now, rack, s.occ.job.level) < need {
+		return nil
+	}
+	// What the gang itself has been given makes nothing full for others.
+	c.planning = true
+	defer func() { c.planning = false }()
 	out := make([]*worker, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		w := c.choose(now, t, rack)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -124,7 +124,11 @@
 	stored     map[string][]storedTask // tasks whose job isn't known yet, by job
 	out        Effects
 	rates      map[string]*runTime
-	racks      map[string]int
+	racks      map[string][]*worker // listed workers by rack
+	rackNames  []string
+	full       map[shape]bool // what does not fit anywhere, in this round
+	planning   bool
+	changed    bool // since the last round of scheduling
 }
 
 type storedTask struct {
@@ -152,7 +156,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
-		guaranteed: map[string]int64{}, stored: map[string][]storedTask{}, rates: map[string]*runTime{},
+		guaranteed: map[string]int64{}, racks: map[string][]*worker{}, full: map[shape]bool{}, stored: map[string][]storedTask{}, rates: map[string]*runTime{},
 	}
 }
 
@@ -178,6 +182,7 @@
 
 // SetPolicy replaces the policy of all queues and the customers' guarantees.
 func (c *Core) SetPolicy(queues map[string]Queue, guaranteed map[string]int64) {
+	c.changed = true
 	c.queues, c.guaranteed = queues, guaranteed
 	for _, j := range c.active {
 		if q, ok := queues[j.spec.Queue.Name]; ok {
@@ -194,6 +199,7 @@
 		}
 		return
 	}
+	c.changed = true
 	j := &job{spec: spec, queue: spec.Queue, state: Queued, accepted: time.UnixMilli(spec.Accepted)}
 	if q, ok := c.queues[spec.Queue.Name]; ok {
 		j.queue = q
@@ -350,6 +356,7 @@
 
 // end brings a job to its final state, and stops what still runs.
 func (c *Core) end(now time.Time, j *job, state State, why string) {
+	c.changed = true
 	j.state, j.ended = state, now
 	c.put(j.spec.ID, jobRecord{State: state, Ended: now.UnixMilli()})
 	for _, o := range j.occs {
@@ -394,8 +401,11 @@
 
 // Flush places what can be placed and hands over all that is to be carried out.
 func (c *Core) Flush(now time.Time) Effects {
-	c.settle(now)
-	c.schedule(now)
+	if c.changed {
+		c.changed = false
+		c.settle(now)
+		c.schedule(now)
+	}
 	out := c.out
 	c.out = Effects{}
 	return out
@@ -419,6 +429,7 @@
 // Tick does what only time brings about. It is to be called several times a
 // second.
 func (c *Core) Tick(now time.Time) {
+	c.changed = true // patience and quarantines end with time alone
 	for _, w := range c.order {
 		c.watch(now, w)
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -92,6 +92,9 @@
 	if w.listed && info.Draining != w.info.Draining {
 		c.cfg.Logger.Info("worker changed state", "worker", w.id, "draining", info.Draining, "runs", len(w.runs))
 	}
+	if !w.listed || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity {
+		c.changed = true
+	}
 	w.info, w.listed, w.heard = info, true, now
 	if info.Born > w.born {
 		c.reborn(now, w, info.Born)
@@ -103,6 +106,7 @@
 func (c *Core) DropWorker(id string) {
 	if w := c.workers[id]; w != nil {
 		w.listed = false
+		c.changed = true
 		c.cfg.Logger.Info("worker left", "worker", id, "runs", len(w.runs))
 	}
 }
@@ -206,6 +210,7 @@
 		c.reborn(now, w, rep.Born)
 	}
 	if !w.synced {
+		c.changed = true
 		c.cfg.Logger.Info("worker reports to this leader", "worker", w.id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.synced, w.heard = true, now
@@ -330,6 +335,7 @@
 // ended takes in that a run is surely over.
 func (c *Core) ended(now time.Time, r *run, cause Cause, saved string) {
 	w := r.worker
+	c.changed = true
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.minus(r.room)
 	if r.blind {
