Jobs are unknown to customers they don't belong to

Cause: any valid key could ask for and cancel another customer's job. Change: state and cancelling take the customer of the call's key; the outcome of a job keeps whose it was.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -58,8 +58,8 @@
 
 // Local answers if this VM schedules itself.
 type Local interface {
-	State(ctx context.Context, id string) (scheduler.State, error)
-	Cancel(ctx context.Context, id string) (scheduler.State, error)
+	State(ctx context.Context, id, customer string) (scheduler.State, error)
+	Cancel(ctx context.Context, id, customer string) (scheduler.State, error)
 	Waiting(ctx context.Context, queue string) (int, error)
 }
 
@@ -264,11 +264,13 @@
 	l.mu.Unlock()
 }
 
-// Question is what VMs ask the scheduling VM. One field is set.
+// Question is what VMs ask the scheduling VM. One of Job, Cancel and Queue is set.
 type Question struct {
 	Job    string `json:"job,omitempty"`
 	Cancel string `json:"cancel,omitempty"`
 	Queue  string `json:"queue,omitempty"`
+	// Customer owns the key that the call carried; empty if it needed none.
+	Customer string `json:"customer,omitempty"`
 }
 
 // Reply answers a Question. Sure is false if the VM doesn't schedule or can't
@@ -289,9 +291,9 @@
 	var err error
 	switch {
 	case q.Job != "":
-		rep.State, err = local.State(ctx, q.Job)
+		rep.State, err = local.State(ctx, q.Job, q.Customer)
 	case q.Cancel != "":
-		rep.State, err = local.Cancel(ctx, q.Cancel)
+		rep.State, err = local.Cancel(ctx, q.Cancel, q.Customer)
 	default:
 		rep.Waiting, err = local.Waiting(ctx, q.Queue)
 	}
@@ -327,9 +329,9 @@
 	}
 }
 
-// State returns the state of a job.
-func (in *Intake) State(ctx context.Context, id string) (scheduler.State, error) {
-	rep, err := in.ask(ctx, Question{Job: id})
+// State returns the state of a customer's job.
+func (in *Intake) State(ctx context.Context, id, customer string) (scheduler.State, error) {
+	rep, err := in.ask(ctx, Question{Job: id, Customer: customer})
 	if err != nil {
 		return "", err
 	}
@@ -339,9 +341,9 @@
 	return rep.State, nil
 }
 
-// Cancel ends a job. The cancelling is stored when it returns nil.
-func (in *Intake) Cancel(ctx context.Context, id string) error {
-	rep, err := in.ask(ctx, Question{Cancel: id})
+// Cancel ends a customer's job. The cancelling is stored when it returns nil.
+func (in *Intake) Cancel(ctx context.Context, id, customer string) error {
+	rep, err := in.ask(ctx, Question{Cancel: id, Customer: customer})
 	if err != nil {
 		return ErrUncertain
 	}
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -103,6 +103,7 @@
 // is stored.
 type question struct {
 	job, cancel, queue string
+	customer           string
 	answer             chan reply
 }
 
@@ -116,9 +117,9 @@
 	var out reply
 	switch {
 	case q.job != "":
-		out.state, out.err = t.core.JobState(q.job)
+		out.state, out.err = t.core.JobState(q.job, q.customer)
 	case q.cancel != "":
-		out.state, out.err = t.core.Cancel(now, q.cancel)
+		out.state, out.err = t.core.Cancel(now, q.cancel, q.customer)
 		t.collect(t.core.Flush(now))
 	default:
 		out.waiting = t.core.Waiting(q.queue)
@@ -167,15 +168,15 @@
 	}
 }
 
-// State returns the state of a job.
-func (l *Leader) State(ctx context.Context, id string) (scheduler.State, error) {
-	out := l.ask(ctx, question{job: id})
+// State returns the state of a customer's job.
+func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
+	out := l.ask(ctx, question{job: id, customer: customer})
 	return out.state, out.err
 }
 
 // Cancel ends a job; its end is stored when it returns.
-func (l *Leader) Cancel(ctx context.Context, id string) (scheduler.State, error) {
-	out := l.ask(ctx, question{cancel: id})
+func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
+	out := l.ask(ctx, question{cancel: id, customer: customer})
 	return out.state, out.err
 }
 
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -207,7 +207,7 @@
 func (p *pool) state(id string) scheduler.State {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	s, err := p.last().leader.State(ctx, id)
+	s, err := p.last().leader.State(ctx, id, "")
 	if err != nil {
 		return scheduler.State(err.Error())
 	}
@@ -371,7 +371,7 @@
 		p.submit(job(1, 1, step(1, 8)))
 		time.Sleep(300 * time.Millisecond)
 		p.fleet.SetFault(standin.OrderFault{Lose: 1}) // the stop gets lost
-		_, err := first.leader.Cancel(context.Background(), fmt.Sprintf("%016x", 1))
+		_, err := first.leader.Cancel(context.Background(), fmt.Sprintf("%016x", 1), "")
 		assert.NilError(t, err)
 		first.cancel()
 		p.submit(job(2, 1, step(1, 8)))
@@ -426,7 +426,7 @@
 	case 14:
 		if len(p.jobs) > 0 {
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-			_, _ = cur.leader.Cancel(ctx, fmt.Sprintf("%016x", a.n%len(p.jobs)+1)) // whether it was in time doesn't matter
+			_, _ = cur.leader.Cancel(ctx, fmt.Sprintf("%016x", a.n%len(p.jobs)+1), "") // whether it was in time doesn't matter
 			cancel()
 		}
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -140,7 +140,7 @@
 }
 
 func (p *pool) state(id string) scheduler.State {
-	s, err := p.core.JobState(id)
+	s, err := p.core.JobState(id, "")
 	assert.NilError(p.t, err)
 	return s
 }
@@ -314,7 +314,7 @@
 		p.settle(1)
 		assert.Equal(t, p.runs["lasting.0.0.0"].Run, i+2)
 	}
-	_, err := p.core.Cancel(p.now, "lasting")
+	_, err := p.core.Cancel(p.now, "lasting", "c")
 	assert.NilError(t, err)
 	p.settle(1)
 	assert.Equal(t, len(p.runs), 0)
@@ -417,3 +417,16 @@
 	next.settle(2)
 	assert.Equal(t, next.state("job"), scheduler.Completed)
 }
+
+func TestJobsAreUnknownToOtherCustomers(t *testing.T) {
+	p := newPool(t, 1)
+	p.submit("job", 1, "c", tasks(1, 1))
+	p.settle(1)
+	_, err := p.core.JobState("job", "other")
+	assert.ErrorIs(t, err, scheduler.ErrUnknown)
+	_, err = p.core.Cancel(p.now, "job", "other")
+	assert.ErrorIs(t, err, scheduler.ErrUnknown)
+	state, err := p.core.Cancel(p.now, "job", "c")
+	assert.NilError(t, err)
+	assert.Equal(t, state, scheduler.Cancelled)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -148,8 +148,9 @@
 
 // jobRecord is the stored outcome of a job.
 type jobRecord struct {
-	State State `json:"state"`
-	Ended int64 `json:"ended"` // Unix milliseconds
+	State    State  `json:"state"`
+	Ended    int64  `json:"ended"` // Unix milliseconds
+	Customer string `json:"customer,omitempty"`
 }
 
 // New returns a core that knows nothing.
@@ -168,7 +169,7 @@
 		if err := json.Unmarshal(value, &rec); err != nil {
 			return errorx.Decorate(err, "stored job %s", key)
 		}
-		c.jobs[key] = &job{spec: Job{ID: key}, state: rec.State, ended: now, stored: true}
+		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, ended: now, stored: true}
 		return nil
 	}
 	id, _, ok := parseTask(key)
@@ -321,12 +322,22 @@
 	o.job.done++
 }
 
+// lookUp finds a job for a customer; other customers' jobs are unknown to it. A call
+// without a customer needed no key.
+func (c *Core) lookUp(id, customer string) (*job, error) {
+	j := c.jobs[id]
+	if j == nil || customer != "" && j.spec.Customer != "" && j.spec.Customer != customer {
+		return nil, ErrUnknown
+	}
+	return j, nil
+}
+
 // Cancel ends a job on its customer's request. It returns the state that the
 // job has then.
-func (c *Core) Cancel(now time.Time, id string) (State, error) {
-	j := c.jobs[id]
-	if j == nil {
-		return "", ErrUnknown
+func (c *Core) Cancel(now time.Time, id, customer string) (State, error) {
+	j, err := c.lookUp(id, customer)
+	if err != nil {
+		return "", err
 	}
 	if !j.state.final() {
 		c.end(now, j, Cancelled, "cancelled by its customer")
@@ -334,11 +345,11 @@
 	return j.state, nil
 }
 
-// JobState returns the state of a job.
-func (c *Core) JobState(id string) (State, error) {
-	j := c.jobs[id]
-	if j == nil {
-		return "", ErrUnknown
+// JobState returns the state of a customer's job.
+func (c *Core) JobState(id, customer string) (State, error) {
+	j, err := c.lookUp(id, customer)
+	if err != nil {
+		return "", err
 	}
 	return j.state, nil
 }
@@ -358,7 +369,7 @@
 func (c *Core) end(now time.Time, j *job, state State, why string) {
 	c.changed = true
 	j.state, j.ended = state, now
-	c.put(j.spec.ID, jobRecord{State: state, Ended: now.UnixMilli()})
+	c.put(j.spec.ID, jobRecord{State: state, Ended: now.UnixMilli(), Customer: j.spec.Customer})
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
