--- a/internal/cmd/join/join.go
+++ b/internal/cmd/join/join.go
@@ -52,7 +52,8 @@
 	if err != nil {
 		return err
 	}
-	n := node.New(node.Config{Settings: set, Logger: logger.With("vm", set.VM)})
+	logger = logger.With("vm", set.VM)
+	n := node.New(node.Config{Settings: set, Logger: logger})
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -47,6 +48,8 @@
 	callTimeout = time.Second
 	// storePause spaces attempts while the store doesn't answer.
 	storePause = 150 * time.Millisecond
+	// logEvery thins out lines about a store that stays away.
+	logEvery = 16
 	// peerLife is how long a standby counts after its last ping.
 	peerLife = 4 * time.Second
 	// stuckAfter is how long a leader may fail to write before a standby that
@@ -104,8 +107,9 @@
 
 // Member is a VM's part in the election.
 type Member struct {
-	cfg  Config
-	life string
+	cfg    Config
+	life   string
+	unread atomic.Int64 // readings of the leader's record in a row that failed
 
 	mu       sync.Mutex
 	current  Holder
@@ -266,10 +270,13 @@
 	defer cancel()
 	records, end, err := m.cfg.Log.Newest(ctx, stream)
 	if err != nil {
-		m.cfg.Logger.Warn("who leads can't be read", "error", err)
+		if n := m.unread.Add(1); n%logEvery == 1 {
+			m.cfg.Logger.Warn("who leads can't be read", "failures", n, "error", err)
+		}
 		m.pause(ctx, storePause)
 		return false
 	}
+	m.unread.Store(0)
 	var held Holder
 	for _, r := range records {
 		if r.Key != leaderKey {
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,300 @@
+package election_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/election"
+	"rhubarbshore/internal/standin"
+)
+
+// network carries calls between members in virtual time.
+type network struct {
+	mu      sync.Mutex
+	members map[string]*member
+	cut     map[string]bool // members that nobody reaches and that reach nobody
+}
+
+// member is a VM that takes part. Its work is to lead until it is told to stop.
+type member struct {
+	*election.Member
+	net     *network
+	name    string
+	cancel  context.CancelFunc
+	over    chan struct{}
+	mu      sync.Mutex
+	epochs  []int64
+	leading bool
+	end     context.CancelFunc
+	stuck   time.Duration
+}
+
+// Lead implements election.Leadership.
+func (m *member) Lead(ctx context.Context, epoch int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	m.mu.Lock()
+	m.epochs, m.leading, m.end = append(m.epochs, epoch), true, cancel
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+	m.leading = false
+	m.mu.Unlock()
+}
+
+func (m *member) leads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leading
+}
+
+// RoundTrip implements http.RoundTripper for calls of one member.
+func (m *member) RoundTrip(r *http.Request) (*http.Response, error) {
+	m.net.mu.Lock()
+	to := m.net.members[r.URL.Host]
+	silent := m.net.cut[m.name] || to != nil && m.net.cut[to.name]
+	m.net.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if to == nil {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	time.Sleep(2 * time.Millisecond)
+	var in election.Ping
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return nil, err
+	}
+	var out election.Pong
+	switch r.URL.Path {
+	case "/ping":
+		out = to.Pinged(in)
+	case "/heard":
+		out = to.Heard(in)
+	case "/take":
+		out = to.Take(context.Background(), in)
+	}
+	data, err := json.Marshal(out)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data)), Header: http.Header{}}, err
+}
+
+type pool struct {
+	net *network
+	log *standin.Log
+	all []*member
+}
+
+func newPool(n int) *pool {
+	p := &pool{net: &network{members: map[string]*member{}, cut: map[string]bool{}}, log: standin.NewLog(standin.LogConfig{Latency: 4 * time.Millisecond, Seed: 1})}
+	for i := range n {
+		p.add(fmt.Sprint("vm", i))
+	}
+	return p
+}
+
+func (p *pool) add(name string) {
+	m := &member{net: p.net, name: name, over: make(chan struct{})}
+	m.Member = election.New(election.Config{
+		VM: name, Address: name, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Work: m,
+		WriteAge: func() time.Duration { m.mu.Lock(); defer m.mu.Unlock(); return m.stuck },
+	})
+	p.net.mu.Lock()
+	p.net.members[name] = m
+	p.net.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.over)
+		m.Run(ctx)
+	}()
+	p.all = append(p.all, m)
+}
+
+// kill ends a member's process: connections to it are refused.
+func (p *pool) kill(m *member) {
+	p.net.mu.Lock()
+	delete(p.net.members, m.name)
+	p.net.mu.Unlock()
+	m.cancel()
+	<-m.over
+}
+
+func (p *pool) leaders() []*member {
+	var out []*member
+	for _, m := range p.all {
+		if m.leads() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// await waits until a member other than old leads, and returns how long it took.
+func (p *pool) await(old *member) (*member, time.Duration) {
+	begun := time.Now()
+	for time.Since(begun) < 30*time.Second {
+		for _, m := range p.leaders() {
+			if m != old {
+				return m, time.Since(begun)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, time.Since(begun)
+}
+
+func run(t *testing.T, n int, f func(p *pool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(n)
+		f(p)
+		seen := map[int64]string{}
+		for _, m := range p.all {
+			m.cancel()
+		}
+		for _, m := range p.all {
+			<-m.over
+			for _, e := range m.epochs {
+				assert.Equal(t, seen[e], "", "epoch %d is led twice", e)
+				seen[e] = m.name
+			}
+		}
+		time.Sleep(5 * time.Second) // calls under way end
+	})
+}
+
+// takeover is the aim for the time without a leader.
+const takeover = 1500 * time.Millisecond
+
+func TestOneLeaderFromTheStart(t *testing.T) {
+	run(t, 8, func(p *pool) {
+		_, took := p.await(nil)
+		assert.Assert(t, took < takeover, "took %s", took)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(p.leaders()), 1)
+		assert.Equal(t, len(p.leaders()[0].epochs), 1, "the lead does not change without a cause")
+	})
+}
+
+func TestKilledLeaderIsReplaced(t *testing.T) {
+	run(t, 8, func(p *pool) {
+		for range 5 {
+			old, _ := p.await(nil)
+			time.Sleep(3 * time.Second)
+			p.kill(old)
+			_, took := p.await(old)
+			assert.Assert(t, took < takeover, "took %s", took)
+		}
+	})
+}
+
+func TestSilentLeaderIsReplaced(t *testing.T) {
+	run(t, 8, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(3 * time.Second)
+		p.net.mu.Lock()
+		p.net.cut[old.name] = true
+		p.net.mu.Unlock()
+		_, took := p.await(old)
+		assert.Assert(t, took < 2*takeover, "took %s", took)
+	})
+}
+
+// A VM that is cut off from the others must not take the lead from a leader that
+// they hear.
+func TestCutOffVMTakesNothing(t *testing.T) {
+	run(t, 6, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(3 * time.Second)
+		for _, m := range p.all {
+			if m != old {
+				p.net.mu.Lock()
+				p.net.cut[m.name] = true
+				p.net.mu.Unlock()
+				break
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, len(old.epochs), 1)
+	})
+}
+
+func TestLeaderThatCannotWriteIsReplaced(t *testing.T) {
+	run(t, 5, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(3 * time.Second)
+		old.mu.Lock()
+		old.stuck = 2 * time.Second
+		old.mu.Unlock()
+		_, took := p.await(old)
+		assert.Assert(t, took < takeover, "took %s", took)
+	})
+}
+
+func TestLeadIsHandedOver(t *testing.T) {
+	run(t, 5, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(3 * time.Second)
+		old.HandOver(context.Background())
+		next, took := p.await(old)
+		assert.Assert(t, took < 200*time.Millisecond, "took %s", took)
+		old.mu.Lock()
+		old.end()
+		old.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, []bool{next.leads(), old.leads()}, []bool{true, false})
+	})
+}
+
+func TestAllRestartWhileTheStoreNamesALeaderOfBefore(t *testing.T) {
+	run(t, 4, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(2 * time.Second)
+		for _, m := range p.all {
+			p.kill(m)
+		}
+		for i := range 4 {
+			p.add(fmt.Sprint("vm", i))
+		}
+		_, took := p.await(old)
+		assert.Assert(t, took < takeover, "took %s", took)
+	})
+}
+
+func TestNobodyLeadsWithoutTheStore(t *testing.T) {
+	run(t, 4, func(p *pool) {
+		p.log.SetFault(standin.LogFault{Refuse: true})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(p.leaders()), 0)
+		p.log.SetFault(standin.LogFault{})
+		_, took := p.await(nil)
+		assert.Assert(t, took < takeover, "took %s", took)
+	})
+}
+
+// Answers of the store are lost: a campaign may win without the winner knowing.
+func TestLostAnswersOfTheStoreLeaveNoGap(t *testing.T) {
+	run(t, 5, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(2 * time.Second)
+		p.log.SetFault(standin.LogFault{Lose: 0.6, Late: 2 * time.Second})
+		p.kill(old)
+		time.Sleep(6 * time.Second)
+		p.log.SetFault(standin.LogFault{})
+		_, took := p.await(old)
+		assert.Assert(t, took < 2*takeover, "took %s", took)
+	})
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,155 @@
+package intake_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/internal/store"
+)
+
+type nobody struct{}
+
+func (nobody) Leader() string { return "" }
+func (nobody) Suspect(string) {}
+
+// site is an intake on a stand-in of the store, in virtual time.
+type site struct {
+	log    *standin.Log
+	intake *intake.Intake
+	ctx    context.Context
+}
+
+func run(t *testing.T, f func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := standin.NewLog(standin.LogConfig{Latency: 4 * time.Millisecond, Seed: 1})
+		watched := store.Watch(log.View("vm"))
+		s := &site{log: log, ctx: ctx, intake: intake.New(intake.Config{
+			Log: watched, Guide: nobody{}, Client: http.DefaultClient, Logger: slog.New(slog.DiscardHandler),
+			Local: func() intake.Local { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
+		})}
+		var wg sync.WaitGroup
+		wg.Go(func() { s.intake.Run(ctx) })
+		defer func() {
+			cancel()
+			wg.Wait()
+		}()
+		f(s)
+	})
+}
+
+// submit hands a job in and returns the answer and how long it took.
+func (s *site) submit(id int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+	defer cancel()
+	begun := time.Now()
+	err := s.intake.Submit(ctx, scheduler.Job{ID: fmt.Sprintf("%016x", id)})
+	return time.Since(begun), err
+}
+
+// stored reports whether the job is in the store.
+func (s *site) stored(t *testing.T, id int) bool {
+	t.Helper()
+	key := fmt.Sprintf("%016x", id)
+	records, _, err := s.log.View("test").Newest(s.ctx, intake.Stream(intake.PartOf(key)))
+	assert.NilError(t, err)
+	for _, r := range records {
+		if r.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+func TestAcceptedJobsAreStored(t *testing.T) {
+	run(t, func(s *site) {
+		for id := range 20 {
+			_, err := s.submit(id)
+			assert.NilError(t, err)
+			assert.Assert(t, s.stored(t, id))
+		}
+	})
+}
+
+// Load: a burst. Jobs that come while an append is under way share the next one.
+func TestBurstSharesAppends(t *testing.T) {
+	run(t, func(s *site) {
+		before := s.log.Calls()
+		var wg sync.WaitGroup
+		for id := range 400 {
+			wg.Go(func() {
+				_, err := s.submit(id)
+				assert.Check(t, err == nil)
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, s.log.Calls()-before < 60, "%d appends for 400 jobs", s.log.Calls()-before)
+	})
+}
+
+// A refusal is said soon, and only if nothing was stored and nothing can be.
+func TestRefusalsAreTrue(t *testing.T) {
+	run(t, func(s *site) {
+		s.log.SetFault(standin.LogFault{Refuse: true})
+		took, err := s.submit(1)
+		var busy *intake.BusyError
+		assert.Assert(t, errors.As(err, &busy))
+		assert.Assert(t, took < 300*time.Millisecond, "took %s", took)
+		time.Sleep(3 * time.Second)
+		_, err = s.submit(2)
+		assert.Assert(t, errors.As(err, &busy))
+		assert.Assert(t, busy.After >= 2*time.Second && busy.After <= 4*time.Second, "come again after %s", busy.After)
+		s.log.SetFault(standin.LogFault{})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !s.stored(t, 1))
+		assert.Assert(t, !s.stored(t, 2))
+	})
+}
+
+// An append without answer may be carried out later: the job isn't called refused.
+func TestLostAnswersAreNoRefusals(t *testing.T) {
+	run(t, func(s *site) {
+		s.log.SetFault(standin.LogFault{Lose: 1, Late: 5 * time.Second})
+		took, err := s.submit(1)
+		assert.ErrorIs(t, err, intake.ErrUncertain)
+		assert.Assert(t, took < 2*time.Second, "took %s", took)
+		s.log.SetFault(standin.LogFault{})
+		time.Sleep(6 * time.Second)
+		assert.Assert(t, s.stored(t, 1))
+	})
+}
+
+// A lost answer is settled by the repeat, if that is answered.
+func TestRepeatSettlesALostAnswer(t *testing.T) {
+	run(t, func(s *site) {
+		s.log.SetFault(standin.LogFault{Silent: true})
+		time.AfterFunc(500*time.Millisecond, func() { s.log.SetFault(standin.LogFault{}) })
+		_, err := s.submit(1)
+		assert.NilError(t, err)
+		assert.Assert(t, s.stored(t, 1))
+	})
+}
+
+func TestQuestionsEndWithTheirCaller(t *testing.T) {
+	run(t, func(s *site) {
+		ctx, cancel := context.WithTimeout(s.ctx, time.Second)
+		defer cancel()
+		_, err := s.intake.State(ctx, "x", "")
+		var busy *intake.BusyError
+		assert.Assert(t, errors.As(err, &busy))
+		assert.ErrorIs(t, s.intake.Cancel(ctx, "x", ""), intake.ErrUncertain)
+	})
+}
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -18,9 +18,14 @@
 	return j, err
 }
 
+// logEvery thins out lines about a dependency that stays away: the first failure is
+// logged, and then one in so many.
+const logEvery = 32
+
 // followJobs reads newly accepted jobs of a part from an offset on.
 func (t *term) followJobs(ctx context.Context, part int, from int64) {
 	stream := intake.Stream(part)
+	failures := 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+callTimeout)
 		page, err := t.cfg.Log.Read(call, stream, from, feedWait)
@@ -35,12 +40,12 @@
 				t.post(ctx, jobsEvent{part, records})
 			}
 		case err != nil:
-			if ctx.Err() == nil {
-				t.cfg.Logger.Warn("new jobs not read", "from", from, "error", err)
+			if failures++; failures%logEvery == 1 && ctx.Err() == nil {
+				t.cfg.Logger.Warn("new jobs not read", "part", part, "from", from, "failures", failures, "error", err)
 			}
 			time.Sleep(retryPause * 5)
 		default:
-			from = page.Next
+			from, failures = page.Next, 0
 			t.post(ctx, jobsEvent{part, page.Records})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,8 @@
 	// three seconds more.
 	configWait   = time.Second
 	configMargin = 1500 * time.Millisecond
+	// logEvery thins out lines about a store that stays away.
+	logEvery = 32
 	// configPause spaces readings after a failed one.
 	configPause = 150 * time.Millisecond
 	// memoryShare of the VM's memory starts the collector's hardest work.
@@ -192,6 +194,7 @@
 // followConfig keeps the newest configuration at hand.
 func (n *Node) followConfig(ctx context.Context) {
 	from := int64(-1)
+	failures := 0
 	for ctx.Err() == nil {
 		var snap *catalog.Snapshot
 		var next int64
@@ -215,10 +218,16 @@
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
-			n.cfg.Logger.Warn("configuration not read", "from", from, "error", err)
+			if failures++; failures%logEvery == 1 {
+				n.cfg.Logger.Warn("configuration not read", "from", from, "failures", failures, "error", err)
+			}
 			n.pause(ctx)
 			continue
 		}
+		if failures > 0 {
+			n.cfg.Logger.Info("store answers again", "failures", failures)
+			failures = 0
+		}
 		from = next
 		n.adopt(snap)
 		if wait == 0 || (snap == nil && n.catalog.Load() == nil) {
