Appends stay within what the store takes; unused settings go

Cause: on reading the whole change: a round of scheduling or a burst of large jobs above 2 MB would have been refused for ever; settings and fields nobody used. Figures: TestLargeRoundsAreStoredInParts and TestLargeJobsAreStored pass; they bound appends by what the store takes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -34,6 +34,9 @@
 // ErrUncertain tells that the call may have taken effect.
 var ErrUncertain = errorx.NewType(errorx.NewNamespace("intake"), "uncertain").New("the outcome is unknown")
 
+// ErrTooLarge tells that the store can't take the job.
+var ErrTooLarge = errorx.NewType(errorx.NewNamespace("intake"), "large").New("the job is too large to be stored")
+
 // BusyError tells that nothing was done, and nothing will be. After says when to try again.
 type BusyError struct {
 	Why   string
@@ -97,8 +100,11 @@
 	// maxQueue bounds jobs that wait for the store; each lane holds
 	// that many, which with 10 KB a job fills a tenth of a VM of 184 MB.
 	maxQueue = 250
-	// maxRecords bounds the jobs of one append, for its size in bytes.
+	// maxRecords and maxBytes bound one append; the store takes 2 MB.
 	maxRecords = 100
+	maxBytes   = 1 << 20
+	// maxJob bounds one job; the store takes records of 256 KB.
+	maxJob = 255 << 10
 	// hopTimeout is how long a call to the scheduling VM may take before its
 	// repeat, perhaps at another VM.
 	hopTimeout = 700 * time.Millisecond
@@ -150,6 +156,9 @@
 	if err != nil {
 		return errorx.Decorate(err, "encode job %s", j.ID)
 	}
+	if len(value) > maxJob {
+		return ErrTooLarge
+	}
 	s := &submission{ctx: ctx, record: store.Record{Key: j.ID, Value: value}, begun: time.Now(), result: make(chan error, 1)}
 	if err := in.lanes[PartOf(j.ID)].put(s); err != nil {
 		return err
@@ -214,7 +223,11 @@
 func (l *lane) take() []*submission {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := min(len(l.queue), maxRecords)
+	n, size := 0, 0
+	for n < min(len(l.queue), maxRecords) && (n == 0 || size+len(l.queue[n].record.Value) <= maxBytes) {
+		size += len(l.queue[n].record.Value)
+		n++
+	}
 	batch := l.queue[:n:n]
 	l.queue = l.queue[n:]
 	return batch
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -143,6 +144,25 @@
 	})
 }
 
+// Jobs near the largest that a record holds share appends only as far as one call
+// carries them.
+func TestLargeJobsAreStored(t *testing.T) {
+	run(t, func(s *site) {
+		var wg sync.WaitGroup
+		for id := range 60 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+				defer cancel()
+				err := s.intake.Submit(ctx, scheduler.Job{ID: fmt.Sprintf("%016x", id), Text: strings.Repeat("x", 200<<10)})
+				assert.Check(t, err == nil, "%v", err)
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, s.log.Largest() <= 2<<20, "an append of %d bytes", s.log.Largest())
+		assert.ErrorIs(t, s.intake.Submit(s.ctx, scheduler.Job{ID: "x", Text: strings.Repeat("x", 300<<10)}), intake.ErrTooLarge)
+	})
+}
+
 func TestQuestionsEndWithTheirCaller(t *testing.T) {
 	run(t, func(s *site) {
 		ctx, cancel := context.WithTimeout(s.ctx, time.Second)
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -384,6 +384,23 @@
 	assert.DeepEqual(t, broken, []string(nil))
 }
 
+// What one append can't carry is stored in several, and started after the last.
+func TestLargeRoundsAreStoredInParts(t *testing.T) {
+	broken := run(t, 8, func(p *pool) {
+		p.wrap = func(c leader.Config) leader.Config { c.MaxBatch = 1000; return c }
+		p.elect()
+		p.submit(job(1, 1, step(60, 1)))
+		p.submit(job(2, 1, step(100, 1)))
+		if open := p.settled(60 * time.Second); len(open) > 0 {
+			t.Errorf("not over: %v", open)
+		}
+		if most := p.log.Largest(); most > 1100 {
+			t.Errorf("an append of %d bytes", most)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
+
 // act is one step of a drawn history.
 type act struct {
 	wait time.Duration
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -105,6 +105,8 @@
 	lapseSlack = 250 * time.Millisecond
 	// events bounds the queue of the leader's loop.
 	events = 4096
+	// recordOverhead is what a record takes beside its key and value, in bytes.
+	recordOverhead = 8
 	// forgetEvery spaces the dropping of descriptions of jobs that are over.
 	forgetEvery = 5 * time.Second
 )
@@ -400,8 +402,7 @@
 	if t.pending.empty() && !idle {
 		return
 	}
-	b := t.pending
-	t.pending = batch{seen: map[string]note{}}
+	b := t.nextBatch()
 	t.flight = &b
 	if len(b.records) == 0 && !idle {
 		t.stored(now, nil)
@@ -415,6 +416,23 @@
 	go t.append(ctx, &b, t.sequence)
 }
 
+// nextBatch takes what is pending. If that is more than one append may carry, it
+// takes the first records only; what waits for them waits for the rest as well.
+func (t *term) nextBatch() batch {
+	size := 0
+	for i, r := range t.pending.records {
+		size += len(r.Key) + len(r.Value) + recordOverhead
+		if i > 0 && t.cfg.MaxBatch > 0 && size > t.cfg.MaxBatch {
+			first := batch{records: t.pending.records[:i:i], seen: map[string]note{}}
+			t.pending.records = t.pending.records[i:]
+			return first
+		}
+	}
+	b := t.pending
+	t.pending = batch{seen: map[string]note{}}
+	return b
+}
+
 // append writes a batch until it is stored or this leader is deposed.
 func (t *term) append(ctx context.Context, b *batch, sequence int64) {
 	pause := retryPause
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 		Log: n.log, Registry: n.source, Workers: platform.NewWorkers(platform.NewHTTPClient(workerConns, dialTimeout)),
 		Catalog: n.catalog.Load, Logger: cfg.Logger, MaxBatch: set.MaxBatch,
 		Scheduler: scheduler.Config{
-			Logger: cfg.Logger, MaxLease: set.Bounds.MaxLease, StopTimeout: set.Bounds.StopTimeout, Penalty: set.Bounds.Penalty,
+			Logger: cfg.Logger, MaxLease: set.Bounds.MaxLease, Penalty: set.Bounds.Penalty,
 			KeepEnded: keepEnded * set.Bounds.KeepStatus, Silence: silence * set.Heartbeat, Restore: set.Bounds.Restore, SaveEvery: set.Bounds.SaveEvery,
 		},
 	})
@@ -132,6 +132,9 @@
 	for _, run := range []func(context.Context){n.followConfig, n.member.Run, n.intake.Run} {
 		n.wg.Go(func() { run(ctx) })
 	}
+	if len(set.Duties) > 0 {
+		n.cfg.Logger.Warn("the platform asks for duties that are not built", "duties", set.Duties)
+	}
 	n.cfg.Logger.Info("started", "zone", set.Zone, "clients", set.Clients, "internal", set.Internal, "store", set.Store)
 	return nil
 }
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -50,20 +50,18 @@
 
 // Step is a set of equal tasks.
 type Step struct {
-	Count        int           `json:"count"`
-	Need         Resources     `json:"need"`
-	Estimate     time.Duration `json:"estimate,omitempty"` // declared run time of a task; often wrong
-	After        []int         `json:"after,omitempty"`    // steps that must be done first
-	Gang         bool          `json:"gang,omitempty"`
-	Tight        bool          `json:"tight,omitempty"` // slow on more than one rack
-	Label        string        `json:"label,omitempty"` // required of the worker
-	Rack         string        `json:"rack,omitempty"`  // where its data is
-	Spread       int           `json:"spread,omitempty"`
-	Checkpoints  bool          `json:"checkpoints,omitempty"`
-	Lasting      bool          `json:"lasting,omitempty"` // runs until cancelled
-	Fill         bool          `json:"fill,omitempty"`    // uses idle processors only
-	Image        string        `json:"image,omitempty"`
-	Interruption int           `json:"interruption,omitempty"`
+	Count       int           `json:"count"`
+	Need        Resources     `json:"need"`
+	Estimate    time.Duration `json:"estimate,omitempty"` // declared run time of a task; often wrong
+	After       []int         `json:"after,omitempty"`    // steps that must be done first
+	Gang        bool          `json:"gang,omitempty"`
+	Tight       bool          `json:"tight,omitempty"`  // slow on more than one rack
+	Label       string        `json:"label,omitempty"`  // required of the worker
+	Rack        string        `json:"rack,omitempty"`   // where its data is
+	Spread      int           `json:"spread,omitempty"` // most tasks of the step on one worker; 0 sets no bound
+	Checkpoints bool          `json:"checkpoints,omitempty"`
+	Lasting     bool          `json:"lasting,omitempty"` // runs until cancelled
+	Fill        bool          `json:"fill,omitempty"`    // uses idle processors only
 }
 
 // room is what a task of the step takes of a worker's capacity.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -98,8 +98,6 @@
 	Logger *slog.Logger
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
-	// StopTimeout bounds how long a worker takes to end a run.
-	StopTimeout time.Duration
 	// Penalty is how many times as long a task takes away from its rack.
 	Penalty float64
 	// KeepEnded is how long the outcome of a job is kept.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -35,6 +35,7 @@
 	fault  LogFault
 	byVM   map[string]LogFault
 	calls  int
+	most   int // bytes of the largest append
 }
 
 type topic struct {
@@ -81,6 +82,13 @@
 	t.records = nil
 }
 
+// Largest returns the bytes of the largest append so far.
+func (l *Log) Largest() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
+}
+
 // Calls counts the calls so far.
 func (l *Log) Calls() int {
 	l.mu.Lock()
@@ -187,6 +195,11 @@
 func (l *Log) append(name store.Stream, records []store.Record, o store.AppendOptions) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	l.most = max(l.most, size)
 	t := l.topic(name)
 	if o.Producer != "" {
 		p := t.producers[o.Producer]
