Urgent tasks that are no gang stop others as soon as gangs do; workers that left go

Cause: on reading the change: a plan of urgent tasks without a gang waited 1.5 s for its end before anything was stopped; idle workers that left were kept for good. Change: both kinds of plans stop what is still in the way after the same wait; a worker without runs is forgotten when it leaves.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -240,12 +240,13 @@
 		t.link(id, "")
 	}
 	for id, l := range t.links {
+		if !t.core.Knows(id) {
+			delete(t.links, id)
+			continue
+		}
 		if (l.failures > 0 || l.address == "") && now.After(l.expires) {
 			t.core.Lapse(now, id)
 			l.expires = now.Add(t.cfg.Scheduler.MaxLease)
-			if !t.core.Knows(id) {
-				delete(t.links, id)
-			}
 		}
 	}
 }
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -82,17 +82,15 @@
 	if now.Sub(s.since) < c.stopWait(s) {
 		return
 	}
-	need := map[*worker]Resources{}
-	var order []*worker
+	done := map[*worker]bool{}
 	for _, t := range tasks {
 		w := t.plan.worker
-		if _, ok := need[w]; !ok {
-			order = append(order, w)
+		if done[w] {
+			continue
 		}
-		need[w] = need[w].plus(t.plan.room)
-	}
-	for _, w := range order {
-		// The plans themselves are part of what is kept there.
+		done[w] = true
+		// The plans themselves are part of what is kept there, so nothing is
+		// needed beside them.
 		stops, _, ok := c.makeRoom(now, w, Resources{}, s.occ.job.level, nil)
 		if !ok {
 			dropPlans(tasks)
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -301,7 +301,17 @@
 // awaitsPlan starts a task whose planned room is free, and reports whether there
 // is nothing else to do for it now.
 func (c *Core) awaitsPlan(now time.Time, t *task) bool {
-	return t.plan != nil && (c.startPlanned(now, []*task{t}) || t.plan != nil)
+	if t.plan == nil {
+		return false
+	}
+	tasks := []*task{t}
+	if c.startPlanned(now, tasks) {
+		return true
+	}
+	if t.plan != nil && t.step.occ.job.level <= levelUrgent {
+		c.stopPlanned(now, tasks)
+	}
+	return t.plan != nil
 }
 
 // mixed reports whether the step's tasks differ in where they may run.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -157,6 +157,21 @@
 	assert.Equal(t, len(p.on("urgent")), 2)
 }
 
+// Load: everything is in use when urgent tasks come that are no gang. They wait a
+// little for others to end, then those are stopped, long before their plan is old.
+func TestUrgentTasksDoNotWaitForTheirPlansEnd(t *testing.T) {
+	p := newPool(t, 2)
+	p.submit("spare", 2, "other", tasks(16, 1))
+	p.settle(2)
+	p.submit("urgent", 0, "c", tasks(2, 8))
+	for range 22 {
+		p.step(50 * time.Millisecond)
+		p.report(0)
+		p.report(1)
+	}
+	assert.Equal(t, len(p.on("urgent")), 2, "begun 1.1 s after their acceptance")
+}
+
 // Load: urgent work of a customer over its guarantee holds the pool when another
 // customer asks for what it is guaranteed.
 func TestGuaranteedWorkComesBeforeOtherUrgentWork(t *testing.T) {
@@ -430,3 +445,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, state, scheduler.Cancelled)
 }
+
+// Workers come and go for weeks: what has left and runs nothing is forgotten.
+func TestWorkersThatLeftAreForgotten(t *testing.T) {
+	p := newPool(t, 2)
+	p.submit("job", 1, "c", tasks(1, 1))
+	p.settle(2)
+	busy := p.runs["job.0.0.0"].Worker
+	for i := range 2 {
+		p.core.DropWorker(workerID(i))
+	}
+	assert.DeepEqual(t, p.core.WorkerIDs(), []string{busy})
+	p.core.Lapse(p.now, busy)
+	assert.Equal(t, len(p.core.WorkerIDs()), 0)
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -108,6 +108,9 @@
 		w.listed = false
 		c.changed = true
 		c.cfg.Logger.Info("worker left", "worker", id, "runs", len(w.runs))
+		if len(w.runs) == 0 {
+			c.forgetWorker(w)
+		}
 	}
 }
 
