Work moves off leaving workers that have no time to finish it

Cause: what ran on a worker that was emptied and taken away was lost with it and started elsewhere only after its lease, 6 to 10 s later. Ruled out: counting the work as lost only when the worker goes (its remaining time is in the registry). Change: when a worker begins to leave, runs that need longer than it stays are stopped, and start elsewhere at once; lasting tasks stay.

--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -125,7 +125,9 @@
 	Labels   []string
 	Capacity Resources
 	Draining bool
-	Born     int64 // Unix milliseconds of this life's start
+	// Remaining is the least time that a draining worker stays.
+	Remaining time.Duration
+	Born      int64 // Unix milliseconds of this life's start
 }
 
 // RunningTask is a row of a worker's list of what runs there.
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -95,6 +95,26 @@
 	c.stop(now, r, reasonSlow)
 }
 
+// moveAway stops what a leaving worker has no time to finish. It would be lost when
+// the worker goes, and start elsewhere only after its lease.
+func (c *Core) moveAway(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.task == nil || !r.stopping.IsZero() || r.task.step.spec.Lasting {
+			continue
+		}
+		rest, ok := r.rest(now)
+		if !ok {
+			rest = c.expected(r.task.step)
+			if !r.begun.IsZero() {
+				rest -= now.Sub(r.begun)
+			}
+		}
+		if rest > w.info.Remaining {
+			c.stop(now, r, "its worker leaves")
+		}
+	}
+}
+
 // rest estimates how long a run still takes, from what it has reported.
 func (r *run) rest(now time.Time) (time.Duration, bool) {
 	seen, did := r.listed.Sub(r.begun), r.percent-r.first
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -459,3 +459,26 @@
 	p.core.Lapse(p.now, busy)
 	assert.Equal(t, len(p.core.WorkerIDs()), 0)
 }
+
+// Load: workers are emptied and taken away. What can't be done in the time that is
+// left moves at once; what can stays.
+func TestWorkMovesOffALeavingWorker(t *testing.T) {
+	p := newPool(t, 1)
+	p.submit("old", 1, "c", tasks(1, 1))
+	p.settle(1)
+	p.step(5 * time.Second)
+	p.report(0)
+	p.submit("new", 1, "c", tasks(1, 1))
+	p.submit("gang", 1, "c", gang(2, 1))
+	p.settle(1)
+	assert.DeepEqual(t, p.on("gang"), map[string]int{"w00": 2})
+	p.addWorker(1, "a")
+	p.core.SeeWorker(p.now, scheduler.Worker{
+		ID: "w00", Address: "x:1", Service: "s", Rack: "r0", Labels: []string{"a", "r0"}, Draining: true, Remaining: 2 * time.Second,
+		Capacity: scheduler.Resources{CPU: 64000, Memory: 64000, Accelerators: 8},
+	})
+	p.settle(2)
+	assert.DeepEqual(t, p.on("old"), map[string]int{"w00": 1})
+	assert.DeepEqual(t, p.on("new"), map[string]int{"w01": 1})
+	assert.DeepEqual(t, p.on("gang"), map[string]int{"w01": 2})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -92,6 +92,7 @@
 	if w.listed && info.Draining != w.info.Draining {
 		c.cfg.Logger.Info("worker changed state", "worker", w.id, "draining", info.Draining, "runs", len(w.runs))
 	}
+	leaves := w.listed && info.Draining && !w.info.Draining // earlier leaders moved what they saw leave
 	if !w.listed || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity {
 		c.changed = true
 	}
@@ -99,6 +100,9 @@
 	if info.Born > w.born {
 		c.reborn(now, w, info.Born)
 	}
+	if leaves {
+		c.moveAway(now, w)
+	}
 }
 
 // DropWorker takes in that a worker has left the registry. What ran there counts
