One handler and one lookup where two stood

Cause: reading the whole change once more: the internal call for questions decoded and refused bodies beside the generic handler, who schedules locally was worked out twice, and two loops searched slices by hand. Change: handle passes the call's context and serves all four calls; local is one method; slices.Contains. Conclusion: behaviour as it was.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"rhubarbshore/internal/fleet"
@@ -137,22 +138,13 @@
 	switch {
 	case !t.unstored[id]:
 		send()
-	case t.flight != nil && !contains(t.pending.outcome, id):
+	case t.flight != nil && !slices.Contains(t.pending.outcome, id):
 		t.flight.replies = append(t.flight.replies, send)
 	default:
 		t.pending.replies = append(t.pending.replies, send)
 	}
 }
 
-func contains(ids []string, id string) bool {
-	for _, v := range ids {
-		if v == id {
-			return true
-		}
-	}
-	return false
-}
-
 // ask puts a question to the loop.
 func (l *Leader) ask(ctx context.Context, q question) reply {
 	t := l.current.Load()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,16 +105,19 @@
 	})
 	n.intake = intake.New(intake.Config{
 		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
-		Local: func() intake.Local {
-			if n.leader.Leading() {
-				return n.leader
-			}
-			return nil
-		},
+		Local: n.local,
 	})
 	return n
 }
 
+// local returns the scheduler of this VM, or nil if another one schedules.
+func (n *Node) local() intake.Local {
+	if n.leader.Leading() {
+		return n.leader
+	}
+	return nil
+}
+
 // Start listens and takes part. It returns when the VM can be called.
 func (n *Node) Start(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(ctx)
@@ -163,34 +166,24 @@
 // internal serves other VMs, and metrics.
 func (n *Node) internal(ctx context.Context) http.Handler {
 	r := mux.NewRouter()
-	handle(r, "/ping", n.member.Pinged)
-	handle(r, "/heard", n.member.Heard)
-	handle(r, "/take", func(in election.Ping) election.Pong { return n.member.Take(ctx, in) })
-	r.HandleFunc("/ask", func(w http.ResponseWriter, r *http.Request) {
-		q, err := httpjson.Read[intake.Question](w, r, httpjson.MaxBody)
-		if err != nil {
-			httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
-			return
-		}
-		var local intake.Local
-		if n.leader.Leading() {
-			local = n.leader
-		}
-		httpjson.Write(w, http.StatusOK, intake.Answer(r.Context(), local, q))
-	})
+	handle(r, "/ping", func(_ context.Context, in election.Ping) election.Pong { return n.member.Pinged(in) })
+	handle(r, "/heard", func(_ context.Context, in election.Ping) election.Pong { return n.member.Heard(in) })
+	// A campaign outlives the call that asked for it.
+	handle(r, "/take", func(_ context.Context, in election.Ping) election.Pong { return n.member.Take(ctx, in) })
+	handle(r, "/ask", func(ctx context.Context, q intake.Question) intake.Reply { return intake.Answer(ctx, n.local(), q) })
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metric.Write(w) })
 	return r
 }
 
 // handle serves a call with typed messages.
-func handle[In, Out any](r *mux.Router, path string, f func(In) Out) {
+func handle[In, Out any](r *mux.Router, path string, f func(context.Context, In) Out) {
 	r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		in, err := httpjson.Read[In](w, r, httpjson.MaxBody)
 		if err != nil {
 			httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
 			return
 		}
-		httpjson.Write(w, http.StatusOK, f(in))
+		httpjson.Write(w, http.StatusOK, f(r.Context(), in))
 	})
 }
 
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -218,15 +219,7 @@
 	if w.info.Service != s.occ.job.queue.Service {
 		return false
 	}
-	if s.spec.Label == "" {
-		return true
-	}
-	for _, l := range w.info.Labels {
-		if l == s.spec.Label {
-			return true
-		}
-	}
-	return false
+	return s.spec.Label == "" || slices.Contains(w.info.Labels, s.spec.Label)
 }
 
 // spreadAllows reports whether one more task of the step may run on the worker.
