--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,112 @@
+// Package catalog is the operator's configuration in the product's terms: which
+// queue a request belongs to, and which customer a key belongs to.
+package catalog
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"rhubarbshore/internal/scheduler"
+)
+
+// Route leads requests of a host and path prefix to a queue.
+type Route struct {
+	Host      string
+	Prefix    string
+	Anonymous bool          // needs no key
+	Timeout   time.Duration // for an answer, unless the client names less
+	Queue     scheduler.Queue
+}
+
+// Customer has guaranteed accelerators and proves itself by its keys.
+type Customer struct {
+	Name       string
+	Keys       []string
+	Guaranteed int64
+}
+
+// Limits bound what clients send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config constructs a Snapshot.
+type Config struct {
+	Version   int64
+	Offset    int64 // where the version stands in the operator's topic
+	Routes    []Route
+	Customers []Customer
+	Limits    Limits
+}
+
+// Snapshot is one version of the configuration. It doesn't change.
+type Snapshot struct {
+	cfg    Config
+	byHost map[string][]Route
+	owners map[string]string
+}
+
+// New indexes a configuration.
+func New(cfg Config) *Snapshot {
+	s := &Snapshot{cfg: cfg, byHost: map[string][]Route{}, owners: map[string]string{}}
+	for _, r := range cfg.Routes {
+		host := strings.ToLower(r.Host)
+		s.byHost[host] = append(s.byHost[host], r)
+	}
+	for _, routes := range s.byHost {
+		sort.SliceStable(routes, func(i, k int) bool { return len(routes[i].Prefix) > len(routes[k].Prefix) })
+	}
+	for _, c := range cfg.Customers {
+		for _, k := range c.Keys {
+			s.owners[k] = c.Name
+		}
+	}
+	return s
+}
+
+// Version returns the operator's number of the version.
+func (s *Snapshot) Version() int64 { return s.cfg.Version }
+
+// Offset returns where the version stands in the operator's topic.
+func (s *Snapshot) Offset() int64 { return s.cfg.Offset }
+
+// Limits returns what clients are held to.
+func (s *Snapshot) Limits() Limits { return s.cfg.Limits }
+
+// Match finds the route of the longest prefix, and the rest of the path.
+func (s *Snapshot) Match(host, path string) (Route, string, bool) {
+	for _, r := range s.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, path[len(r.Prefix):], true
+		}
+	}
+	return Route{}, "", false
+}
+
+// Owner returns the customer that a key belongs to.
+func (s *Snapshot) Owner(key string) (string, bool) {
+	name, ok := s.owners[key]
+	return name, ok
+}
+
+// Queues returns the policy of each queue by name.
+func (s *Snapshot) Queues() map[string]scheduler.Queue {
+	out := make(map[string]scheduler.Queue, len(s.cfg.Routes))
+	for _, r := range s.cfg.Routes {
+		out[r.Queue.Name] = r.Queue
+	}
+	return out
+}
+
+// Guarantees returns the guaranteed accelerators of each customer.
+func (s *Snapshot) Guarantees() map[string]int64 {
+	out := make(map[string]int64, len(s.cfg.Customers))
+	for _, c := range s.cfg.Customers {
+		out[c.Name] = c.Guaranteed
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cmd/join/join.go
@@ -0,0 +1,69 @@
+// Package join runs the daemon of a VM of the users' platform.
+package join
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"rhubarbshore/internal/cmdutil"
+	"rhubarbshore/internal/logpipe"
+	"rhubarbshore/internal/node"
+	"rhubarbshore/platform"
+)
+
+// logLines bounds the lines that wait to be written: some seconds of the
+// heaviest load seen, under 2 MB.
+const logLines = 4096
+
+// Options are the command's flags and what it depends on.
+type Options struct {
+	Level string `help:"Least level of log lines: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+
+	signals chan os.Signal
+}
+
+// Help is shown by --help.
+func (o *Options) Help() string {
+	return `The platform names the settings file in its environment variable. SIGTERM
+hands the lead over, reports the VM not ready, answers what still comes and
+ends within the platform's grace period. SIGHUP reads the settings again.
+
+Example:
+  rhubarbshore join --level debug`
+}
+
+// Run serves until a signal asks the daemon to stop.
+func (o *Options) Run(f *cmdutil.Factory) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(o.Level)); err != nil {
+		return err
+	}
+	pipe := logpipe.New(f.IO.Out, logLines)
+	defer pipe.Close()
+	logger := slog.New(slog.NewJSONHandler(pipe, &slog.HandlerOptions{Level: level}))
+	set, err := platform.Load()
+	if err != nil {
+		return err
+	}
+	if o.signals == nil {
+		o.signals = make(chan os.Signal, 4)
+		signal.Notify(o.signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	}
+	n := node.New(node.Config{Settings: set, Logger: logger.With("vm", set.VM)})
+	if err := n.Start(context.Background()); err != nil {
+		return err
+	}
+	for sig := range o.signals {
+		if sig != syscall.SIGHUP {
+			logger.Info("stopping", "signal", sig.String())
+			break
+		}
+		again, err := platform.Load()
+		logger.Info("settings read again", "zone", again.Zone, "error", err)
+	}
+	n.Stop()
+	return nil
+}
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -22,6 +22,7 @@
 	joblist "rhubarbshore/internal/cmd/job/list"
 	jobsubmit "rhubarbshore/internal/cmd/job/submit"
 	jobview "rhubarbshore/internal/cmd/job/view"
+	"rhubarbshore/internal/cmd/join"
 	requestsend "rhubarbshore/internal/cmd/request/send"
 	requestview "rhubarbshore/internal/cmd/request/view"
 	"rhubarbshore/internal/cmd/serve"
@@ -52,6 +53,7 @@
 	Timeout time.Duration `help:"Give up after this long." default:"30s"`
 
 	Serve    serve.Options   `cmd:"" help:"Run an entry VM's daemon."`
+	Join     join.Options    `cmd:"" help:"Run the daemon of a VM of the users' platform."`
 	Demo     demo.Options    `cmd:"" help:"Run a small site in one process and check what callers were told."`
 	Version  version.Options `cmd:"" help:"Print the version."`
 	Config   configGroup     `cmd:"" help:"Check, publish and inspect the configuration."`
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,440 @@
+// Package election finds the one VM that schedules, and replaces it when it
+// fails. A VM takes the lead with a conditional append to a topic of the store;
+// the offset of that record is the leader's epoch, which rises with each change.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/store"
+)
+
+// Topic holds the record of the leader.
+const Topic = "lead"
+
+const leaderKey = "leader"
+
+const (
+	// pingEvery is how often the first standby looks at the leader; later ones
+	// look less often, by rankPing each, since they take over later anyway.
+	pingEvery = 300 * time.Millisecond
+	rankPing  = 150 * time.Millisecond
+	maxPing   = time.Second
+	// pingTimeout is how long an answer may take. VMs have parts of a core and
+	// may be slowed several times.
+	pingTimeout = 450 * time.Millisecond
+	// misses is how many answers in a row have to be missing before a leader
+	// that doesn't refuse connections is taken for failed.
+	misses = 2
+	// rankDelay lets standbys campaign one after the other.
+	rankDelay = 120 * time.Millisecond
+	// hearsay is how recently another standby must have heard the leader for
+	// this one to keep waiting.
+	hearsay = 800 * time.Millisecond
+	// callTimeout bounds calls to the store.
+	callTimeout = time.Second
+	// storePause spaces attempts while the store doesn't answer.
+	storePause = 150 * time.Millisecond
+	// peerLife is how long a standby counts after its last ping.
+	peerLife = 4 * time.Second
+	// stuckAfter is how long a leader may fail to write before a standby that
+	// reaches the store replaces it.
+	stuckAfter = 1500 * time.Millisecond
+)
+
+// Log is what an election needs of the store.
+type Log interface {
+	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
+	Newest(ctx context.Context, topic string) ([]store.Record, int64, error)
+}
+
+// Holder is a leader as the store records it.
+type Holder struct {
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+	Life    string `json:"life"` // one life of the VM's process
+	Epoch   int64  `json:"-"`
+}
+
+// Ping is what a standby tells the leader.
+type Ping struct {
+	VM      string `json:"vm"`
+	Address string `json:"address"`
+	Epoch   int64  `json:"epoch"`
+}
+
+// Pong answers a Ping. Rank is the place of the caller among the standbys.
+type Pong struct {
+	Leading bool     `json:"leading"`
+	Stuck   bool     `json:"stuck,omitempty"`
+	Rank    int      `json:"rank,omitempty"`
+	Peers   []string `json:"peers,omitempty"` // addresses of other standbys
+	// HeardMS is how long ago a standby that is asked has heard the leader.
+	HeardMS int64 `json:"heard"`
+}
+
+// Leadership is a leader's work. Lead returns when it is over.
+type Leadership interface {
+	Lead(ctx context.Context, epoch int64)
+}
+
+// Config constructs a Member.
+type Config struct {
+	VM, Address string
+	Log         Log
+	Client      *http.Client
+	Logger      *slog.Logger
+	Work        Leadership
+	// WriteAge is how long ago the leader's last write succeeded, if one fails
+	// since; 0 otherwise.
+	WriteAge func() time.Duration
+}
+
+// Member is a VM's part in the election.
+type Member struct {
+	cfg  Config
+	life string
+
+	mu       sync.Mutex
+	current  Holder
+	end      int64 // of the topic, when it was last read
+	heard    time.Time
+	leading  bool
+	led      int64 // highest epoch that this VM has led
+	rank     int
+	peers    []string
+	standbys map[string]standby // those that ping this VM while it leads
+	suspect  chan struct{}
+	stopping bool
+}
+
+type standby struct {
+	address string
+	seen    time.Time
+}
+
+// New returns a Member; Run takes part.
+func New(cfg Config) *Member {
+	return &Member{cfg: cfg, life: uuid.NewString(), standbys: map[string]standby{}, suspect: make(chan struct{}, 1), rank: -1}
+}
+
+// Leader returns the address of the VM that leads, or empty.
+func (m *Member) Leader() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current.Address
+}
+
+// Suspect makes the member look at the leader at once.
+func (m *Member) Suspect(address string) {
+	if address != m.Leader() {
+		return
+	}
+	select {
+	case m.suspect <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes part until ctx ends.
+func (m *Member) Run(ctx context.Context) {
+	missed := 0
+	for ctx.Err() == nil {
+		held, known := m.look()
+		switch {
+		case !known:
+			m.replace(ctx, held, false)
+		case held.Life == m.life && held.Epoch > m.ledEpoch():
+			// Won just now, or by a campaign whose answer was lost.
+			m.lead(ctx, held.Epoch)
+		case held.Life == m.life:
+			m.replace(ctx, held, false)
+		default:
+			missed = m.ping(ctx, held, missed)
+			if missed >= misses {
+				missed = 0
+				m.replace(ctx, held, true)
+				continue
+			}
+			m.pause(ctx, m.interval(missed))
+		}
+	}
+}
+
+func (m *Member) look() (Holder, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current, m.current.Life != ""
+}
+
+func (m *Member) ledEpoch() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.led
+}
+
+func (m *Member) interval(missed int) time.Duration {
+	if missed > 0 {
+		return storePause / 3
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(pingEvery+time.Duration(max(m.rank, 0))*rankPing, maxPing)
+}
+
+func (m *Member) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-m.suspect:
+	case <-time.After(d):
+	}
+}
+
+// ping looks at the leader and returns how many answers are missing in a row.
+func (m *Member) ping(ctx context.Context, held Holder, missed int) int {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	in := Ping{VM: m.cfg.VM, Address: m.cfg.Address, Epoch: held.Epoch}
+	pong, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+held.Address+"/ping", &in, nil)
+	switch {
+	case errors.Is(err, httpjson.ErrUnsent) && ctx.Err() == nil:
+		m.cfg.Logger.Warn("leader refuses connections", "vm", held.VM, "epoch", held.Epoch)
+		return misses
+	case err != nil:
+		return missed + 1
+	case !pong.Leading || pong.Stuck:
+		m.cfg.Logger.Warn("leader is not able to lead", "vm", held.VM, "epoch", held.Epoch, "leading", pong.Leading, "stuck", pong.Stuck)
+		return misses
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current.Life == held.Life {
+		m.heard, m.rank, m.peers = time.Now(), pong.Rank, pong.Peers
+	}
+	return 0
+}
+
+// replace campaigns for the lead unless another VM has it.
+func (m *Member) replace(ctx context.Context, failed Holder, ask bool) {
+	if !m.refresh(ctx, failed) {
+		return
+	}
+	m.pause(ctx, m.stagger())
+	if ask && m.othersHear(ctx) {
+		m.pause(ctx, pingEvery)
+		return
+	}
+	if !m.refresh(ctx, failed) || ctx.Err() != nil || m.isStopping() {
+		return
+	}
+	m.campaign(ctx)
+}
+
+func (m *Member) isStopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
+func (m *Member) stagger() time.Duration {
+	m.mu.Lock()
+	rank := m.rank
+	m.mu.Unlock()
+	jitter := time.Duration(rand.Int64N(int64(rankDelay) / 2))
+	if rank < 0 {
+		return time.Duration(rand.Int64N(int64(3 * rankDelay)))
+	}
+	return time.Duration(rank)*rankDelay + jitter
+}
+
+// refresh reads who leads. It returns true if the store answers and nobody has
+// replaced the failed leader.
+func (m *Member) refresh(ctx context.Context, failed Holder) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, end, err := m.cfg.Log.Newest(ctx, Topic)
+	if err != nil {
+		m.cfg.Logger.Warn("who leads can't be read", "error", err)
+		m.pause(ctx, storePause)
+		return false
+	}
+	var held Holder
+	for _, r := range records {
+		if r.Key != leaderKey {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &held); err != nil {
+			m.cfg.Logger.Error("leader record not readable", "error", err)
+		}
+		held.Epoch = r.Offset + 1
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.end = end
+	if held.Epoch > m.current.Epoch {
+		m.cfg.Logger.Info("another VM leads", "vm", held.VM, "epoch", held.Epoch, "before", m.current.VM)
+		m.current, m.rank, m.peers = held, -1, nil
+	}
+	return m.current.Epoch == failed.Epoch && !(m.current.Life == m.life && m.current.Epoch > m.led)
+}
+
+// othersHear asks other standbys whether the leader answers them.
+func (m *Member) othersHear(ctx context.Context) bool {
+	m.mu.Lock()
+	peers := m.peers
+	epoch := m.current.Epoch
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout/2)
+	defer cancel()
+	answers := make(chan bool, len(peers))
+	for _, address := range peers {
+		go func() {
+			in := Ping{VM: m.cfg.VM, Epoch: epoch}
+			pong, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+address+"/heard", &in, nil)
+			answers <- err == nil && pong.HeardMS >= 0 && time.Duration(pong.HeardMS)*time.Millisecond < hearsay-pingTimeout/2
+		}()
+	}
+	for range peers {
+		if <-answers {
+			m.cfg.Logger.Info("leader answers other VMs", "epoch", epoch)
+			return true
+		}
+	}
+	return false
+}
+
+// campaign appends this VM's record where the topic was seen to end.
+func (m *Member) campaign(ctx context.Context) {
+	m.mu.Lock()
+	at, before := m.end, m.current
+	m.mu.Unlock()
+	value, err := json.Marshal(Holder{VM: m.cfg.VM, Address: m.cfg.Address, Life: m.life})
+	if err != nil {
+		m.cfg.Logger.Error("leader record not encoded", "error", err)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	offset, err := m.cfg.Log.Append(call, Topic, []store.Record{{Key: leaderKey, Value: value}}, store.AppendOptions{Conditional: true, At: at})
+	if err != nil {
+		m.cfg.Logger.Info("campaign not won", "at", at, "error", err)
+		return
+	}
+	m.cfg.Logger.Info("campaign won", "epoch", offset+1, "before", before.VM, "before_epoch", before.Epoch)
+	metric.Count("elections_total")
+	m.mu.Lock()
+	m.current = Holder{VM: m.cfg.VM, Address: m.cfg.Address, Life: m.life, Epoch: offset + 1}
+	m.mu.Unlock()
+	select { // Run takes the lead up
+	case m.suspect <- struct{}{}:
+	default:
+	}
+}
+
+// lead does the leader's work until it is over.
+func (m *Member) lead(ctx context.Context, epoch int64) {
+	m.mu.Lock()
+	m.leading, m.led, m.rank = true, epoch, -1
+	clear(m.standbys)
+	m.mu.Unlock()
+	m.cfg.Work.Lead(ctx, epoch)
+	m.mu.Lock()
+	m.leading = false
+	m.mu.Unlock()
+	m.cfg.Logger.Info("no longer leading", "epoch", epoch)
+}
+
+// Pinged answers a standby.
+func (m *Member) Pinged(in Ping) Pong {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leading {
+		return Pong{}
+	}
+	now := time.Now()
+	m.standbys[in.VM] = standby{in.Address, now}
+	names := m.liveStandbys(now)
+	out := Pong{Leading: true, Stuck: m.cfg.WriteAge() > stuckAfter}
+	for i, name := range names {
+		if name == in.VM {
+			out.Rank = i
+		} else if len(out.Peers) < 3 {
+			out.Peers = append(out.Peers, m.standbys[name].address)
+		}
+	}
+	return out
+}
+
+func (m *Member) liveStandbys(now time.Time) []string {
+	var names []string
+	for name, s := range m.standbys {
+		if now.Sub(s.seen) > peerLife {
+			delete(m.standbys, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Heard answers another standby how long ago the leader of an epoch answered
+// this VM, or -1.
+func (m *Member) Heard(in Ping) Pong {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leading && m.current.Epoch == in.Epoch {
+		return Pong{HeardMS: 0}
+	}
+	if m.current.Epoch != in.Epoch || m.heard.IsZero() {
+		return Pong{HeardMS: -1}
+	}
+	return Pong{HeardMS: time.Since(m.heard).Milliseconds()}
+}
+
+// HandOver asks the first standby to take the lead, and takes no part from now
+// on.
+func (m *Member) HandOver(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	leading := m.leading
+	epoch := m.current.Epoch
+	var address string
+	for _, name := range m.liveStandbys(time.Now()) {
+		address = m.standbys[name].address
+		break
+	}
+	m.mu.Unlock()
+	if !leading || address == "" {
+		return
+	}
+	in := Ping{VM: m.cfg.VM, Epoch: epoch}
+	_, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+address+"/take", &in, nil)
+	m.cfg.Logger.Info("lead is handed over", "to", address, "epoch", epoch, "error", err)
+}
+
+// Take campaigns at once, on the request of the leader of an epoch.
+func (m *Member) Take(ctx context.Context, in Ping) Pong {
+	held, _ := m.look()
+	if held.Epoch != in.Epoch || m.isStopping() {
+		return Pong{}
+	}
+	go func() {
+		if m.refresh(ctx, held) {
+			m.campaign(ctx)
+		}
+	}()
+	return Pong{Leading: true}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,308 @@
+// Package intake takes jobs in for good and leads questions about them to the
+// VM that schedules.
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
+)
+
+// Topic holds accepted jobs by their ID. Every VM writes to it.
+const Topic = "jobs"
+
+// ErrUncertain: the call may have taken effect.
+var ErrUncertain = errorx.NewType(errorx.NewNamespace("intake"), "uncertain").New("the outcome is unknown")
+
+// BusyError: nothing was done, and nothing will be. After says when to try again.
+type BusyError struct {
+	Why   string
+	After time.Duration
+}
+
+// Error implements error.
+func (e *BusyError) Error() string { return e.Why }
+
+// Log is what the intake needs of the store.
+type Log interface {
+	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
+}
+
+// Guide knows the VM that schedules.
+type Guide interface {
+	// Leader returns its address, empty if there is none.
+	Leader() string
+	// Suspect tells that a call to it got no answer.
+	Suspect(address string)
+}
+
+// Local answers if this VM schedules itself.
+type Local interface {
+	State(ctx context.Context, id string) (scheduler.State, error)
+	Cancel(ctx context.Context, id string) (scheduler.State, error)
+	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+// Config constructs an Intake.
+type Config struct {
+	Log    Log
+	Guide  Guide
+	Client *http.Client // to other VMs
+	Logger *slog.Logger
+	// Local returns the scheduler of this VM, or nil if another one schedules.
+	Local func() Local
+	// Healthy reports whether the store answers this VM.
+	Healthy func() bool
+}
+
+const (
+	// appendTimeout is how long an append may take before it is repeated: a
+	// hundred times its usual 4 ms, and half the least time that clients wait.
+	appendTimeout = 900 * time.Millisecond
+	// firstPause and maxPause space repeated appends.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
+	// refuseAfter is how long a job is tried against a store that refuses it:
+	// about a quarter of the shortest objective of the first sites.
+	refuseAfter = 60 * time.Millisecond
+	// comeBack is the Retry-After while the store is away, whose outages last
+	// seconds.
+	comeBack = time.Second
+	// maxQueue bounds jobs that wait for the store; beyond it a VM of 184 MB
+	// would run out of memory with jobs of 10 KB each.
+	maxQueue = 2000
+	// maxRecords bounds the jobs of one append, for its size in bytes.
+	maxRecords = 100
+	// hopTimeout is how long a call to the scheduling VM may take before its
+	// repeat, perhaps at another VM.
+	hopTimeout = 700 * time.Millisecond
+	// hopPause spaces such calls.
+	hopPause = 60 * time.Millisecond
+)
+
+// submission is a job that waits for the store.
+type submission struct {
+	ctx       context.Context //nolint:containedctx // it travels with the job through the queue
+	record    store.Record
+	begun     time.Time
+	uncertain bool
+	result    chan error
+}
+
+// Intake accepts jobs. All calls of a VM share its appends.
+type Intake struct {
+	cfg   Config
+	mu    sync.Mutex
+	queue []*submission
+	wake  chan struct{}
+}
+
+// New returns an Intake; Run has to be called for it to accept.
+func New(cfg Config) *Intake { return &Intake{cfg: cfg, wake: make(chan struct{}, 1)} }
+
+// Submit stores the job. A nil error means that it is stored; a BusyError that
+// it never runs because of this call.
+func (in *Intake) Submit(ctx context.Context, j scheduler.Job) error {
+	if !in.cfg.Healthy() {
+		return &BusyError{Why: "the store does not answer this VM", After: comeBack}
+	}
+	value, err := json.Marshal(j)
+	if err != nil {
+		return errorx.Decorate(err, "encode job %s", j.ID)
+	}
+	s := &submission{ctx: ctx, record: store.Record{Key: j.ID, Value: value}, begun: time.Now(), result: make(chan error, 1)}
+	in.mu.Lock()
+	if len(in.queue) >= maxQueue {
+		in.mu.Unlock()
+		return &BusyError{Why: "too many jobs wait for the store", After: comeBack}
+	}
+	in.queue = append(in.queue, s)
+	in.mu.Unlock()
+	select {
+	case in.wake <- struct{}{}:
+	default:
+	}
+	err = <-s.result
+	metric.Observe("accept_seconds", s.begun)
+	return err
+}
+
+// Run appends what is submitted until ctx ends.
+func (in *Intake) Run(ctx context.Context) {
+	pause := firstPause
+	for {
+		batch := in.take()
+		if len(batch) == 0 {
+			select {
+			case <-in.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if in.append(ctx, batch) {
+			pause = firstPause
+			continue
+		}
+		in.giveBack(batch)
+		time.Sleep(pause)
+		pause = min(pause*2, maxPause)
+	}
+}
+
+func (in *Intake) take() []*submission {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	n := min(len(in.queue), maxRecords)
+	batch := in.queue[:n:n]
+	in.queue = in.queue[n:]
+	return batch
+}
+
+// append stores a batch and answers its submitters; it returns false if the
+// batch isn't stored.
+func (in *Intake) append(ctx context.Context, batch []*submission) bool {
+	records := make([]store.Record, len(batch))
+	for i, s := range batch {
+		records[i] = s.record
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := in.cfg.Log.Append(ctx, Topic, records, store.AppendOptions{})
+	if err == nil {
+		for _, s := range batch {
+			s.result <- nil
+		}
+		return true
+	}
+	uncertain := !errors.Is(err, store.ErrRefused)
+	in.cfg.Logger.Warn("jobs not stored", "jobs", len(batch), "uncertain", uncertain, "error", err)
+	for _, s := range batch {
+		s.uncertain = s.uncertain || uncertain
+	}
+	return false
+}
+
+// giveBack queues again what may still be stored in time and answers the rest.
+func (in *Intake) giveBack(batch []*submission) {
+	var again []*submission
+	for _, s := range batch {
+		switch {
+		case s.uncertain && s.ctx.Err() != nil:
+			s.result <- ErrUncertain
+		case s.uncertain:
+			again = append(again, s)
+		case s.ctx.Err() != nil || time.Since(s.begun) > refuseAfter:
+			s.result <- &BusyError{Why: "the store refused the job", After: comeBack}
+		default:
+			again = append(again, s)
+		}
+	}
+	in.mu.Lock()
+	in.queue = append(again, in.queue...)
+	in.mu.Unlock()
+}
+
+// Question is what VMs ask the scheduling VM. One field is set.
+type Question struct {
+	Job    string `json:"job,omitempty"`
+	Cancel string `json:"cancel,omitempty"`
+	Queue  string `json:"queue,omitempty"`
+}
+
+// Reply answers a Question. Sure is false if the VM doesn't schedule or can't
+// tell.
+type Reply struct {
+	Sure    bool            `json:"sure"`
+	Known   bool            `json:"known,omitempty"`
+	State   scheduler.State `json:"state,omitempty"`
+	Waiting int             `json:"waiting,omitempty"`
+}
+
+// Answer answers a question from another VM.
+func Answer(ctx context.Context, local Local, q Question) Reply {
+	if local == nil {
+		return Reply{}
+	}
+	var rep Reply
+	var err error
+	switch {
+	case q.Job != "":
+		rep.State, err = local.State(ctx, q.Job)
+	case q.Cancel != "":
+		rep.State, err = local.Cancel(ctx, q.Cancel)
+	default:
+		rep.Waiting, err = local.Waiting(ctx, q.Queue)
+	}
+	rep.Known = err == nil
+	rep.Sure = err == nil || errors.Is(err, scheduler.ErrUnknown)
+	return rep
+}
+
+// ask leads a question to the scheduling VM until it is answered for sure.
+func (in *Intake) ask(ctx context.Context, q Question) (Reply, error) {
+	for {
+		if local := in.cfg.Local(); local != nil {
+			if rep := Answer(ctx, local, q); rep.Sure {
+				return rep, nil
+			}
+		} else if address := in.cfg.Guide.Leader(); address != "" {
+			hop, cancel := context.WithTimeout(ctx, hopTimeout)
+			rep, err := httpjson.Post[Question, Reply](hop, in.cfg.Client, "http://"+address+"/ask", &q, nil)
+			cancel()
+			if err == nil && rep.Sure {
+				return rep, nil
+			}
+			if err != nil && ctx.Err() == nil {
+				in.cfg.Logger.Warn("scheduling VM did not answer", "address", address, "error", err)
+				in.cfg.Guide.Suspect(address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return Reply{}, &BusyError{Why: "no VM schedules at present", After: comeBack}
+		case <-time.After(hopPause):
+		}
+	}
+}
+
+// State returns the state of a job.
+func (in *Intake) State(ctx context.Context, id string) (scheduler.State, error) {
+	rep, err := in.ask(ctx, Question{Job: id})
+	if err != nil {
+		return "", err
+	}
+	if !rep.Known {
+		return "", scheduler.ErrUnknown
+	}
+	return rep.State, nil
+}
+
+// Cancel ends a job. The cancelling is stored when it returns nil.
+func (in *Intake) Cancel(ctx context.Context, id string) error {
+	rep, err := in.ask(ctx, Question{Cancel: id})
+	if err != nil {
+		return ErrUncertain
+	}
+	if !rep.Known {
+		return scheduler.ErrUnknown
+	}
+	return nil
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (in *Intake) Waiting(ctx context.Context, queue string) (int, error) {
+	rep, err := in.ask(ctx, Question{Queue: queue})
+	return rep.Waiting, err
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,477 @@
+// Package leader runs the scheduler on the VM that leads: it loads the stored
+// state, claims the workers, and carries out what the scheduler decides. What is
+// started is stored first.
+package leader
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/catalog"
+	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
+)
+
+// Topic holds the scheduler's state: a record a task that has started, and one a
+// job that is over. Only the leader writes to it, under its epoch.
+const Topic = "state"
+
+const (
+	producer = "leader"
+	markKey  = "leader"
+)
+
+// Errors of a leader. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("leader")
+	// ErrDeposed: another VM leads.
+	ErrDeposed = errorx.NewType(namespace, "deposed").New("another VM leads")
+	// ErrNotSure: this VM can't tell at present.
+	ErrNotSure = errorx.NewType(namespace, "notsure").New("the leader is not up to date")
+)
+
+// Log is what a leader needs of the store.
+type Log interface {
+	Append(ctx context.Context, topic string, records []store.Record, o store.AppendOptions) (int64, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (store.Page, error)
+	Newest(ctx context.Context, topic string) ([]store.Record, int64, error)
+}
+
+// Registry lists workers.
+type Registry interface {
+	Workers(ctx context.Context) (fleet.Registry, error)
+	MoreWorkers(ctx context.Context, from int64) (fleet.Registry, error)
+}
+
+// Workers carries orders to workers.
+type Workers interface {
+	Start(ctx context.Context, o scheduler.Start, token, deadline int64) (fleet.OrderAnswer, error)
+	Stop(ctx context.Context, o scheduler.Stop, token int64) (fleet.OrderAnswer, error)
+	Hold(ctx context.Context, id, address string, r fleet.Renewal) (fleet.Held, error)
+}
+
+// Config constructs a Leader.
+type Config struct {
+	Log       Log
+	Registry  Registry
+	Workers   Workers
+	Catalog   func() *catalog.Snapshot
+	Logger    *slog.Logger
+	Scheduler scheduler.Config
+	// MaxBatch bounds the bytes of one append.
+	MaxBatch int
+	// Now returns the time; tests replace it.
+	Now func() time.Time
+}
+
+const (
+	// callTimeout bounds a call to the store that doesn't wait for records.
+	callTimeout = 900 * time.Millisecond
+	// loadTimeout bounds reading the whole state when the lead is taken.
+	loadTimeout = 4 * time.Second
+	// feedWait is how long a read waits for new jobs; feedFresh is how old the
+	// last answer may be for an unknown job to be surely unknown. Jobs have to be
+	// visible three seconds after they were accepted.
+	feedWait  = 1500 * time.Millisecond
+	feedFresh = 2500 * time.Millisecond
+	// registryEvery spaces readings of the registry. Workers renew their entries
+	// every 1.5 s, and a draining one may take no work 2 s after it said so.
+	registryEvery = 500 * time.Millisecond
+	// tick is how often time alone may change something.
+	tick = 100 * time.Millisecond
+	// confirmEvery is how long a leader goes without a write before it checks
+	// that its epoch still stands.
+	confirmEvery = 1500 * time.Millisecond
+	// retryPause and maxRetryPause space repeated appends.
+	retryPause    = 20 * time.Millisecond
+	maxRetryPause = 250 * time.Millisecond
+	// storeAway is how long leases are renewed after the last write that
+	// succeeded, beyond one lease: about the longest outage on the sites.
+	storeAway = 5 * time.Second
+	// drift bounds how much slower than real a worker's clock runs, with some
+	// reserve on the 2 % of the platform's rules.
+	drift = 1.03
+	// lapseSlack covers the granularity of clocks.
+	lapseSlack = 250 * time.Millisecond
+	// events bounds the queue of the leader's loop.
+	events = 4096
+	// forgetEvery spaces the dropping of descriptions of jobs that are over.
+	forgetEvery = 5 * time.Second
+)
+
+// Leader does the work of leading. One value serves all terms of a VM.
+type Leader struct {
+	cfg     Config
+	current atomic.Pointer[term]
+}
+
+// New returns a Leader.
+func New(cfg Config) *Leader {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Leader{cfg: cfg}
+}
+
+// term is one time of leading.
+type term struct {
+	cfg   Config
+	epoch int64
+	core  *scheduler.Core
+	inbox chan event
+	end   context.CancelFunc
+	begun time.Time
+
+	// The rest belongs to the loop.
+	links    map[string]*link
+	pending  batch
+	flight   *batch
+	sequence int64
+	version  int64
+	fresh    time.Time // of the feed of jobs
+	forget   []string
+	forgotAt time.Time
+	unstored map[string]bool // jobs whose outcome isn't stored yet
+
+	// lastWrite and failing are read from other goroutines.
+	lastWrite atomic.Int64 // Unix nanoseconds of the last write that succeeded
+	failing   atomic.Bool
+}
+
+// batch is a set of changes with what waits for their storing.
+type batch struct {
+	records []store.Record
+	starts  []scheduler.Start
+	seen    map[string]int64 // ends taken note of, by worker
+	replies []func()
+	outcome []string // jobs whose outcome is among the records
+	sent    time.Time
+}
+
+func (b *batch) empty() bool {
+	return len(b.records) == 0 && len(b.starts) == 0 && len(b.seen) == 0 && len(b.replies) == 0
+}
+
+// event changes the leader's state; the loop applies one after the other.
+type event interface{ apply(t *term, now time.Time) }
+
+// WriteAge returns how long the leader's writes have failed, or 0.
+func (l *Leader) WriteAge() time.Duration {
+	t := l.current.Load()
+	if t == nil || !t.failing.Load() {
+		return 0
+	}
+	return time.Since(time.Unix(0, t.lastWrite.Load()))
+}
+
+// Lead loads the state and schedules until ctx ends or another VM leads.
+func (l *Leader) Lead(ctx context.Context, epoch int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := &term{
+		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, begun: l.cfg.Now(),
+		links: map[string]*link{}, pending: batch{seen: map[string]int64{}}, unstored: map[string]bool{},
+		core: scheduler.New(l.cfg.Scheduler),
+	}
+	t.lastWrite.Store(time.Now().UnixNano())
+	if err := t.fence(ctx); err != nil {
+		t.cfg.Logger.Warn("lead not taken", "epoch", epoch, "error", err)
+		return
+	}
+	fencedAt := time.Now()
+	from, registry, err := t.load(ctx)
+	if err != nil {
+		t.cfg.Logger.Warn("state not loaded", "epoch", epoch, "error", err)
+		return
+	}
+	t.cfg.Logger.Info("leading", "epoch", epoch, "load_ms", time.Since(fencedAt).Milliseconds(), "workers", len(t.links))
+	metric.Seconds("load_seconds", time.Since(t.begun))
+	go t.followJobs(ctx, from)
+	go t.followRegistry(ctx, registry)
+	l.current.Store(t)
+	t.loop(ctx)
+	l.current.CompareAndSwap(t, nil)
+}
+
+// fence shuts out earlier leaders: from now on their writes fail.
+func (t *term) fence(ctx context.Context) error {
+	pause := retryPause
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := t.cfg.Log.Append(call, Topic, []store.Record{t.mark()}, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: 0})
+		cancel()
+		if err == nil {
+			t.lastWrite.Store(time.Now().UnixNano())
+			return nil
+		}
+		if errors.Is(err, store.ErrFenced) {
+			return ErrDeposed
+		}
+		if ctx.Err() != nil || time.Since(t.begun) > loadTimeout {
+			return err
+		}
+		time.Sleep(pause)
+		pause = min(pause*2, maxRetryPause)
+	}
+}
+
+// mark is a record that changes nothing. Storing it shows that the epoch stands.
+func (t *term) mark() store.Record {
+	return store.Record{Key: markKey, Value: strconv.AppendInt(nil, t.epoch, 10)}
+}
+
+// load reads the stored state, the open jobs and the workers. It returns where
+// to read on.
+func (t *term) load(ctx context.Context) (jobsFrom, registryFrom int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	now := t.cfg.Now()
+	if snap := t.cfg.Catalog(); snap != nil {
+		t.setPolicy(snap)
+	}
+	records, _, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) { return t.cfg.Log.Newest(ctx, Topic) })
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, r := range records {
+		if r.Key == markKey {
+			continue
+		}
+		if err := t.core.Restore(now, r.Key, r.Value); err != nil {
+			t.cfg.Logger.Error("stored state not readable", "key", r.Key, "error", err)
+		}
+	}
+	jobs, jobsFrom, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) { return t.cfg.Log.Newest(ctx, intake.Topic) })
+	if err != nil {
+		return 0, 0, err
+	}
+	t.addJobs(now, jobs)
+	t.fresh = now
+	reg, _, err := retry(ctx, func(ctx context.Context) (fleet.Registry, int64, error) {
+		reg, err := t.cfg.Registry.Workers(ctx)
+		return reg, 0, err
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	t.seeWorkers(now, reg)
+	return jobsFrom, reg.Next, nil
+}
+
+// retry repeats a reading until it succeeds or ctx ends.
+func retry[T any](ctx context.Context, f func(ctx context.Context) (T, int64, error)) (T, int64, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		v, n, err := f(call)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return v, n, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func (t *term) setPolicy(snap *catalog.Snapshot) {
+	if snap.Offset() >= t.version {
+		t.version = snap.Offset()
+		t.core.SetPolicy(snap.Queues(), snap.Guarantees())
+	}
+}
+
+func (t *term) addJobs(now time.Time, records []store.Record) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		j, err := decodeStoredJob(r.Value)
+		if err != nil || j.ID != r.Key {
+			t.cfg.Logger.Error("stored job not readable", "job", r.Key, "error", err)
+			continue
+		}
+		t.core.AddJob(now, j)
+	}
+}
+
+// loop owns the scheduler's state.
+func (t *term) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	t.maintain(ctx, t.cfg.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-t.inbox:
+			now := t.cfg.Now()
+			ev.apply(t, now)
+			t.drain(now)
+		case <-ticker.C:
+			now := t.cfg.Now()
+			if snap := t.cfg.Catalog(); snap != nil && snap.Offset() > t.version {
+				t.setPolicy(snap)
+			}
+			t.core.Tick(now)
+			t.lapse(now)
+		}
+		now := t.cfg.Now()
+		t.collect(t.core.Flush(now))
+		t.store(ctx, now)
+		t.maintain(ctx, now)
+	}
+}
+
+// drain applies what else has arrived, so that one round of scheduling and one
+// append serve it all.
+func (t *term) drain(now time.Time) {
+	for {
+		select {
+		case ev := <-t.inbox:
+			ev.apply(t, now)
+		default:
+			return
+		}
+	}
+}
+
+// collect sends stops and adds the rest to what is to be stored.
+func (t *term) collect(e scheduler.Effects) {
+	for _, s := range e.Stops {
+		go t.stop(s)
+	}
+	for _, r := range e.Records {
+		t.pending.records = append(t.pending.records, store.Record{Key: r.Key, Value: r.Value})
+	}
+	for _, id := range e.Forget {
+		t.unstored[id] = true
+		t.pending.outcome = append(t.pending.outcome, id)
+	}
+	t.pending.starts = append(t.pending.starts, e.Starts...)
+	t.forget = append(t.forget, e.Forget...)
+}
+
+// store appends what is pending, unless an append is under way.
+func (t *term) store(ctx context.Context, now time.Time) {
+	if t.flight != nil {
+		return
+	}
+	idle := now.Sub(time.Unix(0, t.lastWrite.Load())) > confirmEvery
+	if t.pending.empty() && !idle {
+		return
+	}
+	b := t.pending
+	t.pending = batch{seen: map[string]int64{}}
+	t.flight = &b
+	if len(b.records) == 0 && !idle {
+		t.stored(now, nil)
+		return
+	}
+	if len(b.records) == 0 {
+		b.records = append(b.records, t.mark())
+	}
+	t.sequence++
+	b.sent = now
+	go t.append(ctx, &b, t.sequence)
+}
+
+// append writes a batch until it is stored or this leader is deposed.
+func (t *term) append(ctx context.Context, b *batch, sequence int64) {
+	pause := retryPause
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		begun := time.Now()
+		_, err := t.cfg.Log.Append(call, Topic, b.records, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: sequence})
+		cancel()
+		if err == nil {
+			t.lastWrite.Store(begun.UnixNano())
+			t.failing.Store(false)
+			metric.Observe("store_seconds", begun)
+			t.post(ctx, storedEvent{})
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, store.ErrFenced) {
+			t.post(ctx, storedEvent{err: ErrDeposed})
+			return
+		}
+		t.failing.Store(true)
+		t.cfg.Logger.Warn("state not stored", "epoch", t.epoch, "sequence", sequence, "records", len(b.records), "error", err)
+		metric.Count("store_failures_total")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(pause*2, maxRetryPause)
+	}
+}
+
+func (t *term) post(ctx context.Context, ev event) {
+	select {
+	case t.inbox <- ev:
+	case <-ctx.Done():
+	}
+}
+
+type storedEvent struct{ err error }
+
+func (e storedEvent) apply(t *term, now time.Time) { t.stored(now, e.err) }
+
+// stored carries out what waited for the batch under way.
+func (t *term) stored(_ time.Time, err error) {
+	b := t.flight
+	t.flight = nil
+	if err != nil {
+		t.cfg.Logger.Warn("leader is deposed", "epoch", t.epoch, "error", err)
+		t.end()
+		return
+	}
+	for _, s := range b.starts {
+		if l := t.links[s.Worker]; l != nil {
+			go t.start(s, l.deadline(b.sent, t.cfg.Scheduler.MaxLease))
+			l.granted(b.sent, t.cfg.Scheduler.MaxLease)
+			l.poke()
+		}
+	}
+	for id, n := range b.seen {
+		if l := t.links[id]; l != nil {
+			l.seen = max(l.seen, n)
+			l.uncommitted = false
+		}
+	}
+	for _, id := range b.outcome {
+		delete(t.unstored, id)
+	}
+	for _, reply := range b.replies {
+		reply()
+	}
+	if len(t.forget) > 0 && time.Since(t.forgotAt) > forgetEvery {
+		t.forgotAt = time.Now()
+		go t.dropJobs(t.forget)
+		t.forget = nil
+	}
+}
+
+// dropJobs drops the descriptions of jobs whose outcome is stored. Losing the
+// call costs only space: the next leader drops them.
+func (t *term) dropJobs(ids []string) {
+	records := make([]store.Record, len(ids))
+	for i, id := range ids {
+		records[i] = store.Record{Key: id}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := t.cfg.Log.Append(ctx, intake.Topic, records, store.AppendOptions{}); err != nil {
+		t.cfg.Logger.Info("descriptions of ended jobs not dropped", "jobs", len(ids), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/leader/links.go
@@ -0,0 +1,298 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
+)
+
+const (
+	// renewWait is the longest time that a renewal waits for an end.
+	renewWait = 2 * time.Second
+	// renewMargin is how much longer than it waits a renewal may take.
+	renewMargin = 800 * time.Millisecond
+	// claimTimeout bounds a renewal that doesn't wait.
+	claimTimeout = 700 * time.Millisecond
+	// linkPause and maxLinkPause space renewals that got no answer.
+	linkPause    = 100 * time.Millisecond
+	maxLinkPause = 700 * time.Millisecond
+	// orderTimeout and orderTries bound a start or stop. Orders are safe to
+	// repeat: a worker knows the run's number.
+	orderTimeout = 500 * time.Millisecond
+	orderTries   = 3
+	orderPause   = 50 * time.Millisecond
+)
+
+// link is the leader's tie to one worker. The loop owns it.
+type link struct {
+	id, address string
+	clock       int64     // the worker's clock in milliseconds
+	clockAt     time.Time // when the answer with it came
+	expires     time.Time // when all leases on the worker have surely run out
+	seen        int64     // number of the last end whose record is stored
+	born        int64
+	busy        bool // a renewal is under way
+	uncommitted bool // ends were listed whose records aren't stored yet
+	next        time.Time
+	renewed     time.Time
+	failures    int
+}
+
+// now estimates the worker's clock, never ahead of it.
+func (l *link) now(at time.Time) int64 {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	return l.clock + int64(float64(at.Sub(l.clockAt).Milliseconds())/drift)
+}
+
+// deadline is the end of a lease that is granted at a time, by the worker's clock.
+func (l *link) deadline(at time.Time, lease time.Duration) int64 {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	return l.now(at) + lease.Milliseconds()
+}
+
+// granted notes that a lease may have been granted.
+func (l *link) granted(at time.Time, lease time.Duration) {
+	end := at.Add(time.Duration(float64(lease)*drift) + lapseSlack)
+	if end.After(l.expires) {
+		l.expires = end
+	}
+}
+
+// poke lets the next renewal go at once.
+func (l *link) poke() { l.next = time.Time{} }
+
+// link returns the tie to a worker. Under a new leader, leases that its
+// predecessor granted may last a while.
+func (t *term) link(id, address string) *link {
+	l := t.links[id]
+	if l == nil {
+		l = &link{id: id}
+		l.granted(t.begun, t.cfg.Scheduler.MaxLease+storeAway+t.cfg.Scheduler.MaxLease)
+		t.links[id] = l
+	}
+	if address != "" {
+		l.address = address
+	}
+	return l
+}
+
+func (t *term) seeWorkers(now time.Time, reg fleet.Registry) {
+	for _, w := range reg.Workers {
+		t.core.SeeWorker(now, w)
+		l := t.link(w.ID, w.Address)
+		if w.Born > l.born {
+			l.reborn(w.Born)
+		}
+	}
+	for _, id := range reg.Gone {
+		t.core.DropWorker(id)
+	}
+}
+
+// reborn notes that the worker has restarted: its clock and the numbers of its
+// ends begin anew.
+func (l *link) reborn(born int64) {
+	if l.born != 0 {
+		l.clockAt, l.seen, l.uncommitted = time.Time{}, 0, false
+	}
+	l.born = born
+}
+
+// maintain sends the renewals that are due.
+func (t *term) maintain(ctx context.Context, now time.Time) {
+	lease := t.cfg.Scheduler.MaxLease
+	// Leases are not renewed for longer than the next leader waits for them.
+	limit := time.Unix(0, t.lastWrite.Load()).Add(lease + storeAway)
+	for id, l := range t.links {
+		if l.busy || now.Before(l.next) || l.address == "" || !t.core.HasRuns(id) {
+			continue
+		}
+		wait := renewWait
+		if l.clockAt.IsZero() {
+			wait = 0 // the first answer tells what runs there
+		}
+		if l.uncommitted {
+			if now.Sub(l.renewed) < lease/4 {
+				continue
+			}
+			wait = 0
+		}
+		r := fleet.Renewal{Token: t.epoch, Seen: l.seen, Wait: wait}
+		if grant := min(lease, limit.Sub(now)); grant > 0 && !l.clockAt.IsZero() {
+			r.Deadline = l.deadline(now, grant)
+			l.granted(now, grant)
+		}
+		l.busy, l.renewed = true, now
+		go t.hold(ctx, l.id, l.address, r)
+	}
+}
+
+func (t *term) hold(ctx context.Context, id, address string, r fleet.Renewal) {
+	timeout := claimTimeout
+	if r.Wait > 0 {
+		timeout = r.Wait + renewMargin
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
+	held, err := t.cfg.Workers.Hold(call, id, address, r)
+	cancel()
+	t.post(ctx, heldEvent{id: id, held: held, err: err, asked: r})
+}
+
+type heldEvent struct {
+	id    string
+	held  fleet.Held
+	err   error
+	asked fleet.Renewal
+}
+
+func (e heldEvent) apply(t *term, now time.Time) {
+	l := t.links[e.id]
+	if l == nil {
+		return
+	}
+	l.busy = false
+	switch {
+	case e.err != nil || e.held.Verdict == fleet.OtherLife || e.held.Verdict == fleet.Unhealthy || e.held.Verdict == fleet.Malformed:
+		l.failures++
+		l.next = now.Add(min(linkPause<<min(l.failures-1, 4), maxLinkPause))
+		if l.failures == 1 || l.failures%16 == 0 {
+			t.cfg.Logger.Warn("worker did not renew", "worker", e.id, "verdict", e.held.Verdict.String(), "failures", l.failures, "error", e.err)
+		}
+		metric.Count("renewal_failures_total")
+		return
+	case e.held.Verdict == fleet.Fenced:
+		t.cfg.Logger.Warn("worker obeys a later leader", "worker", e.id, "epoch", t.epoch)
+		t.end()
+		return
+	}
+	if l.failures > 0 {
+		t.cfg.Logger.Info("worker renews again", "worker", e.id, "failures", l.failures)
+	}
+	l.failures = 0
+	if e.held.Report.Born > l.born {
+		l.reborn(e.held.Report.Born)
+	}
+	if !t.core.Report(now, e.held.Report) {
+		return
+	}
+	if e.held.Clock > 0 {
+		l.clock, l.clockAt = e.held.Clock, now
+	}
+	if e.held.Last > l.seen {
+		l.uncommitted = true
+		t.pending.seen[e.id] = e.held.Last
+	}
+	l.next = now
+}
+
+// lapse tells the scheduler of workers whose leases have surely run out.
+func (t *term) lapse(now time.Time) {
+	for id, l := range t.links {
+		if (l.failures > 0 || l.address == "") && now.After(l.expires) {
+			t.core.Lapse(now, id)
+			l.expires = now.Add(t.cfg.Scheduler.MaxLease)
+			if !t.core.Knows(id) {
+				delete(t.links, id)
+			}
+		}
+	}
+}
+
+// start carries a start to its worker.
+func (t *term) start(s scheduler.Start, deadline int64) {
+	begun := time.Now()
+	unanswered := false
+	result := scheduler.Uncertain
+	last := fleet.Malformed
+	var lastErr error
+	for range orderTries {
+		call, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		a, err := t.cfg.Workers.Start(call, s, t.epoch, deadline)
+		cancel()
+		lastErr, last = err, a.Verdict
+		if err != nil {
+			unanswered = unanswered || !errors.Is(err, fleet.ErrUnreached)
+			time.Sleep(orderPause)
+			continue
+		}
+		result = startResult(a.Verdict, unanswered)
+		break
+	}
+	if lastErr != nil && !unanswered {
+		result = scheduler.Rejected
+	}
+	metric.Observe("start_seconds", begun)
+	if result != scheduler.Accepted {
+		t.cfg.Logger.Warn("start not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", last.String(),
+			"unanswered", unanswered, "error", lastErr, "took_ms", time.Since(begun).Milliseconds())
+	}
+	if last == fleet.Fenced && lastErr == nil {
+		t.inbox <- storedEvent{err: ErrDeposed}
+		return
+	}
+	t.inbox <- startedEvent{s, result}
+}
+
+func startResult(v fleet.Verdict, unanswered bool) scheduler.StartResult {
+	switch v {
+	case fleet.Taken:
+		return scheduler.Accepted
+	case fleet.Old:
+		return scheduler.RejectedOld
+	case fleet.Fenced, fleet.Late, fleet.Full, fleet.OtherLife, fleet.Unhealthy, fleet.Malformed:
+	}
+	if unanswered {
+		return scheduler.Uncertain
+	}
+	return scheduler.Rejected
+}
+
+type startedEvent struct {
+	start  scheduler.Start
+	result scheduler.StartResult
+}
+
+func (e startedEvent) apply(t *term, now time.Time) {
+	t.core.StartAnswered(now, e.start.Worker, e.start.Task, e.start.Run, e.result)
+	if l := t.links[e.start.Worker]; l != nil {
+		l.poke()
+	}
+}
+
+// stop carries a stop to its worker.
+func (t *term) stop(s scheduler.Stop) {
+	for range orderTries {
+		call, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		a, err := t.cfg.Workers.Stop(call, s, t.epoch)
+		cancel()
+		if err == nil {
+			if a.Verdict == fleet.Fenced {
+				t.inbox <- storedEvent{err: ErrDeposed}
+				return
+			}
+			if a.Verdict == fleet.Taken || a.Verdict == fleet.Old {
+				t.inbox <- stoppedEvent{s}
+				return
+			}
+			t.cfg.Logger.Warn("stop not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", a.Verdict.String())
+		}
+		time.Sleep(orderPause)
+	}
+}
+
+type stoppedEvent struct{ stop scheduler.Stop }
+
+func (e stoppedEvent) apply(t *term, now time.Time) {
+	t.core.StopAnswered(now, e.stop.Worker, e.stop.Task, e.stop.Run)
+	if l := t.links[e.stop.Worker]; l != nil {
+		l.poke()
+	}
+}
--- /dev/null
+++ b/internal/logpipe/logpipe.go
@@ -0,0 +1,78 @@
+// Package logpipe writes log lines without ever holding up who logs them: lines
+// that the reader doesn't take in time are dropped and counted.
+package logpipe
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+
+	"rhubarbshore/internal/metric"
+)
+
+// Pipe is a bounded queue of lines in front of a writer.
+type Pipe struct {
+	mu      sync.Mutex
+	lines   chan []byte
+	dropped int
+	out     io.Writer
+	done    chan struct{}
+}
+
+// New returns a pipe of at most size lines. Lines already queued are written
+// together.
+func New(out io.Writer, size int) *Pipe {
+	p := &Pipe{lines: make(chan []byte, size), out: out, done: make(chan struct{})}
+	go p.run()
+	return p
+}
+
+// Write queues a line. It never blocks and never fails.
+func (p *Pipe) Write(line []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case p.lines <- bytes.Clone(line):
+	default:
+		p.dropped++
+		metric.Count("log_lines_dropped_total")
+	}
+	return len(line), nil
+}
+
+func (p *Pipe) run() {
+	defer close(p.done)
+	var buf bytes.Buffer
+	for line := range p.lines {
+		buf.Reset()
+		buf.Write(line)
+		for more := true; more && buf.Len() < 32<<10; {
+			select {
+			case next, ok := <-p.lines:
+				more = ok
+				buf.Write(next)
+			default:
+				more = false
+			}
+		}
+		p.mu.Lock()
+		dropped := p.dropped
+		p.dropped = 0
+		p.mu.Unlock()
+		if dropped > 0 {
+			fmt.Fprintf(&buf, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
+		}
+		if _, err := p.out.Write(buf.Bytes()); err != nil {
+			metric.Count("log_write_failures_total")
+		}
+	}
+}
+
+// Close writes what is queued. No line may be written after it.
+func (p *Pipe) Close() {
+	p.mu.Lock()
+	close(p.lines)
+	p.mu.Unlock()
+	<-p.done
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,259 @@
+// Package node joins the parts of a VM's daemon on the users' platform.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+
+	"rhubarbshore/internal/catalog"
+	"rhubarbshore/internal/election"
+	"rhubarbshore/internal/httpjson"
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/leader"
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
+	"rhubarbshore/platform"
+)
+
+const (
+	// dialTimeout bounds connecting; the longest way on the sites is 10 ms.
+	dialTimeout = 500 * time.Millisecond
+	// storeConns covers the long polls of a leader and its other calls.
+	storeConns = 4
+	// workerConns covers a renewal and orders beside it.
+	workerConns = 3
+	peerConns   = 4
+	// configWait is how long a read waits for a new configuration. Keep-alive
+	// probes notice a connection that has gone silent sooner.
+	configWait = 10 * time.Second
+	// configPause spaces readings after a failed one.
+	configPause = 150 * time.Millisecond
+	// memoryShare of the VM's memory starts the collector's hardest work.
+	memoryShare = 0.6
+	// keepEnded is how long the outcome of a job is known: several times as
+	// long as clients may ask for it.
+	keepEnded = 5
+	// silence is how many heartbeats a worker may miss and still get work.
+	silence = 3
+	// leaveAfter is how long a stopping VM still takes connections: clients are
+	// led elsewhere after two readiness checks a second apart.
+	leaveAfter = 2500 * time.Millisecond
+	// exitMargin is left of the grace period when the process ends.
+	exitMargin  = 900 * time.Millisecond
+	minimumIdle = 15 * time.Second
+	maxHeader   = 16 << 10
+)
+
+// Config constructs a Node.
+type Config struct {
+	Settings platform.Settings
+	Logger   *slog.Logger
+}
+
+// Node is a VM's daemon.
+type Node struct {
+	cfg      Config
+	log      *store.Watched
+	source   *platform.Store
+	catalog  atomic.Pointer[catalog.Snapshot]
+	member   *election.Member
+	leader   *leader.Leader
+	intake   *intake.Intake
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	servers  []*http.Server
+	wg       sync.WaitGroup
+}
+
+// New returns a daemon that Start sets going.
+func New(cfg Config) *Node {
+	set := cfg.Settings
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * (1 << 20)))
+	}
+	n := &Node{cfg: cfg, source: platform.NewStore(platform.NewHTTPClient(storeConns, dialTimeout), set.Store)}
+	n.log = store.Watch(n.source)
+	n.leader = leader.New(leader.Config{
+		Log: n.log, Registry: n.source, Workers: platform.NewWorkers(platform.NewHTTPClient(workerConns, dialTimeout)),
+		Catalog: n.catalog.Load, Logger: cfg.Logger, MaxBatch: set.MaxBatch,
+		Scheduler: scheduler.Config{
+			Logger: cfg.Logger, MaxLease: set.Bounds.MaxLease, StopTimeout: set.Bounds.StopTimeout, Penalty: set.Bounds.Penalty,
+			KeepEnded: keepEnded * set.Bounds.KeepStatus, Silence: silence * set.Heartbeat, Restore: set.Bounds.Restore, SaveEvery: set.Bounds.SaveEvery,
+		},
+	})
+	peers := platform.NewHTTPClient(peerConns, dialTimeout)
+	n.member = election.New(election.Config{
+		VM: set.VM, Address: set.Internal, Log: n.log, Client: peers, Logger: cfg.Logger, Work: n.leader, WriteAge: n.leader.WriteAge,
+	})
+	n.intake = intake.New(intake.Config{
+		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy,
+		Local: func() intake.Local {
+			if n.leader.Leading() {
+				return n.leader
+			}
+			return nil
+		},
+	})
+	return n
+}
+
+// Start listens and takes part. It returns when the VM can be called.
+func (n *Node) Start(ctx context.Context) error {
+	ctx, n.cancel = context.WithCancel(ctx)
+	set := n.cfg.Settings
+	front := platform.NewFront(platform.FrontConfig{
+		Jobs: n.intake, Catalog: n.catalog.Load, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
+	})
+	for address, h := range map[string]http.Handler{
+		set.Clients: front, set.Readiness: platform.ReadinessHandler(n.ready), set.Internal: n.internal(ctx),
+	} {
+		if err := n.listen(ctx, address, h); err != nil {
+			return err
+		}
+	}
+	for _, run := range []func(context.Context){n.followConfig, n.member.Run, n.intake.Run} {
+		n.wg.Go(func() { run(ctx) })
+	}
+	n.cfg.Logger.Info("started", "zone", set.Zone, "clients", set.Clients, "internal", set.Internal, "store", set.Store)
+	return nil
+}
+
+func (n *Node) listen(ctx context.Context, address string, h http.Handler) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errorx.Decorate(err, "listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * minimumIdle, MaxHeaderBytes: maxHeader}
+	n.servers = append(n.servers, srv)
+	n.wg.Go(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.cfg.Logger.Error("server ended", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// ready reports whether clients should be led here.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.catalog.Load() != nil && n.log.Healthy()
+}
+
+// internal serves other VMs, and metrics.
+func (n *Node) internal(ctx context.Context) http.Handler {
+	r := mux.NewRouter()
+	handle(r, "/ping", n.member.Pinged)
+	handle(r, "/heard", n.member.Heard)
+	handle(r, "/take", func(in election.Ping) election.Pong { return n.member.Take(ctx, in) })
+	r.HandleFunc("/ask", func(w http.ResponseWriter, r *http.Request) {
+		q, err := httpjson.Read[intake.Question](w, r, httpjson.MaxBody)
+		if err != nil {
+			httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
+			return
+		}
+		var local intake.Local
+		if n.leader.Leading() {
+			local = n.leader
+		}
+		httpjson.Write(w, http.StatusOK, intake.Answer(r.Context(), local, q))
+	})
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metric.Write(w) })
+	return r
+}
+
+// handle serves a call with typed messages.
+func handle[In, Out any](r *mux.Router, path string, f func(In) Out) {
+	r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		in, err := httpjson.Read[In](w, r, httpjson.MaxBody)
+		if err != nil {
+			httpjson.Refuse(w, http.StatusBadRequest, "body", err.Error())
+			return
+		}
+		httpjson.Write(w, http.StatusOK, f(in))
+	})
+}
+
+// followConfig keeps the newest configuration at hand.
+func (n *Node) followConfig(ctx context.Context) {
+	from := int64(-1)
+	for ctx.Err() == nil {
+		var snap *catalog.Snapshot
+		var next int64
+		var err error
+		wait := configWait
+		if !n.log.Healthy() {
+			wait = 0 // its answer tells when the store is back
+		}
+		if from < 0 {
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			snap, next, err = n.source.Config(call)
+			cancel()
+		} else {
+			call, cancel := context.WithTimeout(ctx, wait+time.Second)
+			snap, next, err = n.source.NextConfig(call, from, wait)
+			cancel()
+		}
+		n.log.Note(err)
+		if errors.Is(err, store.ErrGone) {
+			from = -1
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			n.cfg.Logger.Warn("configuration not read", "from", from, "error", err)
+			n.pause(ctx)
+			continue
+		}
+		from = next
+		n.adopt(snap)
+		if wait == 0 || (snap == nil && n.catalog.Load() == nil) {
+			n.pause(ctx)
+		}
+	}
+}
+
+func (n *Node) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(configPause):
+	}
+}
+
+// adopt brings a configuration into force unless a newer one is.
+func (n *Node) adopt(snap *catalog.Snapshot) {
+	old := n.catalog.Load()
+	if snap == nil || (old != nil && snap.Offset() <= old.Offset()) {
+		return
+	}
+	n.catalog.Store(snap)
+	n.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset())
+}
+
+// Stop hands the lead over, waits until clients are led elsewhere and ends.
+func (n *Node) Stop() {
+	begun := time.Now()
+	n.stopping.Store(true)
+	end := begun.Add(n.cfg.Settings.Bounds.Grace - exitMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	n.member.HandOver(ctx)
+	time.Sleep(min(leaveAfter, time.Until(end)))
+	for _, srv := range n.servers {
+		if err := srv.Shutdown(ctx); err != nil {
+			n.cfg.Logger.Warn("connections were open at the end", "error", err)
+			break
+		}
+	}
+	n.cancel()
+	n.cfg.Logger.Info("stopped", "took_ms", time.Since(begun).Milliseconds())
+}
--- /dev/null
+++ b/internal/scheduler/reclaim.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+)
+
+// planUrgent keeps room for urgent tasks, all or none, and stops work of lower
+// priority that is in the way, where that loses least.
+func (c *Core) planUrgent(now time.Time, tasks []*task, rack string) {
+	racks := []string{rack}
+	s := tasks[0].step
+	if rack != "" && now.Sub(s.since) > c.patience(s) {
+		racks = []string{rack, ""}
+	}
+	if s.spec.Gang {
+		racks = c.gangRacks(now, s)
+		if racks[len(racks)-1] != "" && now.Sub(s.since) > urgentPatience/2 {
+			racks = append(racks, "")
+		}
+	}
+	for _, rack := range racks {
+		if c.planOn(now, tasks, rack) {
+			return
+		}
+	}
+}
+
+func (c *Core) planOn(now time.Time, tasks []*task, rack string) bool {
+	victims := map[*run]bool{}
+	var order []*run
+	for _, t := range tasks {
+		w, stops := c.cheapest(now, t, rack, victims)
+		if w == nil {
+			for _, t := range tasks {
+				t.dropPlan()
+			}
+			return false
+		}
+		for _, r := range stops {
+			if !victims[r] {
+				victims[r] = true
+				order = append(order, r)
+			}
+		}
+		t.setPlan(w, now.Add(planLife))
+	}
+	for _, r := range order {
+		c.preempt(now, r, tasks[0])
+	}
+	return true
+}
+
+// preempt stops a run, and with it its gang, for a more important task.
+func (c *Core) preempt(now time.Time, r *run, by *task) {
+	runs := []*run{r}
+	if r.task != nil && r.task.step.spec.Gang {
+		runs = runs[:0]
+		for _, m := range r.task.step.tasks {
+			if m.live != nil {
+				runs = append(runs, m.live)
+			}
+		}
+	}
+	for _, r := range runs {
+		if r.stopping.IsZero() {
+			c.stop(now, r, "preempted by "+by.step.occ.job.spec.ID)
+		}
+	}
+}
+
+// cheapest finds the worker on which room for the task costs least, and the runs
+// to stop there.
+func (c *Core) cheapest(now time.Time, t *task, rack string, victims map[*run]bool) (*worker, []*run) {
+	s := t.step
+	need := s.spec.room()
+	priority := s.occ.job.queue.Priority
+	var best *worker
+	var bestStops []*run
+	bestCost := 0.0
+	for _, w := range c.order {
+		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.planned).Fits(need) {
+			continue
+		}
+		stops, cost, ok := c.makeRoom(now, w, need, priority, victims)
+		if !ok {
+			continue
+		}
+		cost += failCost * float64(w.fails)
+		if best == nil || cost < bestCost {
+			best, bestStops, bestCost = w, stops, cost
+		}
+	}
+	return best, bestStops
+}
+
+// makeRoom picks runs of lower priority to stop so that need fits on the worker.
+func (c *Core) makeRoom(now time.Time, w *worker, need Resources, priority int, victims map[*run]bool) ([]*run, float64, bool) {
+	free := w.free()
+	type choice struct {
+		r    *run
+		loss float64
+	}
+	var choices []choice
+	for _, r := range w.sortedRuns() {
+		if !r.stopping.IsZero() || victims[r] {
+			free = free.plus(r.room)
+			continue
+		}
+		if r.task == nil || r.task.step.occ.job.queue.Priority <= priority {
+			continue
+		}
+		choices = append(choices, choice{r, c.loss(now, r)})
+	}
+	if free.Fits(need) {
+		return nil, 0, true
+	}
+	sort.SliceStable(choices, func(i, k int) bool { return choices[i].loss < choices[k].loss })
+	var stops []*run
+	cost := 0.0
+	for _, ch := range choices {
+		free = free.plus(ch.r.room)
+		stops = append(stops, ch.r)
+		cost += ch.loss
+		if free.Fits(need) {
+			break
+		}
+	}
+	if !free.Fits(need) {
+		return nil, 0, false
+	}
+	// A large run may have made earlier, smaller choices needless.
+	for i := len(stops) - 2; i >= 0; i-- {
+		if rest := free.minus(stops[i].room); rest.Fits(need) {
+			free = rest
+			cost -= c.loss(now, stops[i])
+			stops = append(stops[:i], stops[i+1:]...)
+		}
+	}
+	return stops, cost, true
+}
+
+// minLoss is the least loss in core-seconds that stopping a run counts for: it
+// has to be placed and started again.
+const minLoss = 5.0
+
+// loss is the work, in core-seconds, that stopping a run throws away.
+func (c *Core) loss(now time.Time, r *run) float64 {
+	s := r.task.step
+	ran := 0.0
+	if !r.begun.IsZero() {
+		ran = now.Sub(r.begun).Seconds()
+	}
+	if s.spec.Checkpoints {
+		ran = min(ran, c.cfg.SaveEvery.Seconds()) + c.cfg.Restore.Seconds()
+	}
+	width := 1.0
+	if s.spec.Gang {
+		width = float64(len(s.tasks))
+	}
+	return minLoss + ran*s.spec.Need.weight()*width
+}
+
+// reserve keeps room for a gang on the workers that are expected to be free
+// soonest, without stopping anything.
+func (c *Core) reserve(now time.Time, s *step) bool {
+	racks := c.gangRacks(now, s)
+	for _, rack := range racks {
+		if c.reserveOn(now, s, rack) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) reserveOn(now time.Time, s *step, rack string) bool {
+	type option struct {
+		w    *worker
+		wait time.Duration
+	}
+	var options []option
+	need := s.spec.room()
+	for _, w := range c.order {
+		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !s.suits(w) {
+			continue
+		}
+		if w.info.Capacity.minus(w.planned).Fits(need) {
+			options = append(options, option{w, c.waitFor(now, w, need)})
+		}
+	}
+	sort.SliceStable(options, func(i, k int) bool { return options[i].wait < options[k].wait })
+	i := 0
+	for _, t := range s.tasks {
+		for i < len(options) && (!options[i].w.info.Capacity.minus(options[i].w.planned).Fits(need) || !s.spreadAllows(options[i].w)) {
+			i++
+		}
+		if i == len(options) {
+			for _, t := range s.tasks {
+				t.dropPlan()
+			}
+			return false
+		}
+		t.setPlan(options[i].w, now.Add(reserveLife))
+	}
+	c.cfg.Logger.Info("room is kept for a gang", "job", s.occ.job.spec.ID, "tasks", len(s.tasks), "rack", rack,
+		"waited_ms", now.Sub(s.since).Milliseconds())
+	return true
+}
+
+// waitFor estimates when need is free on the worker.
+func (c *Core) waitFor(now time.Time, w *worker, need Resources) time.Duration {
+	free := w.free()
+	if free.Fits(need) {
+		return 0
+	}
+	type end struct {
+		room Resources
+		in   time.Duration
+	}
+	var ends []end
+	for _, r := range w.sortedRuns() {
+		in := time.Second
+		if r.task != nil {
+			in = c.expected(r.task.step)
+			if !r.begun.IsZero() {
+				in -= now.Sub(r.begun)
+			}
+		}
+		ends = append(ends, end{r.room, max(in, 0)})
+	}
+	sort.SliceStable(ends, func(i, k int) bool { return ends[i].in < ends[k].in })
+	for _, e := range ends {
+		free = free.plus(e.room)
+		if free.Fits(need) {
+			return e.in
+		}
+	}
+	return time.Hour
+}
--- /dev/null
+++ b/internal/scheduler/schedule.go
@@ -0,0 +1,454 @@
+package scheduler
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// lateFactor is how many times its objective a job may take and still earn
+	// something; from the users' rules.
+	lateFactor = 3
+	// maxPatience bounds how long a task waits for the rack that suits it.
+	maxPatience = 6 * time.Second
+	// urgentPatience is the same for jobs of priority 0, which have to begin
+	// within seconds of their acceptance.
+	urgentPatience = 700 * time.Millisecond
+	// planLife is how long room is kept for a task before the plan is made anew.
+	planLife = 1500 * time.Millisecond
+	// reserveLife is the same for a gang that waits for work to end by itself.
+	reserveLife = 8 * time.Second
+	// reserveAfter is how long a gang waits before room is kept for it.
+	reserveAfter = time.Second
+)
+
+// plan is room that is kept for a task until it is free.
+type plan struct {
+	worker *worker
+	room   Resources
+	until  time.Time
+}
+
+func (t *task) setPlan(w *worker, until time.Time) {
+	t.plan = &plan{worker: w, room: t.step.spec.room(), until: until}
+	w.planned = w.planned.plus(t.plan.room)
+}
+
+func (t *task) dropPlan() {
+	if t.plan != nil {
+		t.plan.worker.planned = t.plan.worker.planned.minus(t.plan.room)
+		t.plan = nil
+	}
+}
+
+// schedule starts what can be started, in order of importance.
+func (c *Core) schedule(now time.Time) {
+	c.sortActive(now)
+	c.countRacks()
+	reserved := false
+	for _, j := range c.active {
+		for _, o := range j.occs {
+			if now.Before(o.due) && j.spec.Repeat > 0 {
+				continue
+			}
+			for _, s := range o.steps {
+				if !s.ready() {
+					continue
+				}
+				if s.since.IsZero() {
+					s.since = now
+				}
+				if s.spec.Gang {
+					reserved = c.scheduleGang(now, s, !reserved) || reserved
+				} else {
+					c.scheduleTasks(now, s)
+				}
+			}
+		}
+	}
+}
+
+// ready reports whether the step's turn has come and it isn't done.
+func (s *step) ready() bool {
+	if s.done == len(s.tasks) {
+		return false
+	}
+	for _, before := range s.spec.After {
+		if before >= 0 && before < len(s.occ.steps) {
+			if b := s.occ.steps[before]; b.done < len(b.tasks) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// sortActive orders jobs by priority, then by what they can still earn, then by
+// the deadline up to which they earn it.
+func (c *Core) sortActive(now time.Time) {
+	for _, j := range c.active {
+		j.rank = j.credit(now)
+	}
+	sort.SliceStable(c.active, func(i, k int) bool {
+		a, b := c.active[i], c.active[k]
+		if a.queue.Priority != b.queue.Priority {
+			return a.queue.Priority < b.queue.Priority
+		}
+		if a.rank != b.rank {
+			return a.rank < b.rank
+		}
+		if !a.deadline.Equal(b.deadline) {
+			return a.deadline.Before(b.deadline)
+		}
+		return a.spec.ID < b.spec.ID
+	})
+}
+
+// credit is 0 if the job can still be done within its objective, 1 if it can
+// still earn something, and 2 otherwise.
+func (j *job) credit(now time.Time) int {
+	if j.spec.Repeat > 0 || j.started {
+		return 0
+	}
+	objective := j.deadline.Sub(j.accepted)
+	left := j.deadline.Sub(now) - j.estimate
+	switch {
+	case left >= 0:
+		return 0
+	case left+(lateFactor-1)*objective >= 0:
+		return 1
+	}
+	return 2
+}
+
+// countRacks sums the workers of each rack.
+func (c *Core) countRacks() {
+	clear(c.racks)
+	if c.racks == nil {
+		c.racks = map[string]int{}
+	}
+	for _, w := range c.order {
+		if w.listed {
+			c.racks[w.info.Rack]++
+		}
+	}
+}
+
+// suits reports whether tasks of the step may run on the worker at all.
+func (s *step) suits(w *worker) bool {
+	if w.info.Service != s.occ.job.queue.Service {
+		return false
+	}
+	if s.spec.Label == "" {
+		return true
+	}
+	for _, l := range w.info.Labels {
+		if l == s.spec.Label {
+			return true
+		}
+	}
+	return false
+}
+
+// spreadAllows reports whether one more task of the step may run on the worker.
+func (s *step) spreadAllows(w *worker) bool {
+	if s.spec.Spread == 0 {
+		return true
+	}
+	n := 0
+	for _, r := range w.runs {
+		if t := r.task; t != nil && t.step == s {
+			n++
+		} else if t == nil {
+			if id, at, ok := parseTask(r.name); ok && id == s.occ.job.spec.ID && at[0] == s.occ.k && at[1] == s.index {
+				n++
+			}
+		}
+	}
+	for _, t := range s.tasks {
+		if t.plan != nil && t.plan.worker == w {
+			n++
+		}
+	}
+	return n < s.spec.Spread
+}
+
+// patience is how long the step's tasks wait for the rack that suits them:
+// less than the time they would lose elsewhere.
+func (c *Core) patience(s *step) time.Duration {
+	if s.occ.job.queue.Priority == 0 {
+		return urgentPatience
+	}
+	return min(time.Duration((c.cfg.Penalty-1)*float64(c.expected(s))/2), maxPatience)
+}
+
+// homeRack is the rack that the step's tasks should run on, or empty.
+func (s *step) homeRack() string {
+	if s.spec.Rack != "" {
+		return s.spec.Rack
+	}
+	if s.spec.Tight {
+		return s.rack
+	}
+	return ""
+}
+
+// scheduleTasks starts the waiting tasks of a step that is no gang.
+func (c *Core) scheduleTasks(now time.Time, s *step) {
+	for _, t := range s.tasks {
+		if t.phase != waiting || t.live != nil {
+			continue
+		}
+		if t.plan != nil {
+			if c.startPlanned(now, []*task{t}) {
+				continue
+			}
+			if t.plan != nil {
+				continue
+			}
+		}
+		if s.spec.Tight && s.rack == "" {
+			s.rack = c.roomiestRack(now, s)
+		}
+		w := c.choose(now, t, s.homeRack())
+		if w == nil && s.homeRack() != "" && (now.Sub(s.since) > c.patience(s) || c.racks[s.homeRack()] == 0) {
+			w = c.choose(now, t, "")
+		}
+		if w != nil {
+			c.start(now, t, w, t.run+1)
+			continue
+		}
+		if s.occ.job.queue.Priority == 0 {
+			c.planUrgent(now, []*task{t}, s.homeRack())
+		}
+		if t.plan == nil && !s.mixed() {
+			return // its siblings are equal and won't fit either
+		}
+	}
+}
+
+// mixed reports whether the step's tasks differ in where they may run.
+func (s *step) mixed() bool {
+	for _, t := range s.tasks {
+		if t.phase == waiting && t.avoid != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// roomiestRack is the rack with room for most of the step's tasks.
+func (c *Core) roomiestRack(now time.Time, s *step) string {
+	room := map[string]int64{}
+	need := s.spec.room()
+	best, most := "", int64(0)
+	for _, w := range c.order {
+		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
+			continue
+		}
+		n := times(w.free(), need)
+		room[w.info.Rack] += n
+		if room[w.info.Rack] > most {
+			best, most = w.info.Rack, room[w.info.Rack]
+		}
+	}
+	return best
+}
+
+// times is how often need fits into free.
+func times(free, need Resources) int64 {
+	n := int64(math.MaxInt32)
+	for _, d := range [][2]int64{{free.CPU, need.CPU}, {free.Memory, need.Memory}, {free.Accelerators, need.Accelerators}} {
+		if d[1] > 0 {
+			n = min(n, max(d[0], 0)/d[1])
+		}
+	}
+	return n
+}
+
+// choose picks the worker for a task: the one with the least room left
+// afterwards, so that whole workers stay free for large tasks.
+func (c *Core) choose(now time.Time, t *task, rack string) *worker {
+	s := t.step
+	need := s.spec.room()
+	var best *worker
+	var bestCost float64
+	for _, w := range c.order {
+		if rack != "" && w.info.Rack != rack || !w.usable(now, c.cfg.Silence) || !w.free().Fits(need) || !s.suits(w) || !s.spreadAllows(w) {
+			continue
+		}
+		cost := c.placeCost(t, w, need)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// Weights of placeCost, in accelerators left over.
+const (
+	avoidCost = 1000 // the task has just done badly there
+	failCost  = 30   // for each run in a row that failed there
+)
+
+func (c *Core) placeCost(t *task, w *worker, need Resources) float64 {
+	left := w.free().minus(need)
+	cost := float64(left.Accelerators) + float64(left.CPU)/math.Max(1, float64(w.info.Capacity.CPU))
+	if t.avoid == w.id {
+		cost += avoidCost
+	}
+	return cost + failCost*float64(w.fails)
+}
+
+// start orders a run of a task.
+func (c *Core) start(now time.Time, t *task, w *worker, number int) {
+	t.dropPlan()
+	s := t.step
+	j := s.occ.job
+	t.phase, t.run = placed, number
+	t.live = &run{task: t, name: t.name, number: number, worker: w, room: s.spec.room(), saved: t.saved}
+	w.add(t.live)
+	if !j.started {
+		j.started = true
+		j.state = Running
+	}
+	s.occ.started = true
+	if s.spec.Tight && s.rack == "" {
+		s.rack = w.info.Rack
+	}
+	c.record(t)
+	c.out.Starts = append(c.out.Starts, Start{
+		Worker: w.id, Address: w.info.Address, Task: t.name, Run: number, Text: j.spec.Text, Saved: t.saved,
+	})
+	c.cfg.Logger.Info("run is started", "task", t.name, "run", number, "worker", w.id, "rack", w.info.Rack,
+		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.since).Milliseconds(), "free_before", w.free().Accelerators+t.live.room.Accelerators,
+		"rank", j.rank, "saved", t.saved != "")
+}
+
+// startPlanned starts tasks whose planned room has become free, all or none. It
+// drops plans that can't be kept.
+func (c *Core) startPlanned(now time.Time, tasks []*task) bool {
+	sum := map[*worker]Resources{}
+	for _, t := range tasks {
+		w := t.plan.worker
+		if !w.usable(now, c.cfg.Silence) || now.After(t.plan.until) {
+			for _, t := range tasks {
+				t.dropPlan()
+			}
+			return false
+		}
+		sum[w] = sum[w].plus(t.plan.room)
+	}
+	for w, room := range sum {
+		if !w.info.Capacity.minus(w.used).Fits(room) {
+			return false
+		}
+	}
+	number := nextRun(tasks)
+	for _, t := range tasks {
+		c.start(now, t, t.plan.worker, number)
+	}
+	return true
+}
+
+// nextRun numbers the next run; members of a gang share it.
+func nextRun(tasks []*task) int {
+	n := 0
+	for _, t := range tasks {
+		n = max(n, t.run)
+	}
+	return n + 1
+}
+
+// scheduleGang starts a gang as a whole if it can. It reports whether room is
+// kept for it until running work ends.
+func (c *Core) scheduleGang(now time.Time, s *step, mayReserve bool) bool {
+	for _, t := range s.tasks {
+		if t.phase != waiting || t.live != nil {
+			return false
+		}
+	}
+	if s.tasks[0].plan != nil {
+		if c.startPlanned(now, s.tasks) {
+			return false
+		}
+		if s.tasks[0].plan != nil {
+			return true
+		}
+	}
+	s.rack = ""
+	for _, rack := range c.gangRacks(now, s) {
+		if workers := c.fitAll(now, s, rack); workers != nil {
+			number := nextRun(s.tasks)
+			for i, t := range s.tasks {
+				c.start(now, t, workers[i], number)
+			}
+			return false
+		}
+	}
+	if s.occ.job.queue.Priority == 0 {
+		c.planUrgent(now, s.tasks, "")
+		return false
+	}
+	if mayReserve && now.Sub(s.since) > reserveAfter {
+		return c.reserve(now, s)
+	}
+	return false
+}
+
+// gangRacks lists the racks to try for a gang, best first; empty stands for any
+// workers.
+func (c *Core) gangRacks(now time.Time, s *step) []string {
+	if s.spec.Rack != "" {
+		if now.Sub(s.since) > c.patience(s) || c.racks[s.spec.Rack] == 0 {
+			return []string{s.spec.Rack, ""}
+		}
+		return []string{s.spec.Rack}
+	}
+	if !s.spec.Tight {
+		return []string{""}
+	}
+	racks := make([]string, 0, len(c.racks)+1)
+	possible := false
+	for rack := range c.racks {
+		racks = append(racks, rack)
+		possible = possible || c.rackHolds(s, rack)
+	}
+	sort.Strings(racks)
+	if !possible || now.Sub(s.since) > c.patience(s) {
+		racks = append(racks, "")
+	}
+	return racks
+}
+
+// rackHolds reports whether an empty rack would hold all of the step's tasks.
+func (c *Core) rackHolds(s *step, rack string) bool {
+	n := int64(0)
+	for _, w := range c.order {
+		if w.listed && w.info.Rack == rack && s.suits(w) {
+			n += times(w.info.Capacity, s.spec.room())
+		}
+	}
+	return n >= int64(len(s.tasks))
+}
+
+// fitAll finds a worker for each task of the step in free room, or returns nil.
+func (c *Core) fitAll(now time.Time, s *step, rack string) []*worker {
+	out := make([]*worker, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		w := c.choose(now, t, rack)
+		if w == nil {
+			break
+		}
+		out = append(out, w)
+		t.setPlan(w, now)
+	}
+	for _, t := range s.tasks {
+		t.dropPlan()
+	}
+	if len(out) < len(s.tasks) {
+		return nil
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scheduler/state.go
@@ -0,0 +1,433 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// ErrUnknown is returned for a job that was never accepted or is forgotten.
+var ErrUnknown = errorx.NewType(errorx.NewNamespace("scheduler"), "unknown").New("no such job")
+
+type phase int
+
+const (
+	waiting phase = iota
+	placed
+	done
+)
+
+// task is one task of a step in one occurrence.
+type task struct {
+	step  *step
+	index int
+	name  string
+	phase phase
+	run   int // number of the last start
+	fails int
+	saved string // newest checkpoint known
+	live  *run
+	plan  *plan
+	// avoid is the worker where the last run did badly.
+	avoid string
+	since time.Time // when it began to wait
+}
+
+// run is one start of a task, counted against its worker until it has surely ended.
+type run struct {
+	task     *task // nil if the task is unknown here
+	name     string
+	number   int
+	worker   *worker
+	room     Resources
+	answered time.Time // when the worker last confirmed an order about it
+	begun    time.Time // when it was first listed as running
+	percent  float64
+	moved    time.Time // when percent last rose
+	saved    string
+	stopping time.Time // when its stop was ordered
+	reason   string    // why it was stopped
+	dead     bool      // its task doesn't count on it any more
+}
+
+type step struct {
+	occ    *occurrence
+	spec   *Step
+	index  int
+	tasks  []*task
+	done   int
+	rack   string    // where a tight step has begun
+	failed int       // newest run of a gang that was counted as failed
+	since  time.Time // when its turn came
+}
+
+type occurrence struct {
+	job     *job
+	k       int
+	due     time.Time
+	steps   []*step
+	done    int
+	started bool
+}
+
+type job struct {
+	spec     Job
+	queue    Queue
+	state    State
+	occs     []*occurrence
+	opened   int // occurrences whose time has come
+	done     int
+	started  bool
+	stored   bool
+	deadline time.Time // of full credit
+	accepted time.Time
+	ended    time.Time
+	work     float64 // core-seconds declared
+	estimate time.Duration
+	rank     int
+}
+
+// Config holds the figures of the deployment.
+type Config struct {
+	Logger *slog.Logger
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// StopTimeout bounds how long a worker takes to end a run.
+	StopTimeout time.Duration
+	// Penalty is how many times as long a task takes away from its rack.
+	Penalty float64
+	// KeepEnded is how long the outcome of a job is kept.
+	KeepEnded time.Duration
+	// Silence is how long a worker may go without a report before it gets no new work.
+	Silence time.Duration
+	// Restore is the time a start from a checkpoint takes before it works on.
+	Restore time.Duration
+	// SaveEvery is the work between two checkpoints.
+	SaveEvery time.Duration
+}
+
+// Core is the state of the pool and its queue. One goroutine owns it.
+type Core struct {
+	cfg        Config
+	jobs       map[string]*job
+	active     []*job
+	workers    map[string]*worker
+	order      []*worker // by ID
+	queues     map[string]Queue
+	guaranteed map[string]int64
+	stored     map[string][]storedTask // tasks whose job isn't known yet, by job
+	out        Effects
+	rates      map[string]*runTime
+	racks      map[string]int
+}
+
+type storedTask struct {
+	name  string
+	value taskRecord
+}
+
+// taskRecord is the stored state of a task. Worker is set while its run may be
+// there.
+type taskRecord struct {
+	Run    int    `json:"run"`
+	Fails  int    `json:"fails,omitempty"`
+	Worker string `json:"worker,omitempty"`
+	Saved  string `json:"saved,omitempty"`
+	Done   bool   `json:"done,omitempty"`
+}
+
+// jobRecord is the stored outcome of a job.
+type jobRecord struct {
+	State State `json:"state"`
+	Ended int64 `json:"ended"` // Unix milliseconds
+}
+
+// New returns a core that knows nothing.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
+		guaranteed: map[string]int64{}, stored: map[string][]storedTask{}, rates: map[string]*runTime{},
+	}
+}
+
+// Restore takes in a record that an earlier leader stored. All records must
+// come before the first job.
+func (c *Core) Restore(now time.Time, key string, value []byte) error {
+	if !strings.Contains(key, ".") {
+		var rec jobRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return errorx.Decorate(err, "stored job %s", key)
+		}
+		c.jobs[key] = &job{spec: Job{ID: key}, state: rec.State, ended: now, stored: true}
+		return nil
+	}
+	id, _, ok := parseTask(key)
+	var rec taskRecord
+	if err := json.Unmarshal(value, &rec); err != nil || !ok {
+		return errorx.IllegalFormat.New("stored task %q: %v", key, err)
+	}
+	c.stored[id] = append(c.stored[id], storedTask{key, rec})
+	return nil
+}
+
+// SetPolicy replaces the policy of all queues and the customers' guarantees.
+func (c *Core) SetPolicy(queues map[string]Queue, guaranteed map[string]int64) {
+	c.queues, c.guaranteed = queues, guaranteed
+	for _, j := range c.active {
+		if q, ok := queues[j.spec.Queue.Name]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// AddJob takes in an accepted job. A job that is known already is left as it is.
+func (c *Core) AddJob(now time.Time, spec Job) {
+	if j, known := c.jobs[spec.ID]; known {
+		if j.state.final() {
+			c.out.Forget = append(c.out.Forget, spec.ID)
+		}
+		return
+	}
+	j := &job{spec: spec, queue: spec.Queue, state: Queued, accepted: time.UnixMilli(spec.Accepted)}
+	if q, ok := c.queues[spec.Queue.Name]; ok {
+		j.queue = q
+	}
+	occurrences := max(spec.Repeat, 1)
+	for k := range occurrences {
+		j.occs = append(j.occs, newOccurrence(j, k))
+	}
+	j.estimate = c.longestChain(&j.spec)
+	for i := range spec.Steps {
+		j.work += float64(spec.Steps[i].Count) * spec.Steps[i].Need.weight() * spec.Steps[i].Estimate.Seconds()
+	}
+	j.deadline = j.accepted.Add(time.Duration(j.queue.Stretch*float64(j.estimate)) + j.queue.Target)
+	c.jobs[spec.ID] = j
+	c.active = append(c.active, j)
+	for _, t := range c.stored[spec.ID] {
+		c.restoreTask(now, j, t)
+	}
+	delete(c.stored, spec.ID)
+	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "priority", j.queue.Priority,
+		"customer", spec.Customer, "tasks", j.width(), "steps", len(spec.Steps), "repeat", spec.Repeat)
+}
+
+func newOccurrence(j *job, k int) *occurrence {
+	o := &occurrence{job: j, k: k, due: j.accepted}
+	if j.spec.Repeat > 0 {
+		o.due = time.UnixMilli(j.spec.First).Add(time.Duration(k) * j.spec.Interval)
+	}
+	for i := range j.spec.Steps {
+		s := &step{occ: o, spec: &j.spec.Steps[i], index: i}
+		for n := range s.spec.Count {
+			s.tasks = append(s.tasks, &task{step: s, index: n, name: taskName(j.spec.ID, k, i, n)})
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+func (j *job) width() int {
+	n := 0
+	for i := range j.spec.Steps {
+		n += j.spec.Steps[i].Count
+	}
+	return n
+}
+
+// longestChain is the declared run time of the longest chain of steps.
+func (c *Core) longestChain(spec *Job) time.Duration {
+	ends := make([]time.Duration, len(spec.Steps))
+	var longest time.Duration
+	for i := range spec.Steps {
+		for _, before := range spec.Steps[i].After {
+			if before < i {
+				ends[i] = max(ends[i], ends[before])
+			}
+		}
+		ends[i] += spec.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (c *Core) restoreTask(now time.Time, j *job, st storedTask) {
+	t := c.find(st.name)
+	if t == nil {
+		c.cfg.Logger.Warn("stored task of no step", "task", st.name)
+		return
+	}
+	t.run, t.fails, t.saved = st.value.Run, st.value.Fails, st.value.Saved
+	j.started = true
+	j.state = Running
+	t.step.occ.started = true
+	switch {
+	case st.value.Done:
+		c.finish(t)
+	case st.value.Worker != "":
+		w := c.worker(st.value.Worker)
+		t.phase = placed
+		t.live = &run{task: t, name: t.name, number: t.run, worker: w, room: t.step.spec.room(), answered: now, moved: now}
+		w.add(t.live)
+	case t.fails > 0:
+		t.step.failed = max(t.step.failed, t.run)
+	}
+}
+
+// find returns the task with the name, or nil.
+func (c *Core) find(name string) *task {
+	id, at, ok := parseTask(name)
+	if !ok {
+		return nil
+	}
+	j := c.jobs[id]
+	if j == nil || at[0] >= len(j.occs) || at[1] >= len(j.spec.Steps) {
+		return nil
+	}
+	s := j.occs[at[0]].steps[at[1]]
+	if at[2] >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[at[2]]
+}
+
+// finish notes that a task is done, and what that completes.
+func (c *Core) finish(t *task) {
+	if t.phase == done {
+		return
+	}
+	t.phase = done
+	s := t.step
+	s.done++
+	if s.done < len(s.tasks) {
+		return
+	}
+	o := s.occ
+	o.done++
+	if o.done < len(o.steps) {
+		return
+	}
+	o.job.done++
+}
+
+// Cancel ends a job on its customer's request. It returns the state that the
+// job has then.
+func (c *Core) Cancel(now time.Time, id string) (State, error) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", ErrUnknown
+	}
+	if !j.state.final() {
+		c.end(now, j, Cancelled, "cancelled by its customer")
+	}
+	return j.state, nil
+}
+
+// JobState returns the state of a job.
+func (c *Core) JobState(id string) (State, error) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", ErrUnknown
+	}
+	return j.state, nil
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.active {
+		if j.queue.Name == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// end brings a job to its final state, and stops what still runs.
+func (c *Core) end(now time.Time, j *job, state State, why string) {
+	j.state, j.ended = state, now
+	c.put(j.spec.ID, jobRecord{State: state, Ended: now.UnixMilli()})
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				t.dropPlan()
+				if t.run > 0 {
+					c.out.Records = append(c.out.Records, Record{Key: t.name})
+				}
+				if t.live != nil {
+					c.stop(now, t.live, why)
+				}
+			}
+		}
+	}
+	c.out.Forget = append(c.out.Forget, j.spec.ID)
+	c.cfg.Logger.Info("job ended", "job", j.spec.ID, "state", string(state), "why", why,
+		"age_ms", now.Sub(j.accepted).Milliseconds(), "objective_ms", j.deadline.Sub(j.accepted).Milliseconds())
+}
+
+// put records the value of a key.
+func (c *Core) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// Only plain structs of this package come here.
+		panic(err)
+	}
+	c.out.Records = append(c.out.Records, Record{Key: key, Value: data})
+}
+
+// record stores a task's state.
+func (c *Core) record(t *task) {
+	rec := taskRecord{Run: t.run, Fails: t.fails, Saved: t.saved, Done: t.phase == done}
+	if t.phase == placed && t.live != nil {
+		rec.Worker = t.live.worker.id
+	}
+	if rec.Done {
+		rec.Saved = ""
+	}
+	c.put(t.name, rec)
+}
+
+// Flush places what can be placed and hands over all that is to be carried out.
+func (c *Core) Flush(now time.Time) Effects {
+	c.settle(now)
+	c.schedule(now)
+	out := c.out
+	c.out = Effects{}
+	return out
+}
+
+// settle ends jobs that are done or can't be, and forgets old ones.
+func (c *Core) settle(now time.Time) {
+	kept := c.active[:0]
+	for _, j := range c.active {
+		if !j.state.final() && j.done == len(j.occs) {
+			c.end(now, j, Completed, "all tasks are done")
+		}
+		if !j.state.final() {
+			kept = append(kept, j)
+		}
+	}
+	clear(c.active[len(kept):])
+	c.active = kept
+}
+
+// Tick does what only time brings about. It is to be called several times a
+// second.
+func (c *Core) Tick(now time.Time) {
+	for _, w := range c.order {
+		c.watch(now, w)
+	}
+	for id, j := range c.jobs {
+		if j.state.final() && now.Sub(j.ended) > c.cfg.KeepEnded {
+			delete(c.jobs, id)
+			c.out.Records = append(c.out.Records, Record{Key: id})
+		}
+	}
+}
+
+func sortWorkers(workers []*worker) {
+	sort.Slice(workers, func(i, k int) bool { return workers[i].id < workers[k].id })
+}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,398 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// vanishGrace is how long after an order's answer a run may be missing from
+	// its worker's lists before it is taken for gone. Answers on different
+	// connections overtake each other by less.
+	vanishGrace = 300 * time.Millisecond
+	// stopAgain is how long a stop may take before it is ordered anew.
+	stopAgain = time.Second
+	// refusalPause is how long a worker that refused a start, or gave no answer,
+	// gets no other.
+	refusalPause = 2 * time.Second
+	// quarantineFails is how many runs in a row have to fail on a worker before
+	// it is left out. A single failure is usually the task's own.
+	quarantineFails = 2
+	// quarantine is how long a failing worker gets no work, doubled with each
+	// further failure up to maxQuarantine.
+	quarantine    = 6 * time.Second
+	maxQuarantine = time.Minute
+)
+
+type runKey struct {
+	name   string
+	number int
+}
+
+// worker is a worker as the scheduler knows it.
+type worker struct {
+	id     string
+	listed bool
+	info   Worker
+	born   int64
+	synced bool // it has reported under this leader's token
+	heard  time.Time
+	runs   map[runKey]*run
+	used   Resources
+	// planned is room kept for tasks that wait for it.
+	planned Resources
+	// fails counts runs in a row that failed here.
+	fails     int
+	suspended time.Time // no new work before
+	// slow is the measured run time here against that elsewhere.
+	slow    float64
+	samples int
+}
+
+// worker returns the worker with the ID, which may not be listed (yet).
+func (c *Core) worker(id string) *worker {
+	w := c.workers[id]
+	if w == nil {
+		w = &worker{id: id, runs: map[runKey]*run{}, slow: 1}
+		c.workers[id] = w
+		c.order = append(c.order, w)
+		sortWorkers(c.order)
+	}
+	return w
+}
+
+func (w *worker) add(r *run) {
+	w.runs[runKey{r.name, r.number}] = r
+	w.used = w.used.plus(r.room)
+}
+
+// free is what new work may use, beside what is kept for others.
+func (w *worker) free() Resources { return w.info.Capacity.minus(w.used).minus(w.planned) }
+
+// usable reports whether the worker may be given new work.
+func (w *worker) usable(now time.Time, silence time.Duration) bool {
+	return w.listed && w.synced && !w.info.Draining && !now.Before(w.suspended) && now.Sub(w.heard) < silence
+}
+
+// SeeWorker takes in a worker's entry of the registry.
+func (c *Core) SeeWorker(now time.Time, info Worker) {
+	w := c.worker(info.ID)
+	if info.Born != 0 && w.born != 0 && info.Born < w.born {
+		return
+	}
+	if w.listed && info.Draining != w.info.Draining {
+		c.cfg.Logger.Info("worker changed state", "worker", w.id, "draining", info.Draining, "runs", len(w.runs))
+	}
+	w.info, w.listed, w.heard = info, true, now
+	if info.Born > w.born {
+		c.reborn(now, w, info.Born)
+	}
+}
+
+// DropWorker takes in that a worker has left the registry. What ran there counts
+// until its lease has surely run out.
+func (c *Core) DropWorker(id string) {
+	if w := c.workers[id]; w != nil {
+		w.listed = false
+		c.cfg.Logger.Info("worker left", "worker", id, "runs", len(w.runs))
+	}
+}
+
+// reborn notes a new life of a worker: nothing that ran there before runs now.
+func (c *Core) reborn(now time.Time, w *worker, born int64) {
+	if w.born != 0 {
+		c.cfg.Logger.Warn("worker has restarted", "worker", w.id, "born", born, "runs_lost", len(w.runs))
+		c.loseRuns(now, w)
+		w.synced = false
+	}
+	w.born = born
+}
+
+// Lapse notes that all leases on a worker have surely run out.
+func (c *Core) Lapse(now time.Time, id string) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.synced = false
+	if len(w.runs) > 0 {
+		c.cfg.Logger.Warn("leases ran out", "worker", id, "runs_lost", len(w.runs))
+		c.loseRuns(now, w)
+	}
+	if !w.listed {
+		c.forgetWorker(w)
+	}
+}
+
+func (c *Core) forgetWorker(w *worker) {
+	delete(c.workers, w.id)
+	for i, o := range c.order {
+		if o == w {
+			c.order = append(c.order[:i], c.order[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Core) loseRuns(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		c.ended(now, r, Vanished, r.saved)
+	}
+}
+
+// sortedRuns lists the runs in a fixed order, so that histories repeat.
+func (w *worker) sortedRuns() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].name != out[k].name {
+			return out[i].name < out[k].name
+		}
+		return out[i].number < out[k].number
+	})
+	return out
+}
+
+// HasRuns reports whether the worker has to be asked: runs are counted there, or
+// it hasn't reported to this leader.
+func (c *Core) HasRuns(id string) bool {
+	w := c.workers[id]
+	return w != nil && (len(w.runs) > 0 || !w.synced)
+}
+
+// Knows reports whether the worker is listed or anything is counted there.
+func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
+
+// Report takes in a worker's answer. It reports whether it was current.
+func (c *Core) Report(now time.Time, rep Report) bool {
+	w := c.worker(rep.Worker)
+	if rep.Born != 0 && rep.Born < w.born {
+		return false
+	}
+	if rep.Born > w.born {
+		c.reborn(now, w, rep.Born)
+	}
+	if !w.synced {
+		c.cfg.Logger.Info("worker reports to this leader", "worker", w.id, "running", len(rep.Running), "ended", len(rep.Ended))
+	}
+	w.synced, w.heard = true, now
+	listed := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
+	for _, e := range rep.Ended {
+		key := runKey{e.Task, e.Run}
+		listed[key] = true
+		if r := w.runs[key]; r != nil {
+			c.ended(now, r, e.Cause, e.Saved)
+		}
+	}
+	for _, row := range rep.Running {
+		key := runKey{row.Task, row.Run}
+		listed[key] = true
+		c.progress(now, w, key, row)
+	}
+	if !rep.Full {
+		return true
+	}
+	for _, r := range w.sortedRuns() {
+		if !listed[runKey{r.name, r.number}] && !r.answered.IsZero() && rep.Sent.Sub(r.answered) > 0 &&
+			(r.begun.IsZero() || now.Sub(r.answered) > vanishGrace) {
+			c.ended(now, r, Vanished, r.saved)
+		}
+	}
+	return true
+}
+
+// progress takes in a row of what runs on a worker.
+func (c *Core) progress(now time.Time, w *worker, key runKey, row RunningTask) {
+	r := w.runs[key]
+	if r == nil {
+		r = &run{name: row.Task, number: row.Run, worker: w, answered: now, dead: true}
+		if t := c.find(row.Task); t != nil {
+			r.room = t.step.spec.room()
+		}
+		w.add(r)
+		c.stop(now, r, "no such run is known")
+		return
+	}
+	if r.begun.IsZero() {
+		r.begun, r.moved = now, now
+	}
+	if row.Percent > r.percent {
+		r.moved = now
+	}
+	r.percent = row.Percent
+	if row.Saved != "" {
+		r.saved = row.Saved
+	}
+}
+
+// StartResult is the worker's answer to a Start.
+type StartResult int
+
+// Answers to a Start.
+const (
+	// Accepted: the run is there.
+	Accepted StartResult = iota
+	// Rejected: the run isn't there and won't be.
+	Rejected
+	// RejectedOld: it has ended there, or an older start is refused.
+	RejectedOld
+	// Uncertain: no answer came, or a later one doesn't exclude an earlier one.
+	Uncertain
+)
+
+// StartAnswered takes in what became of a Start.
+func (c *Core) StartAnswered(now time.Time, id, name string, number int, result StartResult) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	r := w.runs[runKey{name, number}]
+	if r == nil {
+		return
+	}
+	switch result {
+	case Accepted, RejectedOld:
+		r.answered = now
+	case Rejected:
+		w.suspended = now.Add(refusalPause)
+		c.ended(now, r, Vanished, "")
+	case Uncertain:
+		w.suspended = now.Add(refusalPause)
+		c.stop(now, r, "its start got no answer")
+	}
+}
+
+// StopAnswered takes in that a worker confirmed a Stop: the run is ending or was
+// never there.
+func (c *Core) StopAnswered(now time.Time, id, name string, number int) {
+	if w := c.workers[id]; w != nil {
+		if r := w.runs[runKey{name, number}]; r != nil {
+			r.answered = now
+		}
+	}
+}
+
+// stop orders the end of a run.
+func (c *Core) stop(now time.Time, r *run, why string) {
+	if r.stopping.IsZero() {
+		c.cfg.Logger.Info("run is stopped", "task", r.name, "run", r.number, "worker", r.worker.id,
+			"percent", r.percent, "why", why)
+		r.reason = why
+	}
+	r.stopping = now
+	c.out.Stops = append(c.out.Stops, Stop{Worker: r.worker.id, Address: r.worker.info.Address, Task: r.name, Run: r.number})
+}
+
+// ended takes in that a run is surely over.
+func (c *Core) ended(now time.Time, r *run, cause Cause, saved string) {
+	w := r.worker
+	delete(w.runs, runKey{r.name, r.number})
+	w.used = w.used.minus(r.room)
+	t := r.task
+	if t == nil || t.live != r {
+		return
+	}
+	t.live = nil
+	if saved == "" {
+		saved = r.saved
+	}
+	j := t.step.occ.job
+	c.learn(now, r, cause)
+	c.cfg.Logger.Info("run ended", "task", r.name, "run", r.number, "worker", w.id, "cause", string(cause),
+		"percent", r.percent, "ran_ms", ranMillis(now, r), "why", r.reason)
+	if j.state.final() || t.phase == done {
+		return
+	}
+	if cause == Done && !t.step.spec.Lasting {
+		c.taskDone(t)
+		return
+	}
+	c.taskBack(now, t, r, cause, saved)
+}
+
+func ranMillis(now time.Time, r *run) int64 {
+	if r.begun.IsZero() {
+		return 0
+	}
+	return now.Sub(r.begun).Milliseconds()
+}
+
+// taskDone records that a task, or with it all of its gang, is done.
+func (c *Core) taskDone(t *task) {
+	tasks := []*task{t}
+	if t.step.spec.Gang {
+		tasks = t.step.tasks
+	}
+	for _, member := range tasks {
+		if member.phase != done {
+			c.finish(member)
+			c.record(member)
+		}
+	}
+}
+
+// taskBack returns a task whose run ended early to the queue. A gang returns
+// as a whole.
+func (c *Core) taskBack(now time.Time, t *task, r *run, cause Cause, saved string) {
+	s := t.step
+	j := s.occ.job
+	t.phase, t.since = waiting, now
+	if saved != "" && s.spec.Checkpoints {
+		t.saved = saved
+	}
+	if cause != Stopped || r.reason == reasonSlow {
+		t.avoid = r.worker.id
+	}
+	if s.spec.Gang {
+		c.gangBack(now, s, cause, t)
+		return
+	}
+	if cause == Fault {
+		t.fails++
+	}
+	c.record(t)
+	if t.fails >= j.queue.Attempts && !s.spec.Lasting {
+		c.end(now, j, Failed, "a task has used up its attempts")
+	}
+}
+
+// gangBack breaks up a gang of which one member's run ended early. A failed run
+// counts once for the whole gang.
+func (c *Core) gangBack(now time.Time, s *step, cause Cause, t *task) {
+	if cause == Fault && t.run > s.failed {
+		s.failed = t.run
+		for _, m := range s.tasks {
+			m.fails++
+		}
+	}
+	for _, m := range s.tasks {
+		if m.live != nil && m.live.stopping.IsZero() {
+			c.stop(now, m.live, "its gang is broken up")
+		}
+		if t.saved != "" {
+			m.saved = t.saved
+		}
+		c.record(m)
+	}
+	j := s.occ.job
+	if t.fails >= j.queue.Attempts && !s.spec.Lasting {
+		c.end(now, j, Failed, "a gang has used up its attempts")
+	}
+}
+
+// watch repeats orders that were lost and moves work off workers where it
+// stands still.
+func (c *Core) watch(now time.Time, w *worker) {
+	for _, r := range w.sortedRuns() {
+		switch {
+		case !r.stopping.IsZero():
+			if now.Sub(r.stopping) > stopAgain {
+				c.stop(now, r, r.reason)
+			}
+		case w.synced:
+			c.watchRun(now, r)
+		}
+	}
+}
