--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -270,7 +270,7 @@
 func (p *Placer) lookSoon(j *job, now time.Time) {
 	for _, name := range j.members {
 		if w := p.workers[name]; w != nil && w.next.After(now.Add(firstLook)) {
-			w.next = now.Add(firstLook)
+			w.visitAt(now.Add(firstLook))
 		}
 	}
 }
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -125,7 +125,7 @@
 			metric.Count("placer_doubts_total")
 			w.doubt = true
 			w.rival = true
-			w.next = time.Now()
+			w.visitAt(time.Now())
 			p.avoid(w, time.Now())
 		}
 	}
--- a/internal/placer/office.go
+++ b/internal/placer/office.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,9 @@
 	rival bool
 	shy   time.Time
 	next  time.Time
+	// due is when visit may have something to do, in Unix nanoseconds: it is looked
+	// at on every tick for every worker.
+	due int64
 	// lost is when the worker is given up unless it answers before.
 	lost time.Time
 	// lapse is when the last lease that this placer can have prolonged ends.
@@ -60,7 +64,7 @@
 	w.doubt = false
 	w.rival = false
 	w.shy = time.Time{}
-	w.next = time.Time{}
+	w.next, w.due = time.Time{}, 0
 	w.lost = time.Time{}
 	w.limited = false
 }
@@ -81,7 +85,7 @@
 		p.enqueue(j)
 	}
 	for _, w := range p.workers {
-		w.next = now
+		w.visitAt(now)
 	}
 }
 
@@ -113,9 +117,16 @@
 	p.reset()
 }
 
+// visitAt sets when the worker is called next.
+func (w *member) visitAt(at time.Time) {
+	w.next = at
+	w.due = 0
+}
+
 // visit does the call that is due on the worker: a fence or a renewal.
 func (p *Placer) visit(w *member, now time.Time) {
 	p.checkLost(w, now)
+	defer w.setDue()
 	if w.busy || now.Before(w.next) && !p.limitsDiffer(w) {
 		return
 	}
@@ -127,6 +138,28 @@
 	p.sendRenew(w, now)
 }
 
+// setDue works out when the next visit can have something to do. Whatever changes
+// before asks for a visit at once.
+func (w *member) setDue() {
+	w.due = math.MaxInt64
+	earlier := func(at time.Time) {
+		if at.IsZero() {
+			w.due = 0
+			return
+		}
+		w.due = min(w.due, at.UnixNano())
+	}
+	if !w.down {
+		earlier(w.lost)
+	}
+	if !w.shy.IsZero() {
+		earlier(w.shy)
+	}
+	if !w.busy {
+		earlier(w.next)
+	}
+}
+
 func (p *Placer) fenceOf(w *member) worker.Fence {
 	if p.cfg.Unsafe.NoFence {
 		return worker.Fence{Epoch: 1, Holder: p.cfg.Zone}
@@ -148,6 +181,7 @@
 		t, err := w.client.Fence(ctx, f)
 		p.post(func() {
 			w.busy = false
+			w.due = 0
 			if !p.office || !began.Equal(p.since) {
 				return
 			}
@@ -161,7 +195,7 @@
 	now := time.Now()
 	if err != nil {
 		p.avoid(w, now)
-		w.next = now.Add(retryFence)
+		w.visitAt(now.Add(retryFence))
 		return
 	}
 	w.epoch = max(w.epoch, t.Fence.Epoch)
@@ -169,7 +203,7 @@
 	if w.rival && (t.Fence == worker.Fence{} || t.Fence.Holder == p.cfg.VM) {
 		// Nobody else has fenced it: raise the fence at once.
 		w.rival = false
-		w.next = now
+		w.visitAt(now)
 		return
 	}
 	if f.Less(t.Fence) {
@@ -180,7 +214,7 @@
 	w.limited = false
 	w.doubt = false
 	p.hear(w, asked)
-	w.next = now
+	w.visitAt(now)
 	p.takeTable(w, t, now)
 	p.setUp(w, now)
 }
@@ -192,18 +226,18 @@
 	metric.Count("placer_fenced_total")
 	w.fenced = false
 	if w.lost.IsZero() {
-		w.next = now
+		w.visitAt(now)
 		p.hear(w, now)
 		return
 	}
 	w.rival = true
-	w.next = now.Add(watchRival)
+	w.visitAt(now.Add(watchRival))
 	p.setDown(w)
 	silence := time.Duration(t.Silence) * time.Millisecond
 	gone := p.cfg.Holds != nil && t.Fence.Holder != "" && !p.cfg.Holds(t.Fence.Holder)
 	if gone || silence > p.cfg.Renew+p.cfg.Lost {
 		w.rival = false
-		w.next = now
+		w.visitAt(now)
 		p.lookAtRivals(now)
 	}
 }
@@ -213,7 +247,7 @@
 func (p *Placer) lookAtRivals(now time.Time) {
 	for _, w := range p.workers {
 		if w.rival {
-			w.next = now
+			w.visitAt(now)
 		}
 	}
 }
@@ -221,6 +255,7 @@
 // avoid keeps new work off a worker that gave trouble, for a while.
 func (p *Placer) avoid(w *member, now time.Time) {
 	w.shy = now.Add(avoidFor)
+	w.due = 0
 	p.tree.SetShy(w.name, true)
 	p.book.SetShy(w.name, true)
 }
@@ -231,6 +266,7 @@
 		return
 	}
 	w.down = false
+	w.due = 0
 	p.tree.SetDown(w.name, false)
 	p.book.SetDown(w.name, false)
 	p.dirty = true
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -120,8 +122,10 @@
 	each    room.Size
 	jobsMax map[string]int
 	workers map[string]*member
-	jobs    map[string]*job
-	queues  map[string]*queue
+	// listed are the same workers, for the tick.
+	listed []*member
+	jobs   map[string]*job
+	queues map[string]*queue
 	// plain are the queues of jobs without accelerators.
 	plain map[string]*queue
 	found map[string]*gang
@@ -289,6 +293,7 @@
 				delete(p.workers, name)
 			}
 		}
+		p.listed = slices.Collect(maps.Values(p.workers))
 	})
 }
 
@@ -300,10 +305,14 @@
 	for _, name := range p.book.Changed() {
 		if w := p.workers[name]; w != nil {
 			w.resized = true
+			w.due = 0
 		}
 	}
-	for _, w := range p.workers {
-		p.visit(w, now)
+	nano := now.UnixNano()
+	for _, w := range p.listed {
+		if w.due <= nano {
+			p.visit(w, now)
+		}
 	}
 	p.settle(now)
 	p.readJournal(now)
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -20,6 +20,7 @@
 		r, err := w.client.Renew(ctx, f, in)
 		p.post(func() {
 			w.busy = false
+			w.due = 0
 			if !p.office || !began.Equal(p.since) {
 				return
 			}
@@ -44,11 +45,11 @@
 	if err != nil {
 		p.avoid(w, now)
 		metric.Retry("renew")
-		w.next = now.Add(retryFence)
+		w.visitAt(now.Add(retryFence))
 		return
 	}
 	p.hear(w, asked)
-	w.next = asked.Add(p.cfg.Renew)
+	w.visitAt(asked.Add(p.cfg.Renew))
 	if w.down {
 		p.setUp(w, now)
 	}
@@ -59,7 +60,7 @@
 		// An old call came late, or the worker has lost its table.
 		w.doubt = true
 		w.rival = true
-		w.next = now
+		w.visitAt(now)
 	}
 }
 
