--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -48,7 +48,7 @@
 // without a key is a mark: it shows how far back the log still reaches.
 type Record struct {
 	Key   string `json:"key"`
-	Owner string `json:"home"`
+	Owner string `json:"owner"`
 	At    int64  `json:"at,omitempty"`
 	Until int64  `json:"until"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,7 @@
 		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
 		Connect: peer.HTTP(d.client("peer", peerConns)), Logger: d.logger, LeftServer: d.serverLeft,
 	})
-	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Owner()} })
+	d.members.Change(func(self *rpc.Member) { self.Owners = []string{d.own.minter.Owner()} })
 	for _, p := range set.Peers {
 		d.members.Seed(p.Name, p.Address, p.Zone)
 	}
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -226,7 +226,7 @@
 
 // summary turns a zone's summary into its message.
 func summary(s placer.Summary) *rpc.Summary {
-	out := &rpc.Summary{Waiting: int32(s.Waiting), Room: int32(s.Free)}
+	out := &rpc.Summary{Waiting: int32(s.Waiting), Free: int32(s.Free)}
 	for k := range s.Cells.Idle {
 		out.Idle = append(out.Idle, int32(s.Cells.Idle[k]))
 		out.Slack = append(out.Slack, int32(s.Cells.Slack[k]))
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -32,7 +32,7 @@
 func (s *peerServer) Forward(ctx context.Context, in *rpc.ForwardRequest) (*rpc.ForwardReply, error) {
 	a := arrival{
 		in:    api.Request{ID: in.GetRequest(), Customer: in.GetCustomer(), Kind: in.GetKind(), Body: in.GetBody()},
-		owner: in.GetHome(), settle: in.GetSettle(), asked: in.GetHome() == "",
+		owner: in.GetOwner(), settle: in.GetSettle(), asked: in.GetOwner() == "",
 	}
 	if in.GetTicket() {
 		a.ticket = in.GetKey()
@@ -58,7 +58,7 @@
 
 // adopt takes over the keys of a VM that stops.
 func (d *Daemon) adopt(in *rpc.Handover) error {
-	minter, err := idempotency.NewMinter(in.GetHome(), in.GetSecret())
+	minter, err := idempotency.NewMinter(in.GetOwner(), in.GetSecret())
 	if err != nil {
 		return err
 	}
@@ -75,15 +75,15 @@
 	if d.stopping.Load() || len(d.owners) >= maxOwners {
 		return placer.ErrFull
 	}
-	if d.owners[in.GetHome()] != nil {
+	if d.owners[in.GetOwner()] != nil {
 		return nil
 	}
 	table := idempotency.NewTable(idempotency.Limits{Keys: d.set.Limits.Keys, Bytes: d.set.Limits.Bytes})
 	table.Import(kept)
-	d.owners[in.GetHome()] = &owner{minter: minter, table: table}
-	d.members.Change(func(self *rpc.Member) { self.Homes = append(self.Homes, in.GetHome()) })
+	d.owners[in.GetOwner()] = &owner{minter: minter, table: table}
+	d.members.Change(func(self *rpc.Member) { self.Owners = append(self.Owners, in.GetOwner()) })
 	metric.Count("owners_adopted_total")
-	d.logger.Info("keys taken over", "owner", in.GetHome(), "keys", len(kept))
+	d.logger.Info("keys taken over", "owner", in.GetOwner(), "keys", len(kept))
 	return nil
 }
 
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -270,7 +270,7 @@
 // forward carries the request to its owner.
 func (d *Daemon) forward(ctx context.Context, r *request.Request, owner string, p peer.Peer) api.Response {
 	reply, err := p.Client.Forward(ctx, &rpc.ForwardRequest{
-		Home: owner, Key: r.Key, Request: r.ID, Customer: r.Customer, Kind: r.Kind, Body: r.Body,
+		Owner: owner, Key: r.Key, Request: r.ID, Customer: r.Customer, Kind: r.Kind, Body: r.Body,
 		Settle: r.Settle, Ticket: r.Ticket,
 	})
 	if err == nil {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -256,7 +256,7 @@
 // none, its eighths of processors and memory.
 func freeIn(s *rpc.Summary, n int) int {
 	if n == 0 {
-		return int(s.GetRoom())
+		return int(s.GetFree())
 	}
 	if level := cell.Level(n); level < len(s.GetIdle()) {
 		return int(s.GetIdle()[level] + s.GetSlack()[level])
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -31,7 +31,7 @@
 	cut := d.finish(deadline)
 	d.handKeys(deadline)
 	d.syncJournal(deadline)
-	d.members.Change(func(self *rpc.Member) { self.State = peer.Gone; self.Homes = nil })
+	d.members.Change(func(self *rpc.Member) { self.State = peer.Gone; self.Owners = nil })
 	d.tell()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(farewell))
 	defer cancel()
@@ -137,7 +137,7 @@
 }
 
 func handover(h *owner) *rpc.Handover {
-	in := &rpc.Handover{Home: h.minter.Owner(), Secret: h.minter.Secret()}
+	in := &rpc.Handover{Owner: h.minter.Owner(), Secret: h.minter.Secret()}
 	for _, k := range h.table.Export() {
 		in.Entries = append(in.Entries, &rpc.Entry{
 			Key: k.Key, Print: k.Print, Remaining: time.Until(k.Deadline).Milliseconds(), Reply: toReply(k.Response),
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -357,7 +357,7 @@
 // changes often, the version in force and the summary, is told directly only.
 func rumour(old, info *rpc.Member) bool {
 	return old.GetIncarnation() != info.GetIncarnation() || old.GetState() != info.GetState() ||
-		!slices.Equal(old.GetHomes(), info.GetHomes()) || (old.GetSummary() == nil) != (info.GetSummary() == nil)
+		!slices.Equal(old.GetOwners(), info.GetOwners()) || (old.GetSummary() == nil) != (info.GetSummary() == nil)
 }
 
 // Peer is another VM as a caller of it sees it.
@@ -429,7 +429,7 @@
 // Serving finds the VM that answers for an owner.
 func (m *Members) Serving(owner string) (Peer, bool) {
 	for _, p := range m.All() {
-		if p.Info.GetState() != Gone && slices.Contains(p.Info.GetHomes(), owner) {
+		if p.Info.GetState() != Gone && slices.Contains(p.Info.GetOwners(), owner) {
 			return p, true
 		}
 	}
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -148,7 +148,7 @@
 		revision    uint64
 	}{{1, 5}, {1, 4}, {2, 1}, {1, 9}, {2, 3}, {2, 2}} {
 		m.Hear(&rpc.Gossip{Self: &rpc.Member{
-			Name: "vm", Address: "vm", Zone: "a", Incarnation: s.incarnation, Revision: s.revision, Homes: []string{fmt.Sprint(s.incarnation, "/", s.revision)},
+			Name: "vm", Address: "vm", Zone: "a", Incarnation: s.incarnation, Revision: s.revision, Owners: []string{fmt.Sprint(s.incarnation, "/", s.revision)},
 		}})
 	}
 	p, ok := m.Serving("2/3")
@@ -245,7 +245,7 @@
 			}
 		}
 		if i%restartEvery == 0 {
-			n.vms[names[i/restartEvery%len(names)]].Change(func(self *rpc.Member) { self.Homes = append(self.Homes[:0], fmt.Sprint("home~", i)) })
+			n.vms[names[i/restartEvery%len(names)]].Change(func(self *rpc.Member) { self.Owners = append(self.Owners[:0], fmt.Sprint("owner~", i)) })
 		}
 	}
 }
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -96,7 +96,7 @@
 		ref := worker.Part{Cell: p.ref(part.Cell)}
 		if part.Bound >= 0 {
 			bound := p.ref(part.Bound)
-			ref.Home = &bound
+			ref.Bound = &bound
 		}
 		out = append(out, ref)
 	}
--- a/internal/placer/rebuild.go
+++ b/internal/placer/rebuild.go
@@ -236,9 +236,9 @@
 			return nil, false
 		}
 		part := cell.Part{Cell: id, Bound: -1}
-		if ref.Home != nil {
-			if bound, found := p.tree.Find(ref.Home.Level, cell.Slot{Worker: ref.Home.Worker, Index: ref.Home.Index}); found {
-				part.Bound, part.Unit = bound, ref.Home.Level
+		if ref.Bound != nil {
+			if bound, found := p.tree.Find(ref.Bound.Level, cell.Slot{Worker: ref.Bound.Worker, Index: ref.Bound.Index}); found {
+				part.Bound, part.Unit = bound, ref.Bound.Level
 			}
 		}
 		out = append(out, part)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -141,8 +141,8 @@
 	assert.NilError(t, s.AwaitConfig(ctx, alone, out.Number))
 }
 
-// TestForwardAfterTheDeadline has a copy of a claimed request arrive at its home
-// when the home has forgotten the key: it must not run a second time.
+// TestForwardAfterTheDeadline has a copy of a claimed request arrive at its owner
+// when the owner has forgotten the key: it must not run a second time.
 func TestForwardAfterTheDeadline(t *testing.T) { synctest.Test(t, testForwardAfterTheDeadline) }
 
 func testForwardAfterTheDeadline(t *testing.T) {
@@ -160,11 +160,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Outcome, api.Done, resp.Reason)
 	time.Sleep(2500 * time.Millisecond)
-	home := rpc.NewPeerProtobufClient("http://"+address, s.HTTP("peer"))
-	gossip, err := home.Probe(ctx, &rpc.Gossip{Self: &rpc.Member{}})
+	owner := rpc.NewPeerProtobufClient("http://"+address, s.HTTP("peer"))
+	gossip, err := owner.Probe(ctx, &rpc.Gossip{Self: &rpc.Member{}})
 	assert.NilError(t, err)
-	reply, err := home.Forward(ctx, &rpc.ForwardRequest{
-		Home: gossip.GetSelf().GetHomes()[0], Key: "late", Request: in.ID, Customer: in.Customer, Kind: in.Kind, Body: in.Body,
+	reply, err := owner.Forward(ctx, &rpc.ForwardRequest{
+		Owner: gossip.GetSelf().GetOwners()[0], Key: "late", Request: in.ID, Customer: in.Customer, Kind: in.Kind, Body: in.Body,
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, reply.GetOutcome(), string(api.Unknown), reply.GetReason())
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -65,8 +65,8 @@
 // Part is one cell of a job: the cell and, for guaranteed work, the guaranteed
 // cell around it.
 type Part struct {
-	Cell Ref  `json:"cell"`
-	Home *Ref `json:"home,omitempty"`
+	Cell  Ref  `json:"cell"`
+	Bound *Ref `json:"bound,omitempty"`
 }
 
 // State is the state of a lease.
