Starts are paced by their answers, so that a wave doesn't drown a small VM

Each took its part of the processor, so that calls of starts, renewals and pings ran into their deadlines; a standby replaced the leader, which had started one member of a gang and not the others.

Ruled out: the worker (it answered the next leader), the store (it answered, late by the same starvation), the election (two pings without an answer are what it should see).

Change: 32 starts go at once, in the order of the decisions; one counts for 100 ms at most, so that workers that don't answer hold nobody up.

It helps any deployment whose waves are wide for its VMs.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/semaphore"
 
 	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/fleet"
@@ -132,6 +133,8 @@
 	end   context.CancelFunc
 	ctx   context.Context //nolint:containedctx // it is the term itself: orders end with it
 	begun time.Time
+	// starts lets so many starts go at once, in the order in which they were decided.
+	starts *semaphore.Weighted
 
 	// The rest belongs to the loop.
 	links    map[string]*link
@@ -185,7 +188,7 @@
 	t := &term{
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, ctx: ctx, begun: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{seen: map[string]note{}}, unstored: map[string]bool{},
-		core: scheduler.New(l.cfg.Scheduler),
+		core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
 	}
 	t.lastWrite.Store(time.Now().UnixNano())
 	in, err := t.load(ctx)
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"rhubarbshore/internal/fleet"
@@ -32,6 +33,13 @@
 	orderTimeout = 500 * time.Millisecond
 	orderTries   = 3
 	orderPause   = 50 * time.Millisecond
+	// maxStarts bounds the starts under way. One takes about 0.5 ms of a core: on
+	// a VM with 0.19 cores so many are answered within 100 ms, which leaves time
+	// for pings and renewals, and the first gangs are whole before the last begin.
+	maxStarts = 32
+	// startHold is how long a start counts among them: workers that don't answer
+	// must not keep others from starting.
+	startHold = 100 * time.Millisecond
 )
 
 // link is the leader's tie to one worker. The loop owns it.
@@ -253,6 +261,12 @@
 
 // start carries a start to its worker.
 func (t *term) start(ctx context.Context, s scheduler.Start, deadline int64) {
+	if t.starts.Acquire(ctx, 1) != nil {
+		return // deposed meanwhile
+	}
+	release := sync.OnceFunc(func() { t.starts.Release(1) })
+	defer release()
+	defer time.AfterFunc(startHold, release).Stop()
 	begun := time.Now()
 	unanswered := false
 	result := scheduler.Uncertain
