A starved leader takes no run for lost that has only just begun

Traced: the leader's loop takes in all events that wait with the time at which it took in the first. On a starved VM that takes up to a second. A start's answer so seemed older than a renewal that was sent before the worker had the start; the renewal's list lacked the run, the run was taken for vanished, and its task was started again elsewhere.

Ruled out: paced starts (the fault needs no wait), fencing (one leader started both runs), the worker's list (it is right for the time at which it was made).

Change: each event is taken in at the time at which it is taken from the queue.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// keepLead takes and leaves the zone's lead as membership changes, and
+// keepLead takes and leaves the zone's leadership as membership changes, and
 // tells others what the zone could take.
 func (d *Daemon) keepLead(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -234,13 +234,13 @@
 	return out
 }
 
-// passOrphans hands jobs left from a lost lead to the new placer.
+// passOrphans hands jobs left from a lost leadership to the new placer.
 func (d *Daemon) passOrphans(ctx context.Context) {
 	for _, orphan := range d.placer.Orphans(ctx) {
 		j := orphan.Job
 		j.Zone = d.set.Zone
 		if _, err := d.submit(ctx, j); err != nil && !orphan.Durable && orphan.Copies == 0 {
-			d.logger.Error("job lost with the lead", "job", j.ID, "customer", j.Customer, "error", err)
+			d.logger.Error("job lost with the leadership", "job", j.ID, "customer", j.Customer, "error", err)
 			metric.Count("jobs_lost_total")
 		}
 	}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// handLead gives the zone's lead up and passes on its open jobs. Those in the
+// handLead gives the zone's leadership up and passes on its open jobs. Those in the
 // log are found there if the next placer does not answer.
 func (d *Daemon) handLead() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Deadlines.Stop)/2)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -2,7 +2,7 @@
 // of the platform's log and, for as long as the log is out of reach, as replicas on
 // other VMs of the zone.
 //
-// Only the VM that holds the zone's lead writes records, and only the next one
+// Only the VM that holds the zone's leadership writes records, and only the next one
 // reads the replicas. No VM takes part in a decision by holding some, so that it
 // may do so without agreeing with others.
 package journal
--- a/internal/journal/replicate.go
+++ b/internal/journal/replicate.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// round brings the replicas on other VMs up to date and, that leads, reads those
+// round brings the replicas on other VMs up to date and, if this VM leads, reads those
 // that other VMs have.
 func (j *Journal) round(ctx context.Context) {
 	j.takeHeld()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -220,7 +220,7 @@
 		case ev := <-t.inbox:
 			now := t.cfg.Now()
 			ev.apply(t, now)
-			t.drain(now)
+			t.drain()
 		case <-ticker.C:
 			now := t.cfg.Now()
 			if snap := t.cfg.Catalog(); snap != nil && snap.Offset() > t.version {
@@ -237,12 +237,13 @@
 }
 
 // drain applies what else has arrived, so that one round of scheduling and one
-// append serve it all.
-func (t *term) drain(now time.Time) {
+// append serve it all. Each event is taken in at a time after its arrival: an answer
+// that seemed older than it is would make a run look lost that was begun meanwhile.
+func (t *term) drain() {
 	for {
 		select {
 		case ev := <-t.inbox:
-			ev.apply(t, now)
+			ev.apply(t, t.cfg.Now())
 		default:
 			return
 		}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -436,7 +436,7 @@
 	return Peer{}, false
 }
 
-// Placer names the VM that should hold a zone's lead: the one with the
+// Placer names the VM that should hold a zone's leadership: the one with the
 // highest rendezvous weight among the live ones.
 func (m *Members) Placer(zone string) string {
 	best, bestWeight := "", uint64(0)
@@ -454,7 +454,7 @@
 	return best
 }
 
-// weight is the rendezvous weight of a VM for its zone's lead.
+// weight is the rendezvous weight of a VM for its zone's leadership.
 func weight(zone, name string) uint64 { return xxhash.Sum64String(zone + "\x00" + name) }
 
 // Successors lists the other live VMs of the own zone, the likeliest next placer in
@@ -468,7 +468,7 @@
 	return out
 }
 
-// ClaimsLead reports whether the VM claims its zone's lead, as far as this
+// ClaimsLead reports whether the VM claims its zone's leadership, as far as this
 // VM has heard.
 func (m *Members) ClaimsLead(name string) bool {
 	m.mu.Lock()
@@ -477,7 +477,7 @@
 	return v != nil && v.info.GetSummary() != nil && v.info.GetState() == Alive && !m.suspect(v, time.Now())
 }
 
-// PlacerOf returns the VM that holds a zone's lead by its own account, or
+// PlacerOf returns the VM that leads a zone by its own account, or
 // else the one that should.
 func (m *Members) PlacerOf(zone string) (Peer, bool) {
 	want := m.Placer(zone)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -75,7 +75,7 @@
 	// written again after Restate, zero for never, since the log drops records.
 	Journal Journal
 	Restate time.Duration
-	// Holds reports whether another VM still claims the zone's lead; nil
+	// Holds reports whether another VM still claims the zone's leadership; nil
 	// leaves that to the workers.
 	Holds func(vm string) bool
 
@@ -131,9 +131,9 @@
 	found map[string]*gang
 	halts map[string]*halt
 	kept  *reservation
-	// runs outlives a loss of the lead.
+	// runs outlives a loss of leadership.
 	runs *estimate.Estimator
-	// sizes compares the memory used with the declared one. It outlives a lead too.
+	// sizes compares the memory used with the declared one. It outlives leadership too.
 	sizes   *estimate.Estimator
 	reading bool
 	read    bool
@@ -263,7 +263,7 @@
 	})
 }
 
-// Holding reports whether this VM holds the zone's lead.
+// Holding reports whether this VM holds the zone's leadership.
 func (p *Placer) Holding() bool { return p.holding.Load() }
 
 // SetLayout replaces the zone's layout and guarantees, and the size of every worker.
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -227,7 +227,7 @@
 	return out, err
 }
 
-// Orphans returns, once, the jobs that a lost lead left with this process only.
+// Orphans returns, once, the jobs that a lost leadership left with this process only.
 func (p *Placer) Orphans(ctx context.Context) []api.JobStatus {
 	var out []api.JobStatus
 	_ = p.ask(ctx, func() {
@@ -246,7 +246,7 @@
 }
 
 // Summary tells what the zone could take. It reports
-// false that does not lead.
+// false if this VM does not lead.
 func (p *Placer) Summary(ctx context.Context) (Summary, bool) {
 	var s Summary
 	ok := false
--- a/internal/placer/zone_test.go
+++ b/internal/placer/zone_test.go
@@ -158,7 +158,7 @@
 	return v
 }
 
-// holds is what membership tells about a VM's lead.
+// holds is what membership tells about a VM's leadership.
 func (z *zone) holds(name string) bool {
 	for _, v := range z.all() {
 		if v.name == name {
@@ -324,7 +324,7 @@
 	go func() { time.Sleep(d + 500*time.Millisecond); v.placer.SetLeading(false); v.zone.passOrphans(v) }()
 }
 
-// passOrphans hands on the jobs of a lost lead, as the daemon does.
+// passOrphans hands on the jobs of a lost leadership, as the daemon does.
 func (z *zone) passOrphans(from *vm) {
 	for _, j := range from.placer.Orphans(z.t.Context()) {
 		for _, v := range z.all() {
--- a/internal/site/journal_test.go
+++ b/internal/site/journal_test.go
@@ -62,7 +62,7 @@
 	assert.Equal(t, len(runs), 7)
 }
 
-// killPlacer kills the VM that holds the zone's lead and waits for the next one.
+// killPlacer kills the VM that leads the zone and waits for the next one.
 func killPlacer(t *testing.T, s *Site, zone string) {
 	t.Helper()
 	name := placerOf(t, s, zone)
