Comments name measured figures only

Cause: a comment on maxStarts gave the cost of a start, which was not measured.

Change: the comment gives what was measured; the test's cost is called what it is.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -107,7 +107,7 @@
 	accelerators map[string]int
 }
 
-// Account keeps the account. It is not safe for concurrent use: the placer's goroutine
+// Account is what each worker of a zone has and what jobs take of it. It is not safe for concurrent use: the placer's goroutine
 // owns it.
 type Account struct {
 	each    Size
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -33,9 +33,10 @@
 	orderTimeout = 500 * time.Millisecond
 	orderTries   = 3
 	orderPause   = 50 * time.Millisecond
-	// maxStarts bounds the starts under way. One takes about 0.5 ms of a core: on
-	// a VM with 0.19 cores so many are answered within 100 ms, which leaves time
-	// for pings and renewals, and the first gangs are whole before the last begin.
+	// maxStarts bounds the starts under way, so that a wave leaves time for pings
+	// and renewals, and the first gangs are whole before the last begin. On VMs
+	// with 0.19 cores no start ran into its deadline with it in eight waves;
+	// without a bound some hundred did in three of them.
 	maxStarts = 32
 	// startHold is how long a start counts among them: workers that don't answer
 	// must not keep others from starting.
--- a/internal/leader/starts_test.go
+++ b/internal/leader/starts_test.go
@@ -13,8 +13,8 @@
 	"rhubarbshore/internal/scheduler"
 )
 
-// startCost is what a start takes of the leader's processor: 0.7 ms of a core, of
-// which the VM has 0.19.
+// startCost is what a start takes of the processor: a wave of 300 takes longer than
+// any of them may.
 const startCost = 4 * time.Millisecond
 
 // narrow has all starts share one slow processor.
