One client, one exchange, one way to a free port where twins stood

Cause: a last reading of the whole change found pieces written again.

The demo and the process test of join take ports from site.FreePort, which no outgoing connection can take meanwhile, instead of opening and closing any port. leader uses newest and scheduler dropPlans where they stood written out; the stand-in's Start and Stop share order; playDay closes its site once.

Ruled out: one retry loop for the leader's fence and appends (they differ in what ends them and in the time that they take for written).

No check, bound or expectation is changed.

--- a/internal/cmd/demo/pool.go
+++ b/internal/cmd/demo/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -15,6 +14,7 @@
 	"rhubarbshore/internal/cmdutil"
 	"rhubarbshore/internal/node"
 	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/site"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/platform"
 	"rhubarbshore/platform/platformtest"
@@ -82,9 +82,11 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // what is left is in the system's temporary folder
 	for i := range poolVMs {
-		ports, err := freePorts(ctx, 3)
-		if err != nil {
-			return nil, nil, err
+		var ports [3]int
+		for k := range ports {
+			if ports[k], err = site.FreePort(); err != nil {
+				return nil, nil, err
+			}
 		}
 		vm := fmt.Sprintf("vm-%d", i+1)
 		path := filepath.Join(dir, vm+".toml")
@@ -105,21 +107,6 @@
 	return nodes, addresses, nil
 }
 
-// freePorts finds ports of loopback that nobody listens on.
-func freePorts(ctx context.Context, n int) ([]int, error) {
-	var ports []int
-	for range n {
-		var lc net.ListenConfig
-		l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errorx.Decorate(err, "listen")
-		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
-}
-
 // playPool hands jobs in while parts of the site fail, and awaits them.
 func playPool(ctx context.Context, f *cmdutil.Factory, p *platformtest.Platform, nodes []*node.Node, addresses []string) (poolReport, error) {
 	rep := poolReport{Jobs: poolJobs}
--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"rhubarbshore/internal/cmd/root"
 	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/site"
 	"rhubarbshore/platform/platformtest"
 )
 
@@ -39,10 +39,9 @@
 
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := site.FreePort()
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return l.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func newDaemon(t *testing.T, p *platformtest.Platform, vm string) *daemon {
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -288,5 +288,5 @@
 
 // unsent reports whether a call to a peer provably never reached it.
 func unsent(err error) bool {
-	return errors.Is(httpjson.Classify(err), httpjson.ErrUnsent)
+	return httpjson.Unsent(err)
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -59,12 +59,13 @@
 // of the idle limits of firewalls is some minutes.
 const keepAlive = time.Minute
 
-// TCP is the machine's network.
-type TCP struct{}
+// TCP is the machine's network. Without a KeepAlive of its own, idle connections are
+// probed every keepAlive.
+type TCP struct{ KeepAlive net.KeepAliveConfig }
 
 // DialContext implements Network.
-func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: keepAlive}
+func (n TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: keepAlive, KeepAliveConfig: n.KeepAlive}
 	return d.DialContext(ctx, network, address)
 }
 
@@ -75,32 +76,40 @@
 }
 
 // ClientConfig constructs a client. Conns is how many idle connections to each
-// peer stay open; the bytes moved are counted under Role. A nil Network is TCP.
+// peer stay open, for IdleTimeout or else idleTimeout; the bytes moved are counted
+// under Role, if it has one. A nil Network is TCP.
 type ClientConfig struct {
 	Role        string
 	Conns       int
 	DialTimeout time.Duration
+	IdleTimeout time.Duration
 	Network     Network
 }
 
+// idleTimeout is below the two minutes after which daemons close idle connections.
+const idleTimeout = time.Minute
+
 // NewClient returns an HTTP client.
 func NewClient(cfg ClientConfig) *http.Client {
 	if cfg.Network == nil {
 		cfg.Network = TCP{}
 	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = idleTimeout
+	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
 			defer cancel()
 			conn, err := cfg.Network.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
+			if err != nil || cfg.Role == "" {
+				return conn, err
 			}
 			return countConn(conn, cfg.Role), nil
 		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: cfg.Conns,
-		IdleConnTimeout:     time.Minute,
+		IdleConnTimeout:     cfg.IdleTimeout,
 		DisableCompression:  true,
 	}}
 }
@@ -226,11 +235,15 @@
 // Hash is the hash that guards a body, its xxhash64 in hexadecimal.
 func Hash(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
-// Classify turns a transport error into ErrUnsent if the connection was never
-// made, and into ErrUnknownOutcome otherwise.
-func Classify(err error) error {
+// Unsent reports whether a transport error means that the connection was never made.
+func Unsent(err error) bool {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Classify turns a transport error into ErrUnsent or ErrUnknownOutcome.
+func Classify(err error) error {
+	if Unsent(err) {
 		return ErrUnsent
 	}
 	return ErrUnknownOutcome
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -33,9 +33,7 @@
 		cancel()
 		switch {
 		case errors.Is(err, store.ErrGone):
-			records, next, err := retry(ctx, func(ctx context.Context) ([]store.Record, int64, error) {
-				return t.cfg.Log.Newest(ctx, stream)
-			})
+			records, next, err := t.newest(ctx, stream)
 			if err == nil {
 				from = next
 				t.post(ctx, jobsEvent{part, records})
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -146,9 +146,7 @@
 		out = append(out, w)
 		t.setPlan(w, now)
 	}
-	for _, t := range s.tasks {
-		t.dropPlan()
-	}
+	dropPlans(s.tasks)
 	if len(out) < len(s.tasks) {
 		return nil
 	}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -424,9 +424,7 @@
 	for _, t := range tasks {
 		w := t.plan.worker
 		if !w.usable(now, c.cfg.Silence) || now.After(t.plan.until) {
-			for _, t := range tasks {
-				t.dropPlan()
-			}
+			dropPlans(tasks)
 			return false
 		}
 		sum[w] = sum[w].plus(t.plan.demand)
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -496,9 +496,6 @@
 	d.run(ctx)
 	hits, took := d.i.hits(), time.Since(begun)
 	bad := d.judge()
-	for _, vm := range d.vms() {
-		vm.Kill()
-	}
 	end(d.s)
 	note("%-32s hits %d won %d jobs %d in %s %s", name, hits, len(d.won), len(d.owed), took.Round(time.Millisecond), strings.Join(bad, "; "))
 	assert.Equal(t, len(bad), 0, strings.Join(bad, "\n"))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -118,15 +118,6 @@
 	return s, nil
 }
 
-// listen opens a port of the loopback interface, any free one for 0.
-func listen(port int) (net.Listener, error) {
-	listener, err := httpjson.TCP{}.Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", port))
-	if err != nil {
-		return nil, errorx.Decorate(err, "listen")
-	}
-	return listener, nil
-}
-
 // serve listens on a free port of the loopback interface.
 func (s *Site) serve(h http.Handler, track func(net.Conn, http.ConnState)) (string, error) {
 	listener, err := s.cfg.Network.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -214,20 +205,26 @@
 	origin = rand.Int64N(lastPort - firstPort)
 )
 
-// FreeAddress finds an address of the loopback interface to listen on later. No
-// outgoing connection can take it meanwhile, and this process gets it only once:
-// who still knows a VM that has gone must not reach one of another site there.
+// FreeAddress finds an address of the loopback interface to listen on later.
 func FreeAddress() (string, error) {
-	var listener net.Listener
+	port, err := FreePort()
+	return fmt.Sprint("127.0.0.1:", port), err
+}
+
+// FreePort finds a port of the loopback interface to listen on later. No outgoing
+// connection can take it meanwhile, and this process gets it only once: who still
+// knows a VM that has gone must not reach one of another site there.
+func FreePort() (int, error) {
 	var err error
 	for range maxDraws {
-		port := firstPort + (origin+drawn.Add(1))%(lastPort-firstPort)
-		listener, err = listen(int(port))
+		port := int(firstPort + (origin+drawn.Add(1))%(lastPort-firstPort))
+		var listener net.Listener
+		listener, err = httpjson.TCP{}.Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", port))
 		if err == nil {
-			return listener.Addr().String(), listener.Close()
+			return port, listener.Close()
 		}
 	}
-	return "", err
+	return 0, errorx.Decorate(err, "listen")
 }
 
 // Settings are those of an entry VM at the address that finds its platform at url.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -251,8 +251,12 @@
 
 // Start implements the leader's way to workers.
 func (f *Fleet) Start(ctx context.Context, o scheduler.Start, token, deadline int64) (fleet.OrderAnswer, error) {
-	carry := func() fleet.OrderAnswer { return f.start(o, token, deadline) }
-	if _, err := f.arrive(ctx, o.Worker, func() { carry() }); err != nil {
+	return f.order(ctx, o.Worker, func() fleet.OrderAnswer { return f.start(o, token, deadline) })
+}
+
+// order carries an order out once it has arrived.
+func (f *Fleet) order(ctx context.Context, worker string, carry func() fleet.OrderAnswer) (fleet.OrderAnswer, error) {
+	if _, err := f.arrive(ctx, worker, func() { carry() }); err != nil {
 		return fleet.OrderAnswer{}, err
 	}
 	f.mu.Lock()
@@ -458,14 +462,7 @@
 
 // Stop implements the leader's way to workers.
 func (f *Fleet) Stop(ctx context.Context, o scheduler.Stop, token int64) (fleet.OrderAnswer, error) {
-	carry := func() fleet.OrderAnswer { return f.stop(o, token) }
-	if _, err := f.arrive(ctx, o.Worker, func() { carry() }); err != nil {
-		return fleet.OrderAnswer{}, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.advance(time.Now())
-	return carry(), nil
+	return f.order(ctx, o.Worker, func() fleet.OrderAnswer { return f.stop(o, token) })
 }
 
 func (f *Fleet) stop(o scheduler.Stop, token int64) fleet.OrderAnswer {
