--- a/internal/room/room.go
+++ b/internal/capacity/capacity.go
@@ -1,4 +1,4 @@
-// Package room keeps account of the processors and memory of a zone's workers, and
+// Package capacity keeps account of the processors and memory of a zone's workers, and
 // chooses workers for jobs without accelerators.
 //
 // Each accelerator has an equal part of its worker's processors and memory. While
@@ -6,7 +6,7 @@
 // accelerator it gets the part back: processors by throttling, memory by stopping
 // the jobs that came last. So no job without accelerators can be in the way of a
 // guaranteed shape.
-package room
+package capacity
 
 import (
 	"slices"
@@ -19,15 +19,15 @@
 
 // Errors of this package. Callers test for them with errors.Is.
 var (
-	namespace = errorx.NewNamespace("room")
+	namespace = errorx.NewNamespace("capacity")
 	// ErrInfeasible: the zone could never hold the job.
-	ErrInfeasible = errorx.NewType(namespace, "infeasible").New("the zone has no room for the job, even if idle")
+	ErrInfeasible = errorx.NewType(namespace, "infeasible").New("the zone has no capacity for the job, even if idle")
 	// ErrAccount: the account of a worker is not what its jobs have.
 	ErrAccount = errorx.NewType(namespace, "account").New("a worker's account is wrong")
 	// ErrOver: a worker's memory is given out twice.
 	ErrOver = errorx.NewType(namespace, "over").New("a worker's memory is given out twice")
-	// ErrBusy: there is not enough room now.
-	ErrBusy = errorx.NewType(namespace, "busy").New("there is not enough room now")
+	// ErrBusy: there is not enough capacity now.
+	ErrBusy = errorx.NewType(namespace, "busy").New("there is not enough capacity now")
 )
 
 // Size is an amount of processors and of memory in GB.
@@ -72,7 +72,7 @@
 	accelerators int
 	taken        int
 	down         bool
-	shy          bool
+	avoided      bool
 	used         Size
 	// jobs without accelerators, in the order in which they came.
 	jobs []string
@@ -107,9 +107,9 @@
 	accelerators map[string]int
 }
 
-// Book keeps the account. It is not safe for concurrent use: the placer's goroutine
+// Account keeps the account. It is not safe for concurrent use: the placer's goroutine
 // owns it.
-type Book struct {
+type Account struct {
 	each    Size
 	byName  map[string]*worker
 	workers []*worker
@@ -119,52 +119,52 @@
 }
 
 // New returns the account of an idle zone.
-func New(cfg Config) *Book {
-	b := &Book{each: cfg.Each, byName: map[string]*worker{}, jobs: map[string]*job{}, index: btree.NewG(degree, before)}
+func New(cfg Config) *Account {
+	a := &Account{each: cfg.Each, byName: map[string]*worker{}, jobs: map[string]*job{}, index: btree.NewG(degree, before)}
 	for _, r := range cfg.Racks {
 		for _, w := range r.Workers {
 			v := &worker{name: w.Name, accelerators: w.Accelerators}
-			b.byName[w.Name] = v
-			b.enter(v)
-			b.workers = append(b.workers, v)
+			a.byName[w.Name] = v
+			a.enter(v)
+			a.workers = append(a.workers, v)
 		}
 	}
-	return b
+	return a
 }
 
 // part is what belongs to the accelerators of the worker that are taken.
-func (b *Book) part(w *worker) Size {
+func (a *Account) part(w *worker) Size {
 	if w.accelerators == 0 {
 		return Size{}
 	}
 	share := float64(min(w.taken, w.accelerators)) / float64(w.accelerators)
-	return Size{Cores: b.each.Cores * share, Memory: b.each.Memory * share}
+	return Size{Cores: a.each.Cores * share, Memory: a.each.Memory * share}
 }
 
-// free is the room for jobs without accelerators, below zero if there is too little
+// free is the capacity for jobs without accelerators, below zero if there is too little
 // for those that run.
-func (b *Book) free(w *worker) Size {
-	part := b.part(w)
+func (a *Account) free(w *worker) Size {
+	part := a.part(w)
 	return Size{
-		Cores:  b.each.Cores - part.Cores - w.used.Cores,
-		Memory: b.each.Memory - part.Memory - w.used.Memory,
+		Cores:  a.each.Cores - part.Cores - w.used.Cores,
+		Memory: a.each.Memory - part.Memory - w.used.Memory,
 	}
 }
 
 // Feasible reports whether the idle zone could hold the tasks.
-func (b *Book) Feasible(tasks int, each Size) bool {
-	return len(b.workers)*b.each.holds(each) >= tasks
+func (a *Account) Feasible(tasks int, each Size) bool {
+	return len(a.workers)*a.each.holds(each) >= tasks
 }
 
 // Place chooses workers for all tasks of a job, or for none, and registers them.
-func (b *Book) Place(id string, tasks int, each Size) (map[string]int, error) {
-	if !b.Feasible(tasks, each) {
+func (a *Account) Place(id string, tasks int, each Size) (map[string]int, error) {
+	if !a.Feasible(tasks, each) {
 		return nil, ErrInfeasible
 	}
 	out := map[string]int{}
 	left := tasks
 	take := func(p *place) bool {
-		if n := min(left, b.free(p.worker).holds(each)); n > 0 {
+		if n := min(left, a.free(p.worker).holds(each)); n > 0 {
 			out[p.worker.name] = n
 			left -= n
 		}
@@ -172,9 +172,9 @@
 	}
 	for _, shared := range []bool{false, true} {
 		least := &place{shared: shared, free: each.Memory, worker: &worker{}}
-		b.index.AscendGreaterOrEqual(least, func(p *place) bool { return p.shared == shared && take(p) })
+		a.index.AscendGreaterOrEqual(least, func(p *place) bool { return p.shared == shared && take(p) })
 		if left == 0 {
-			b.Hold(id, out, each)
+			a.Hold(id, out, each)
 			return out, nil
 		}
 	}
@@ -182,84 +182,84 @@
 }
 
 // leave takes the worker out of the index before its account changes.
-func (b *Book) leave(w *worker) {
+func (a *Account) leave(w *worker) {
 	if w.at != nil {
-		b.index.Delete(w.at)
+		a.index.Delete(w.at)
 		w.at = nil
 	}
 }
 
 // enter puts the worker where its account says, if it takes new tasks.
-func (b *Book) enter(w *worker) {
-	b.leave(w)
+func (a *Account) enter(w *worker) {
+	a.leave(w)
 	if !w.changed {
 		w.changed = true
-		b.changed = append(b.changed, w.name)
+		a.changed = append(a.changed, w.name)
 	}
-	if !w.down && !w.shy {
-		w.at = &place{shared: w.accelerators > 0, free: b.free(w).Memory, worker: w}
-		b.index.ReplaceOrInsert(w.at)
+	if !w.down && !w.avoided {
+		w.at = &place{shared: w.accelerators > 0, free: a.free(w).Memory, worker: w}
+		a.index.ReplaceOrInsert(w.at)
 	}
 }
 
 // Hold registers a job without accelerators on the workers, also where it has no
-// room, as found in the workers' lease tables.
-func (b *Book) Hold(id string, tasks map[string]int, each Size) {
-	b.Release(id)
-	b.jobs[id] = &job{each: each, tasks: tasks}
+// capacity, as found in the workers' lease tables.
+func (a *Account) Hold(id string, tasks map[string]int, each Size) {
+	a.Release(id)
+	a.jobs[id] = &job{each: each, tasks: tasks}
 	for name, n := range tasks {
-		if w := b.byName[name]; w != nil {
+		if w := a.byName[name]; w != nil {
 			w.used = w.used.plus(each.Times(n))
 			w.jobs = append(w.jobs, id)
-			b.enter(w)
+			a.enter(w)
 		}
 	}
 }
 
 // Take registers a job's accelerators, by worker.
-func (b *Book) Take(id string, accelerators map[string]int) {
-	b.Release(id)
-	b.jobs[id] = &job{accelerators: accelerators}
+func (a *Account) Take(id string, accelerators map[string]int) {
+	a.Release(id)
+	a.jobs[id] = &job{accelerators: accelerators}
 	for name, n := range accelerators {
-		if w := b.byName[name]; w != nil {
+		if w := a.byName[name]; w != nil {
 			w.taken += n
-			b.enter(w)
+			a.enter(w)
 		}
 	}
 }
 
 // Release frees all that the job has. An unknown job is ignored.
-func (b *Book) Release(id string) {
-	j := b.jobs[id]
+func (a *Account) Release(id string) {
+	j := a.jobs[id]
 	if j == nil {
 		return
 	}
-	delete(b.jobs, id)
+	delete(a.jobs, id)
 	for name, n := range j.accelerators {
-		if w := b.byName[name]; w != nil {
+		if w := a.byName[name]; w != nil {
 			w.taken -= n
-			b.enter(w)
+			a.enter(w)
 		}
 	}
 	for name, n := range j.tasks {
-		if w := b.byName[name]; w != nil {
+		if w := a.byName[name]; w != nil {
 			w.used = w.used.plus(j.each.Times(-n))
 			w.jobs = slices.DeleteFunc(w.jobs, func(o string) bool { return o == id })
-			b.enter(w)
+			a.enter(w)
 		}
 	}
 }
 
 // Resize changes what each task of a running job counts for.
-func (b *Book) Resize(id string, each Size) {
-	j := b.jobs[id]
+func (a *Account) Resize(id string, each Size) {
+	j := a.jobs[id]
 	if j == nil || j.tasks == nil {
 		return
 	}
 	for name, n := range j.tasks {
-		if w := b.byName[name]; w != nil {
+		if w := a.byName[name]; w != nil {
 			w.used = w.used.plus(each.Times(n)).plus(j.each.Times(-n))
-			b.enter(w)
+			a.enter(w)
 		}
 	}
 	j.each = each
@@ -267,33 +267,33 @@
 
 // Changed lists the workers whose account has changed since the last call: of these
 // only can the limits be others than before.
-func (b *Book) Changed() []string {
-	out := b.changed
-	b.changed = nil
+func (a *Account) Changed() []string {
+	out := a.changed
+	a.changed = nil
 	for _, name := range out {
-		b.byName[name].changed = false
+		a.byName[name].changed = false
 	}
 	return out
 }
 
 // Tasks are the tasks of a job without accelerators, by worker.
-func (b *Book) Tasks(id string) map[string]int {
-	if j := b.jobs[id]; j != nil {
+func (a *Account) Tasks(id string) map[string]int {
+	if j := a.jobs[id]; j != nil {
 		return j.tasks
 	}
 	return nil
 }
 
-// eighths is the unit of Room.
+// eighths is the unit of FreeEighths.
 const eighths = 8
 
-// Room is how many eighths of the zone's processors and of its memory are free for
+// FreeEighths is how many eighths of the zone's processors and of its memory are free for
 // jobs without accelerators, the lesser of both.
-func (b *Book) Room() int {
+func (a *Account) FreeEighths() int {
 	var free, all Size
-	for _, w := range b.workers {
-		all = all.plus(b.each)
-		if f := b.free(w); !w.down && f.Cores > 0 && f.Memory > 0 {
+	for _, w := range a.workers {
+		all = all.plus(a.each)
+		if f := a.free(w); !w.down && f.Cores > 0 && f.Memory > 0 {
 			free = free.plus(f)
 		}
 	}
@@ -304,38 +304,38 @@
 }
 
 // Used is what jobs without accelerators count for on the worker.
-func (b *Book) Used(name string) Size {
-	if w := b.byName[name]; w != nil {
+func (a *Account) Used(name string) Size {
+	if w := a.byName[name]; w != nil {
 		return w.used
 	}
 	return Size{}
 }
 
 // Busy reports whether jobs without accelerators have tasks on the worker.
-func (b *Book) Busy(name string) bool {
-	w := b.byName[name]
+func (a *Account) Busy(name string) bool {
+	w := a.byName[name]
 	return w != nil && len(w.jobs) > 0
 }
 
 // SetDown records the loss or return of a worker and returns the jobs without
 // accelerators that were on it.
-func (b *Book) SetDown(name string, down bool) []string {
-	w := b.byName[name]
+func (a *Account) SetDown(name string, down bool) []string {
+	w := a.byName[name]
 	if w == nil || w.down == down {
 		return nil
 	}
 	w.down = down
-	b.enter(w)
+	a.enter(w)
 	if !down {
 		return nil
 	}
 	return slices.Clone(w.jobs)
 }
 
-// SetShy keeps new work off a worker, or no longer.
-func (b *Book) SetShy(name string, shy bool) {
-	if w := b.byName[name]; w != nil {
-		w.shy = shy
-		b.enter(w)
+// SetAvoided keeps new work off a worker, or no longer.
+func (a *Account) SetAvoided(name string, avoided bool) {
+	if w := a.byName[name]; w != nil {
+		w.avoided = avoided
+		a.enter(w)
 	}
 }
--- a/internal/room/reclaim.go
+++ b/internal/capacity/reclaim.go
@@ -1,27 +1,27 @@
-package room
+package capacity
 
 import "slices"
 
 // Evictions lists the jobs without accelerators that have to be stopped so that the
 // memory of the workers suffices, those that came last in front. What stops on one
 // worker stops everywhere.
-func (b *Book) Evictions(workers []string) []string {
+func (a *Account) Evictions(workers []string) []string {
 	var out []string
 	for _, name := range workers {
-		w := b.byName[name]
+		w := a.byName[name]
 		if w == nil {
 			continue
 		}
-		lacking := -b.free(w).Memory
+		lacking := -a.free(w).Memory
 		for _, id := range out {
-			lacking -= b.memory(id, name)
+			lacking -= a.memory(id, name)
 		}
 		for _, id := range slices.Backward(w.jobs) {
 			if lacking <= rounding {
 				break
 			}
 			if !slices.Contains(out, id) {
-				lacking -= b.memory(id, name)
+				lacking -= a.memory(id, name)
 				out = append(out, id)
 			}
 		}
@@ -33,26 +33,26 @@
 const rounding = 1e-6
 
 // memory is what the job has of the worker's.
-func (b *Book) memory(id, name string) float64 {
-	j := b.jobs[id]
+func (a *Account) memory(id, name string) float64 {
+	j := a.jobs[id]
 	return j.each.Memory * float64(j.tasks[name])
 }
 
 // Limits are the processors of each job without accelerators on the worker, if they
 // have to be throttled: all by the same share. None are returned while there are
 // enough.
-func (b *Book) Limits(name string) map[string]float64 {
-	w := b.byName[name]
+func (a *Account) Limits(name string) map[string]float64 {
+	w := a.byName[name]
 	if w == nil || w.used.Cores == 0 {
 		return nil
 	}
-	lent := b.each.Cores - b.part(w).Cores
+	lent := a.each.Cores - a.part(w).Cores
 	if w.used.Cores <= lent {
 		return nil
 	}
 	out := map[string]float64{}
 	for _, id := range w.jobs {
-		j := b.jobs[id]
+		j := a.jobs[id]
 		out[id] = j.each.Cores * float64(j.tasks[name]) * lent / w.used.Cores
 	}
 	return out
@@ -60,9 +60,9 @@
 
 // Check is the account's invariant: what is registered by worker is what the jobs
 // have, and after evictions no worker's memory is given out twice.
-func (b *Book) Check() error {
+func (a *Account) Check() error {
 	used, taken := map[string]Size{}, map[string]int{}
-	for _, j := range b.jobs {
+	for _, j := range a.jobs {
 		for name, n := range j.tasks {
 			used[name] = used[name].plus(j.each.Times(n))
 		}
@@ -70,12 +70,12 @@
 			taken[name] += n
 		}
 	}
-	for _, w := range b.workers {
+	for _, w := range a.workers {
 		off := w.used.plus(used[w.name].Times(-1))
 		if max(off.Cores, -off.Cores, off.Memory, -off.Memory) > rounding || w.taken != taken[w.name] {
 			return ErrAccount
 		}
-		if b.free(w).Memory < -rounding {
+		if a.free(w).Memory < -rounding {
 			return ErrOver
 		}
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -8,9 +8,9 @@
 // maxCandidates bounds how many cells are compared for one decision.
 const maxCandidates = 16
 
-// shyCost keeps guaranteed work off an accelerator that is best avoided, unless
+// avoidedCost keeps guaranteed work off an accelerator that is best avoided, unless
 // there is no other.
-const shyCost = 1e12
+const avoidedCost = 1e12
 
 // keptCost keeps guaranteed work off an accelerator that is reserved for a
 // large waiting job, unless that would cost much work.
@@ -55,12 +55,12 @@
 }
 
 // Part is one cell of a placement. Unit is the level of the guaranteed cell
-// that the part lies in and Home the cell it is bound to, none for spare work.
+// that the part lies in and Bound the cell it is bound to, none for spare work.
 type Part struct {
-	Cell ID
-	Unit int
-	Home ID
-	unit *Unit
+	Cell  ID
+	Unit  int
+	Bound ID
+	unit  *Unit
 }
 
 // Placement is the answer to a Request: the cells, and the spare jobs that
@@ -113,7 +113,7 @@
 func (t *Tree) choose(r Request, now time.Time) (Part, bool) {
 	if r.Class == Spare {
 		id, ok := t.chooseSpare(r)
-		return Part{Cell: id, Home: none}, ok
+		return Part{Cell: id, Bound: none}, ok
 	}
 	return t.chooseGuaranteed(r, now)
 }
@@ -126,7 +126,7 @@
 	return id
 }
 
-// chooseGuaranteed prefers room in a cell that the customer has bound already,
+// chooseGuaranteed prefers free accelerators in a cell that the customer has bound already,
 // and else binds the smallest unused unit that is large enough.
 func (t *Tree) chooseGuaranteed(r Request, now time.Time) (Part, bool) {
 	var unused *Unit
@@ -140,27 +140,27 @@
 			}
 			continue
 		}
-		if id, ok := t.roomIn(u.cell, r.Level, now); ok {
+		if id, ok := t.freeIn(u.cell, r.Level, now); ok {
 			return part(u, id), true
 		}
 	}
 	if unused == nil {
 		return Part{}, false
 	}
-	home, ok := t.chooseHome(unused.level, now)
+	bound, ok := t.chooseBinding(unused.level, now)
 	if !ok {
 		return Part{}, false
 	}
-	t.bind(unused, home)
-	id, ok := t.roomIn(home, r.Level, now)
+	t.bind(unused, bound)
+	id, ok := t.freeIn(bound, r.Level, now)
 	return part(unused, id), ok
 }
 
-func part(u *Unit, id ID) Part { return Part{Cell: id, Unit: u.level, Home: u.cell, unit: u} }
+func part(u *Unit, id ID) Part { return Part{Cell: id, Unit: u.level, Bound: u.cell, unit: u} }
 
-// roomIn finds the cell of the level inside a bound cell that no guaranteed
-// work holds and that costs least, leaving larger room whole if it can.
-func (t *Tree) roomIn(home ID, level int, now time.Time) (ID, bool) {
+// freeIn finds the cell of the level inside a bound cell that no guaranteed
+// work holds and that costs least, leaving larger cells whole if it can.
+func (t *Tree) freeIn(bound ID, level int, now time.Time) (ID, bool) {
 	best, bestCost := ID(none), 0.0
 	var walk func(id ID, largest int)
 	walk = func(id ID, largest int) {
@@ -178,13 +178,13 @@
 		walk(n.left, largest)
 		walk(n.right, largest)
 	}
-	walk(home, level)
+	walk(bound, level)
 	return best, best != none
 }
 
-// chooseHome finds the cheapest cell that a unit of the level may be bound to
+// chooseBinding finds the cheapest cell that a unit of the level may be bound to
 // while every other unused unit stays reclaimable.
-func (t *Tree) chooseHome(level int, now time.Time) (ID, bool) {
+func (t *Tree) chooseBinding(level int, now time.Time) (ID, bool) {
 	top := t.ceiling(level)
 	best, bestCost := ID(none), 0.0
 	for _, c := range t.candidates(level, top) {
@@ -240,8 +240,8 @@
 }
 
 func lighter(a, b *node) bool {
-	if a.shy != b.shy {
-		return a.shy < b.shy
+	if a.avoided != b.avoided {
+		return a.avoided < b.avoided
 	}
 	if a.kept != b.kept {
 		return a.kept < b.kept
@@ -252,7 +252,7 @@
 // cost is what taking the cell loses, by the tree's Rank.
 func (t *Tree) cost(id ID, largest int, now time.Time) float64 {
 	broken := float64(Size(largest) - Size(t.cells[id].level))
-	cost := t.rank.Broken*broken + shyCost*float64(t.cells[id].shy) + keptCost*float64(t.cells[id].kept)
+	cost := t.rank.Broken*broken + avoidedCost*float64(t.cells[id].avoided) + keptCost*float64(t.cells[id].kept)
 	if t.cells[id].spare == 0 {
 		return cost
 	}
@@ -355,7 +355,7 @@
 }
 
 // Restore registers a job that already holds its cells, as read back from the
-// workers' lease tables. A guaranteed job whose home can't be bound any more,
+// workers' lease tables. A guaranteed job whose cell can't be bound any more,
 // for example because two halves of a split zone both gave out the same
 // guarantee, is registered as spare. It returns the class that was given.
 func (t *Tree) Restore(r Request, parts []Part) (Class, error) {
@@ -367,7 +367,7 @@
 	for _, p := range parts {
 		p.unit = nil
 		if r.Class == Guaranteed {
-			p.unit = t.rehome(r.Customer, p)
+			p.unit = t.rebind(r.Customer, p)
 		}
 		if r.Class == Guaranteed && p.unit == nil {
 			t.Release(r.Job)
@@ -383,9 +383,9 @@
 	return r.Class, nil
 }
 
-// rehome finds or binds the unit that the part was placed in.
-func (t *Tree) rehome(customer string, p Part) *Unit {
-	if !t.Valid(p.Home, p.Unit) {
+// rebind finds or binds the unit that the part was placed in.
+func (t *Tree) rebind(customer string, p Part) *Unit {
+	if !t.Valid(p.Bound, p.Unit) {
 		return nil
 	}
 	var unused *Unit
@@ -393,17 +393,17 @@
 		if u.customer != customer || u.level != p.Unit {
 			continue
 		}
-		if u.cell == p.Home {
+		if u.cell == p.Bound {
 			return u
 		}
 		if u.cell == none && !u.suspended {
 			unused = u
 		}
 	}
-	if unused == nil || !t.cells[p.Home].available() || t.largest(p.Home) > t.ceiling(p.Unit) {
+	if unused == nil || !t.cells[p.Bound].available() || t.largest(p.Bound) > t.ceiling(p.Unit) {
 		return nil
 	}
-	t.bind(unused, p.Home)
+	t.bind(unused, p.Bound)
 	return unused
 }
 
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -1,18 +1,18 @@
 package cell
 
-// SetShy makes a worker's accelerators the last choice for guaranteed work and
+// SetAvoided makes a worker's accelerators the last choice for guaranteed work and
 // no choice for spare work, without touching what runs there.
-func (t *Tree) SetShy(worker string, shy bool) {
-	if t.shy[worker] == shy {
+func (t *Tree) SetAvoided(worker string, avoided bool) {
+	if t.avoided[worker] == avoided {
 		return
 	}
-	t.shy[worker] = shy
+	t.avoided[worker] = avoided
 	for _, leaf := range t.byName[worker] {
 		t.adjust(leaf, func(n *node, size int32) {
-			if shy {
-				n.shy += size
+			if avoided {
+				n.avoided += size
 			} else {
-				n.shy -= size
+				n.avoided -= size
 			}
 		})
 	}
@@ -39,7 +39,7 @@
 	best := ID(none)
 	for _, id := range t.byLevel[level] {
 		n := &t.cells[id]
-		if n.down == 0 && n.kept == 0 && n.shy == 0 && (best == none || nearer(n, &t.cells[best])) {
+		if n.down == 0 && n.kept == 0 && n.avoided == 0 && (best == none || nearer(n, &t.cells[best])) {
 			best = id
 		}
 	}
--- a/internal/cell/tree.go
+++ b/internal/cell/tree.go
@@ -93,7 +93,7 @@
 	jobs    map[string]*job
 	rank    Rank
 	lost    map[string]bool
-	shy     map[string]bool
+	avoided map[string]bool
 	short   bool
 	// large is the level of the largest guaranteed cell, above MaxLevel if there
 	// is none.
@@ -107,16 +107,16 @@
 
 // node is a cell's place in the forest and its counters, all in accelerators.
 type node struct {
-	level  int
-	parent ID
-	left   ID
-	right  ID
-	down   int32
-	bound  int32
-	firm   int32
-	spare  int32
-	kept   int32
-	shy    int32
+	level   int
+	parent  ID
+	left    ID
+	right   ID
+	down    int32
+	bound   int32
+	firm    int32
+	spare   int32
+	kept    int32
+	avoided int32
 	// When the holders are expected to end, in Unix seconds: of a leaf the spare
 	// and the guaranteed one, of any cell the last one.
 	spareEnds int64
@@ -138,15 +138,15 @@
 // NewTree builds the forest and registers the guarantees, all unused.
 func NewTree(cfg Config) *Tree {
 	t := &Tree{
-		byName: map[string][]ID{},
-		shapes: map[shape]bool{},
-		spares: map[ID]string{},
-		jobs:   map[string]*job{},
-		lost:   map[string]bool{},
-		shy:    map[string]bool{},
-		rank:   cfg.Rank,
-		keep:   none,
-		large:  MaxLevel + 1,
+		byName:  map[string][]ID{},
+		shapes:  map[shape]bool{},
+		spares:  map[ID]string{},
+		jobs:    map[string]*job{},
+		lost:    map[string]bool{},
+		avoided: map[string]bool{},
+		rank:    cfg.Rank,
+		keep:    none,
+		large:   MaxLevel + 1,
 	}
 	t.build(cfg)
 	t.addUnits(cfg.Guarantees)
@@ -279,7 +279,7 @@
 func (n *node) clear() bool { return n.available() && n.spare == 0 }
 
 // unheld: nothing but a reservation keeps spare work off it.
-func (n *node) unheld() bool { return n.down+n.firm+n.spare+n.shy == 0 }
+func (n *node) unheld() bool { return n.down+n.firm+n.spare+n.avoided == 0 }
 
 // idle: spare work may start on it.
 func (n *node) idle() bool { return n.unheld() && n.kept == 0 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -1,9 +1,9 @@
-// Package claim settles through the platform's log which home decides about a
+// Package claim settles through the platform's log which owner decides about a
 // caller's own key: the first claim record of the key wins, for every reader.
 //
 // Claims are appended in batches and read back before anything runs. Where an
 // append's answer is lost, the claims count as long as they are found by
-// reading; a claim that turns up later still wins, and its home then decides.
+// reading; a claim that turns up later still wins, and its owner then decides.
 package claim
 
 import (
@@ -34,7 +34,7 @@
 // Errors of a claim. Callers test for them with errors.Is.
 var (
 	namespace = errorx.NewNamespace("claim")
-	// ErrOut: the log is out of reach and the key's home can't be told.
+	// ErrOut: the log is out of reach and the key's owner can't be told.
 	ErrOut = errorx.NewType(namespace, "out").New("the log is out of reach")
 	// ErrFull: too many claims wait or are known.
 	ErrFull = errorx.NewType(namespace, "full").New("too many claims")
@@ -48,14 +48,14 @@
 // without a key is a mark: it shows how far back the log still reaches.
 type Record struct {
 	Key   string `json:"key"`
-	Home  string `json:"home"`
+	Owner string `json:"home"`
 	At    int64  `json:"at,omitempty"`
 	Until int64  `json:"until"`
 }
 
 // Won is the first claim of a key.
 type Won struct {
-	Home     string
+	Owner    string
 	Deadline time.Time
 	// gap is the claimer's gap when it read the claim.
 	gap time.Time
@@ -75,7 +75,7 @@
 // from a claim to its deadline.
 type Config struct {
 	Log     Log
-	Home    string
+	Owner   string
 	Pace    func() time.Duration
 	Window  func() time.Duration
 	Waiting int
@@ -88,7 +88,7 @@
 	reply  chan error
 }
 
-// Claimer claims keys for one home.
+// Claimer claims keys for one owner.
 type Claimer struct {
 	cfg  Config
 	asks *ring.Ring[ask]
@@ -118,14 +118,14 @@
 	return &Claimer{cfg: cfg, asks: ring.New[ask](cfg.Waiting), known: map[string]Won{}}
 }
 
-// Claim returns the key's home, claiming it for this one if nobody has. After
+// Claim returns the key's owner, claiming it for this one if nobody has. After
 // ErrGap a claimer that has read on without a gap can tell.
 func (c *Claimer) Claim(ctx context.Context, key string, deadline time.Time) (Won, error) {
 	if won, err := c.lookup(key); err == nil || errors.Is(err, ErrGap) {
 		return won, err
 	}
 	now := time.Now()
-	a := ask{record: Record{Key: key, Home: c.cfg.Home, At: now.UnixMilli(), Until: deadline.UnixMilli()}, reply: make(chan error, 1)}
+	a := ask{record: Record{Key: key, Owner: c.cfg.Owner, At: now.UnixMilli(), Until: deadline.UnixMilli()}, reply: make(chan error, 1)}
 	if err := c.asks.Put(a); err != nil {
 		return Won{}, ErrFull
 	}
@@ -278,7 +278,7 @@
 	if _, ok := c.known[r.Key]; ok || r.Key == "" {
 		return
 	}
-	c.known[r.Key] = Won{Home: r.Home, Deadline: time.UnixMilli(r.Until), gap: c.gap}
+	c.known[r.Key] = Won{Owner: r.Owner, Deadline: time.UnixMilli(r.Until), gap: c.gap}
 	c.order = append(c.order, r.Key)
 }
 
--- a/internal/cmd/config/diff/diff.go
+++ b/internal/cmd/config/diff/diff.go
@@ -3,7 +3,6 @@
 
 import (
 	"maps"
-	"os"
 	"slices"
 
 	"github.com/pmezard/go-difflib/difflib"
@@ -42,7 +41,7 @@
 func (o *Options) Run(f *cmdutil.Factory) error {
 	ctx, cancel := f.Context()
 	defer cancel()
-	files, err := config.ReadDir(os.DirFS(o.Folder))
+	files, err := cmdutil.ReadFolder(o.Folder)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/config/publish/publish.go
+++ b/internal/cmd/config/publish/publish.go
@@ -3,11 +3,9 @@
 
 import (
 	"fmt"
-	"os"
 	"os/user"
 
 	"rhubarbshore/internal/cmdutil"
-	"rhubarbshore/internal/config"
 	"rhubarbshore/pkg/api"
 )
 
@@ -33,7 +31,7 @@
 	ctx, cancel := f.Context()
 	defer cancel()
 	defer f.Progress("waiting until the change is accepted")()
-	files, err := config.ReadDir(os.DirFS(o.Folder))
+	files, err := cmdutil.ReadFolder(o.Folder)
 	if err != nil {
 		return err
 	}
--- a/internal/cmd/job/submit/submit.go
+++ b/internal/cmd/job/submit/submit.go
@@ -12,7 +12,7 @@
 type Options struct {
 	ID           string  `help:"The job's id; submitting an id twice is harmless."`
 	Customer     string  `help:"The customer." required:""`
-	Zone         string  `help:"The availability zone; chosen by free room if empty."`
+	Zone         string  `help:"The availability zone; chosen by free capacity if empty."`
 	Accelerators int     `help:"Neighbouring accelerators in each cell." default:"1"`
 	Cells        int     `help:"Number of cells." default:"1"`
 	Tasks        int     `help:"Tasks in all." default:"1"`
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -137,6 +137,9 @@
 		return
 	}
 	_, _ = fmt.Fprintln(w, "rhubarbshore:", err)
+	if errors.Is(err, client.ErrUnreachable) {
+		_, _ = fmt.Fprintln(w, "Start one with 'rhubarbshore serve', or name others with --vm or RHUBARBSHORE_VM.")
+	}
 	var refused *client.RefusedError
 	if errors.As(err, &refused) && len(refused.Detail) > 0 {
 		_, _ = fmt.Fprintln(w, strings.Join(refused.Detail, "\n"))
--- a/internal/cmd/root/root_test.go
+++ b/internal/cmd/root/root_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -94,6 +95,8 @@
 		"usage":          {"job", "submit"},
 		"check":          {"config", "check", good},
 		"check-bad":      {"config", "check", bad},
+		"check-file":     {"config", "check", good + "/base.toml"},
+		"check-missing":  {"config", "check", good + "/nothing"},
 		"publish":        {"config", "publish", good, "--author", "ana"},
 		"publish-stale":  {"config", "publish", good, "--parent", "v6"},
 		"config-view":    {"config", "view", "--site", "si-a"},
@@ -143,6 +146,19 @@
 	}
 }
 
+// TestNoVMUp asks an address at which nothing listens.
+func TestNoVMUp(t *testing.T) {
+	const address = "127.0.0.1:1"
+	for _, args := range [][]string{{"job", "list"}, {"config", "publish", "../../../examples/robes"}, {"job", "cancel", "x", "--zone", "si-a"}} {
+		var errs bytes.Buffer
+		streams := &cmdutil.Streams{In: strings.NewReader(""), Out: io.Discard, Err: &errs}
+		code := Run(append(args, "--vm", address), streams, func(vms []string) cmdutil.Client { return client.New(client.Config{Addresses: vms}) })
+		assert.Equal(t, code, cmdutil.ExitRetry, args)
+		assert.Assert(t, strings.Contains(errs.String(), "no entry VM answers at "+address), errs.String())
+		assert.Assert(t, strings.Contains(errs.String(), "--vm"), errs.String())
+	}
+}
+
 func TestHelpNamesExitCodesAndExamples(t *testing.T) {
 	var out bytes.Buffer
 	code := Run([]string{"--help"}, &cmdutil.Streams{Out: &out, Err: &out}, func([]string) cmdutil.Client { return nil })
--- a/internal/cmd/serve/serve.go
+++ b/internal/cmd/serve/serve.go
@@ -25,7 +25,7 @@
 // Help is shown by --help.
 func (o *Options) Help() string {
 	return `SIGTERM stops the daemon gracefully: health turns to leaving, what was
-admitted is finished, keys and the placer's office are handed on. A second
+admitted is finished, keys and the placer's lead are handed on. A second
 SIGTERM changes nothing; only deadlines.stop in the settings cuts requests.
 
 Example:
--- a/internal/cmd/vm/list/list.go
+++ b/internal/cmd/vm/list/list.go
@@ -19,18 +19,18 @@
 
 // Run lists the entry VMs.
 func (o *Options) Run(f *cmdutil.Factory) error {
-	listing := cmdutil.Listing[api.VMList]{Wait: "asking an entry VM", Fetch: f.Client.VMs, Header: []string{"VM", "ADDRESS", "ZONE", "STATE", "OFFICE"}, Rows: rows}
+	listing := cmdutil.Listing[api.VMList]{Wait: "asking an entry VM", Fetch: f.Client.VMs, Header: []string{"VM", "ADDRESS", "ZONE", "STATE", "ROLE"}, Rows: rows}
 	return listing.Print(f, o.JSON)
 }
 
 func rows(list api.VMList) [][]string {
 	var out [][]string
 	for _, v := range list.VMs {
-		office := ""
+		role := ""
 		if v.Placer {
-			office = "placer"
+			role = "placer"
 		}
-		out = append(out, []string{v.Name, v.Address, v.Zone, v.State, office})
+		out = append(out, []string{v.Name, v.Address, v.Zone, v.State, role})
 	}
 	return out
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,8 +10,8 @@
 	"slices"
 	"time"
 
+	"rhubarbshore/internal/capacity"
 	"rhubarbshore/internal/cell"
-	"rhubarbshore/internal/room"
 )
 
 // Duration is a length of time written as text, for example "30s".
@@ -155,7 +155,7 @@
 }
 
 // Each is the size of every worker.
-func (s Site) Each() room.Size { return room.Size{Cores: s.Cores, Memory: s.Memory} }
+func (s Site) Each() capacity.Size { return capacity.Size{Cores: s.Cores, Memory: s.Memory} }
 
 // Accelerators is the number of accelerators of the site.
 func (s Site) total() int {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,12 +36,12 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 16 << 10
-	officeEvery   = 250 * time.Millisecond
+	leadEvery     = 250 * time.Millisecond
 	claimWaiting  = 4096
 	// appendShare times the number of VMs is the time between two appends of
 	// claims by one VM: 333 appends a second by all of them.
 	appendShare = 3 * time.Millisecond
-	maxHomes    = 64
+	maxOwners   = 64
 	// restatesPerKeep is how often an open job is written to the log again in the
 	// time for which the log keeps records.
 	restatesPerKeep = 4
@@ -88,8 +88,8 @@
 
 	mu     sync.Mutex
 	queues map[string]*queue.Queue
-	homes  map[string]*home
-	own    *home
+	owners map[string]*owner
+	own    *owner
 	// listed is the platform's list as last read.
 	listed   []platform.Instance
 	clients  map[string]placer.Worker
@@ -97,9 +97,9 @@
 	queueCtx context.Context
 }
 
-// home is a set of keys that this VM decides about: its own, and those handed
+// owner is a set of keys that this VM decides about: its own, and those handed
 // over by VMs that stopped.
-type home struct {
+type owner struct {
 	minter *idempotency.Minter
 	table  *idempotency.Table
 }
@@ -112,20 +112,20 @@
 	}
 	logger := cfg.Logger.With("vm", set.Name, "zone", set.Zone)
 	incarnation := time.Now().UnixMilli()
-	minter, err := idempotency.NewMinter(idempotency.Home(set.Name, incarnation), nil)
+	minter, err := idempotency.NewMinter(idempotency.Owner(set.Name, incarnation), nil)
 	if err != nil {
 		return nil, err
 	}
 	d := &Daemon{
-		set: set, wrap: cfg.Wrap, network: cfg.Network, logger: logger, queues: map[string]*queue.Queue{}, homes: map[string]*home{},
+		set: set, wrap: cfg.Wrap, network: cfg.Network, logger: logger, queues: map[string]*queue.Queue{}, owners: map[string]*owner{},
 		clients: map[string]placer.Worker{},
 	}
 	if d.network == nil {
 		d.network = httpjson.TCP{}
 	}
 	d.workers = d.client("worker", peerConns)
-	d.own = &home{minter: minter, table: idempotency.NewTable(idempotency.Limits{Keys: set.Limits.Keys, Bytes: set.Limits.Bytes})}
-	d.homes[minter.Home()] = d.own
+	d.own = &owner{minter: minter, table: idempotency.NewTable(idempotency.Limits{Keys: set.Limits.Keys, Bytes: set.Limits.Bytes})}
+	d.owners[minter.Owner()] = d.own
 	d.connect(incarnation)
 	return d, nil
 }
@@ -146,7 +146,7 @@
 		Probe: time.Duration(set.Deadlines.Probe), Suspect: time.Duration(set.Deadlines.Suspect),
 		Connect: peer.HTTP(d.client("peer", peerConns)), Logger: d.logger, LeftServer: d.serverLeft,
 	})
-	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Home()} })
+	d.members.Change(func(self *rpc.Member) { self.Homes = []string{d.own.minter.Owner()} })
 	for _, p := range set.Peers {
 		d.members.Seed(p.Name, p.Address, p.Zone)
 	}
@@ -155,13 +155,13 @@
 		Logger: d.logger, Applied: d.applied,
 	})
 	d.claims = claim.New(claim.Config{
-		Log: d.log, Home: d.own.minter.Home(), Waiting: claimWaiting, Pace: d.claimPace, Window: d.longestWindow, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
+		Log: d.log, Owner: d.own.minter.Owner(), Waiting: claimWaiting, Pace: d.claimPace, Window: d.longestWindow, Known: set.Limits.Claims, Keep: time.Duration(set.Deadlines.Keep),
 	})
 	d.journal = journal.New(journal.Config{
-		Log: d.log, Stream: "jobs-" + set.Zone, Origin: d.own.minter.Home(), Peers: d.replicas, Keep: time.Duration(set.Deadlines.Keep),
+		Log: d.log, Stream: "jobs-" + set.Zone, Origin: d.own.minter.Owner(), Peers: d.replicas, Keep: time.Duration(set.Deadlines.Keep),
 	})
 	d.placer = placer.New(placer.Config{
-		Holds: d.members.HoldsOffice,
+		Holds: d.members.ClaimsLead,
 		VM:    set.Name, Zone: set.Zone, Logger: d.logger, Journal: d.journal, Restate: time.Duration(set.Deadlines.Keep) / restatesPerKeep,
 		Term: time.Duration(set.Deadlines.Term), Renew: time.Duration(set.Deadlines.Renew), Hold: time.Duration(set.Deadlines.Hold),
 		Checkpoint: time.Duration(set.Deadlines.Checkpoint), Lost: time.Duration(set.Deadlines.Lost), Drift: time.Duration(set.Deadlines.Drift),
@@ -213,7 +213,7 @@
 	d.server = &http.Server{
 		Handler: d.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
-	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.journal.Run, d.placer.Run, d.followList, d.followPeers, d.keepOffice} {
+	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.journal.Run, d.placer.Run, d.followList, d.followPeers, d.keepLead} {
 		d.done.Go(func() { duty(ctx) })
 	}
 	d.done.Go(func() {
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -199,18 +199,18 @@
 	}
 }
 
-// keepOffice takes and leaves the zone's office as membership changes, and
+// keepLead takes and leaves the zone's lead as membership changes, and
 // tells others what the zone could take.
-func (d *Daemon) keepOffice(ctx context.Context) {
+func (d *Daemon) keepLead(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, officeEvery)
+		pause(ctx, leadEvery)
 		if time.Since(d.booted) < time.Duration(d.set.Deadlines.Suspect) {
 			continue
 		}
 		cfg, _ := d.store.Current()
-		d.placer.SetOffice(cfg != nil && !d.leaving.Load() && d.members.Placer(d.set.Zone) == d.set.Name)
+		d.placer.SetLeading(cfg != nil && !d.leaving.Load() && d.members.Placer(d.set.Zone) == d.set.Name)
 		d.tellSummary(ctx)
-		d.passStray(ctx)
+		d.passOrphans(ctx)
 	}
 }
 
@@ -226,7 +226,7 @@
 
 // summary turns a zone's summary into its message.
 func summary(s placer.Summary) *rpc.Summary {
-	out := &rpc.Summary{Waiting: int32(s.Waiting), Room: int32(s.Room)}
+	out := &rpc.Summary{Waiting: int32(s.Waiting), Room: int32(s.Free)}
 	for k := range s.Cells.Idle {
 		out.Idle = append(out.Idle, int32(s.Cells.Idle[k]))
 		out.Slack = append(out.Slack, int32(s.Cells.Slack[k]))
@@ -234,13 +234,13 @@
 	return out
 }
 
-// passStray hands jobs left from a lost office to the new placer.
-func (d *Daemon) passStray(ctx context.Context) {
-	for _, stray := range d.placer.Stray(ctx) {
-		j := stray.Job
+// passOrphans hands jobs left from a lost lead to the new placer.
+func (d *Daemon) passOrphans(ctx context.Context) {
+	for _, orphan := range d.placer.Orphans(ctx) {
+		j := orphan.Job
 		j.Zone = d.set.Zone
-		if _, err := d.submit(ctx, j); err != nil && !stray.Durable && stray.Copies == 0 {
-			d.logger.Error("job lost with the office", "job", j.ID, "customer", j.Customer, "error", err)
+		if _, err := d.submit(ctx, j); err != nil && !orphan.Durable && orphan.Copies == 0 {
+			d.logger.Error("job lost with the lead", "job", j.ID, "customer", j.Customer, "error", err)
 			metric.Count("jobs_lost_total")
 		}
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -31,8 +31,8 @@
 // Forward implements rpc.Peer.
 func (s *peerServer) Forward(ctx context.Context, in *rpc.ForwardRequest) (*rpc.ForwardReply, error) {
 	a := arrival{
-		in:   api.Request{ID: in.GetRequest(), Customer: in.GetCustomer(), Kind: in.GetKind(), Body: in.GetBody()},
-		home: in.GetHome(), settle: in.GetSettle(), asked: in.GetHome() == "",
+		in:    api.Request{ID: in.GetRequest(), Customer: in.GetCustomer(), Kind: in.GetKind(), Body: in.GetBody()},
+		owner: in.GetHome(), settle: in.GetSettle(), asked: in.GetHome() == "",
 	}
 	if in.GetTicket() {
 		a.ticket = in.GetKey()
@@ -72,18 +72,18 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopping.Load() || len(d.homes) >= maxHomes {
+	if d.stopping.Load() || len(d.owners) >= maxOwners {
 		return placer.ErrFull
 	}
-	if d.homes[in.GetHome()] != nil {
+	if d.owners[in.GetHome()] != nil {
 		return nil
 	}
 	table := idempotency.NewTable(idempotency.Limits{Keys: d.set.Limits.Keys, Bytes: d.set.Limits.Bytes})
 	table.Import(kept)
-	d.homes[in.GetHome()] = &home{minter: minter, table: table}
+	d.owners[in.GetHome()] = &owner{minter: minter, table: table}
 	d.members.Change(func(self *rpc.Member) { self.Homes = append(self.Homes, in.GetHome()) })
-	metric.Count("homes_adopted_total")
-	d.logger.Info("keys taken over", "home", in.GetHome(), "keys", len(kept))
+	metric.Count("owners_adopted_total")
+	d.logger.Info("keys taken over", "owner", in.GetHome(), "keys", len(kept))
 	return nil
 }
 
@@ -122,7 +122,7 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
 	}
 	status, err := do(ctx, j)
-	if errors.Is(err, placer.ErrNoOffice) || errors.Is(err, placer.ErrFull) {
+	if errors.Is(err, placer.ErrNotLeading) || errors.Is(err, placer.ErrFull) {
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
 	if err != nil {
@@ -141,7 +141,7 @@
 func (d *Daemon) replicas() []journal.Peer {
 	var out []journal.Peer
 	for _, p := range d.members.Successors() {
-		out = append(out, journal.Peer{Name: idempotency.Home(p.Info.GetName(), p.Info.GetIncarnation()), Replica: p.Client})
+		out = append(out, journal.Peer{Name: idempotency.Owner(p.Info.GetName(), p.Info.GetIncarnation()), Replica: p.Client})
 	}
 	return out
 }
@@ -165,7 +165,7 @@
 
 func (d *Daemon) localView(ctx context.Context, what string) (any, error) {
 	if !d.placer.Ready(ctx) {
-		return nil, placer.ErrNoOffice
+		return nil, placer.ErrNotLeading
 	}
 	switch what {
 	case viewJobs:
@@ -180,7 +180,7 @@
 func (d *Daemon) submit(ctx context.Context, j api.Job) (api.JobStatus, error) {
 	if j.Zone == d.set.Zone {
 		status, err := d.placer.Submit(ctx, j)
-		if !errors.Is(err, placer.ErrNoOffice) {
+		if !errors.Is(err, placer.ErrNotLeading) {
 			return status, err
 		}
 	}
@@ -192,7 +192,7 @@
 func (d *Daemon) cancelJob(ctx context.Context, j api.Job) (api.JobStatus, error) {
 	if j.Zone == d.set.Zone {
 		status, err := d.placer.Cancel(ctx, j.ID)
-		if !errors.Is(err, placer.ErrNoOffice) {
+		if !errors.Is(err, placer.ErrNotLeading) {
 			return status, err
 		}
 	}
@@ -204,7 +204,7 @@
 func (d *Daemon) askPlacer(ctx context.Context, j api.Job, ask func(ctx context.Context, p peer.Peer, in *rpc.JobRequest) (*rpc.JobReply, error)) (api.JobStatus, error) {
 	p, ok := d.members.PlacerOf(j.Zone)
 	if !ok || p.Info.GetName() == d.set.Name {
-		return api.JobStatus{}, placer.ErrNoOffice
+		return api.JobStatus{}, placer.ErrNotLeading
 	}
 	data, err := json.Marshal(j)
 	if err != nil {
@@ -226,7 +226,7 @@
 func classifyJob(err error) error {
 	var t twirp.Error
 	if errors.As(err, &t) && t.Code() == twirp.FailedPrecondition || unsent(err) {
-		return placer.ErrNoOffice
+		return placer.ErrNotLeading
 	}
 	return errLost
 }
--- a/internal/daemon/pipe.go
+++ b/internal/daemon/pipe.go
@@ -20,7 +20,7 @@
 	"rhubarbshore/pkg/api"
 )
 
-// maxAsked is the most VMs that are asked in turn to settle a key's home.
+// maxAsked is the most VMs that are asked in turn to settle a key's owner.
 const maxAsked = 4
 
 // arrival is a caller's request before it is checked.
@@ -29,9 +29,9 @@
 	key    string
 	ticket string
 	settle bool
-	// home is set on a request that a peer forwarded to the home of its key.
-	home string
-	// asked is set on a request whose home a peer asks this VM to settle.
+	// owner is set on a request that a peer forwarded to the owner of its key.
+	owner string
+	// asked is set on a request whose owner a peer asks this VM to settle.
 	asked bool
 }
 
@@ -51,7 +51,7 @@
 	return resp
 }
 
-// route decides which VM runs the request: this one, or the key's home.
+// route decides which VM runs the request: this one, or the key's owner.
 func (d *Daemon) route(ctx context.Context, a arrival) api.Response {
 	cfg, _ := d.store.Current()
 	keyed := a.key
@@ -65,8 +65,8 @@
 	r.Settle = a.settle
 	r.Ticket = a.ticket != ""
 	switch {
-	case a.home != "":
-		return d.runForwarded(ctx, r, a.home)
+	case a.owner != "":
+		return d.runForwarded(ctx, r, a.owner)
 	case a.ticket != "":
 		return d.runTicket(ctx, r)
 	case a.key != "":
@@ -85,16 +85,16 @@
 	return d.queues[r.Service]
 }
 
-// runTicket runs the request at the home that its ticket names.
+// runTicket runs the request at the owner that its ticket names.
 func (d *Daemon) runTicket(ctx context.Context, r *request.Request) api.Response {
-	home, err := idempotency.HomeOf(r.Key)
+	owner, err := idempotency.OwnerOf(r.Key)
 	if err != nil {
 		return r.Refuse(api.Retry, request.ReasonTicket)
 	}
-	return d.runAt(ctx, r, home)
+	return d.runAt(ctx, r, owner)
 }
 
-// runClaimed settles the home of the caller's own key through the log. A VM that
+// runClaimed settles the owner of the caller's own key through the log. A VM that
 // can't tell, since the log has dropped claims that it never read, asks one that
 // has read them.
 func (d *Daemon) runClaimed(ctx context.Context, r *request.Request, asked bool) api.Response {
@@ -114,7 +114,7 @@
 		return r.Refuse(api.Unknown, request.ReasonExpired)
 	}
 	r.Deadline = won.Deadline
-	return d.runAt(ctx, r, won.Home)
+	return d.runAt(ctx, r, won.Owner)
 }
 
 // askClaimed passes the request to VMs in turn until one takes it in, or may have.
@@ -136,30 +136,30 @@
 // scoped keeps customers' keys apart.
 func scoped(r *request.Request) string { return r.Customer + "/" + r.Key }
 
-// runAt runs the request here if this VM answers for the home, and forwards it
+// runAt runs the request here if this VM answers for the owner, and forwards it
 // otherwise.
-func (d *Daemon) runAt(ctx context.Context, r *request.Request, home string) api.Response {
-	if d.homeOf(home) != nil {
-		return d.runHome(ctx, r, home)
+func (d *Daemon) runAt(ctx context.Context, r *request.Request, owner string) api.Response {
+	if d.ownerOf(owner) != nil {
+		return d.runOwned(ctx, r, owner)
 	}
-	p, ok := d.members.Serving(home)
+	p, ok := d.members.Serving(owner)
 	if !ok {
-		return r.Refuse(api.Unknown, request.ReasonHome)
+		return r.Refuse(api.Unknown, request.ReasonOwner)
 	}
-	return d.forward(ctx, r, home, p)
+	return d.forward(ctx, r, owner, p)
 }
 
-func (d *Daemon) homeOf(name string) *home {
+func (d *Daemon) ownerOf(name string) *owner {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.homes[name]
+	return d.owners[name]
 }
 
-// runHome decides about a key that this VM is the home of.
-func (d *Daemon) runHome(ctx context.Context, r *request.Request, name string) api.Response {
-	h := d.homeOf(name)
+// runOwned decides about a key that this VM is the owner of.
+func (d *Daemon) runOwned(ctx context.Context, r *request.Request, name string) api.Response {
+	h := d.ownerOf(name)
 	if h == nil {
-		return r.Refuse(api.Retry, request.ReasonHome)
+		return r.Refuse(api.Retry, request.ReasonOwner)
 	}
 	key := scoped(r)
 	if r.Ticket {
@@ -177,21 +177,21 @@
 	return d.begin(ctx, h, r, key, r.Deadline)
 }
 
-// runForwarded decides about a key that a peer has found this VM to be the home of.
-func (d *Daemon) runForwarded(ctx context.Context, r *request.Request, home string) api.Response {
+// runForwarded decides about a key that a peer has found this VM to be the owner of.
+func (d *Daemon) runForwarded(ctx context.Context, r *request.Request, owner string) api.Response {
 	if !r.Ticket {
-		r.Deadline = earlier(r.Deadline, d.claimedUntil(ctx, r, home))
+		r.Deadline = earlier(r.Deadline, d.claimedUntil(ctx, r, owner))
 	}
-	return d.runHome(ctx, r, home)
+	return d.runOwned(ctx, r, owner)
 }
 
-// claimedUntil is the deadline that the home gave the key when it claimed it, by the
-// home's own clock. It has passed if no claim is known: then only a copy that the
+// claimedUntil is the deadline that the owner gave the key when it claimed it, by the
+// owner's own clock. It has passed if no claim is known: then only a copy that the
 // table still knows is answered. A copy must not go by the time of its arrival, which
 // may be after the key was forgotten.
 //
-// A copy may come by way of a VM that has read the home's claim before the home did.
-func (d *Daemon) claimedUntil(ctx context.Context, r *request.Request, home string) time.Time {
+// A copy may come by way of a VM that has read the owner's claim before the owner did.
+func (d *Daemon) claimedUntil(ctx context.Context, r *request.Request, owner string) time.Time {
 	key := scoped(r)
 	won, ok := d.claims.Known(key)
 	if !ok {
@@ -199,7 +199,7 @@
 		won, err = d.claims.Claim(ctx, key, r.Deadline)
 		ok = err == nil
 	}
-	if !ok || won.Home != home {
+	if !ok || won.Owner != owner {
 		return time.Time{}
 	}
 	return won.Deadline
@@ -214,7 +214,7 @@
 
 // begin runs the request if this copy is the first, to its end whether or not its
 // caller still waits, and waits for the first copy's outcome otherwise.
-func (d *Daemon) begin(ctx context.Context, h *home, r *request.Request, key string, deadline time.Time) api.Response {
+func (d *Daemon) begin(ctx context.Context, h *owner, r *request.Request, key string, deadline time.Time) api.Response {
 	claim, err := h.table.Begin(key, print(r), deadline)
 	if err != nil {
 		return refuseKey(r, err)
@@ -267,10 +267,10 @@
 	claim.Finish(q.Do(context.Background(), r))
 }
 
-// forward carries the request to its home.
-func (d *Daemon) forward(ctx context.Context, r *request.Request, home string, p peer.Peer) api.Response {
+// forward carries the request to its owner.
+func (d *Daemon) forward(ctx context.Context, r *request.Request, owner string, p peer.Peer) api.Response {
 	reply, err := p.Client.Forward(ctx, &rpc.ForwardRequest{
-		Home: home, Key: r.Key, Request: r.ID, Customer: r.Customer, Kind: r.Kind, Body: r.Body,
+		Home: owner, Key: r.Key, Request: r.ID, Customer: r.Customer, Kind: r.Kind, Body: r.Body,
 		Settle: r.Settle, Ticket: r.Ticket,
 	})
 	if err == nil {
@@ -281,7 +281,7 @@
 	}
 	metric.Retry("forward")
 	if unsent(err) {
-		return r.Refuse(api.Retry, request.ReasonHome)
+		return r.Refuse(api.Retry, request.ReasonOwner)
 	}
 	return r.Refuse(api.Unknown, request.ReasonLost)
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -161,9 +161,9 @@
 		httpjson.Write(w, api.NotRun.Status(), status)
 	case err == nil:
 		httpjson.Write(w, http.StatusAccepted, status)
-	case errors.Is(err, placer.ErrNoOffice) || errors.Is(err, placer.ErrFull):
-		metric.Refusal("job", "nooffice")
-		httpjson.Refuse(w, api.Retry.Status(), "nooffice", err.Error())
+	case errors.Is(err, placer.ErrNotLeading) || errors.Is(err, placer.ErrFull):
+		metric.Refusal("job", "notleading")
+		httpjson.Refuse(w, api.Retry.Status(), "notleading", err.Error())
 	default:
 		metric.Refusal("job", "lost")
 		httpjson.Refuse(w, api.Unknown.Status(), "lost", err.Error())
@@ -224,7 +224,7 @@
 	}
 	p, ok := d.members.PlacerOf(zone)
 	if !ok {
-		return nil, placer.ErrNoOffice
+		return nil, placer.ErrNotLeading
 	}
 	reply, err := p.Client.View(ctx, &rpc.ViewRequest{What: what})
 	if err != nil && unsent(err) {
@@ -234,27 +234,27 @@
 }
 
 // handleZone proposes a zone for a job of a shape: this one if it can start it
-// now or no other can, else the one with the most room.
+// now or no other can, else the one with the most capacity.
 func (d *Daemon) handleZone(w http.ResponseWriter, r *http.Request) {
 	n, err := strconv.Atoi(r.URL.Query().Get("accelerators"))
 	if err != nil || n < 0 || cell.Level(n) > cell.MaxLevel {
 		httpjson.Refuse(w, http.StatusBadRequest, "malformed", "accelerators: 0 to 4096")
 		return
 	}
-	room := d.roomByZone(n)
+	free := d.freeByZone(n)
 	if sum, ok := d.placer.Summary(r.Context()); ok {
-		room[d.set.Zone] = max(room[d.set.Zone], roomIn(summary(sum), n))
+		free[d.set.Zone] = max(free[d.set.Zone], freeIn(summary(sum), n))
 	}
 	best := d.set.Zone
-	if room[best] == 0 {
-		best = roomiest(room, best)
+	if free[best] == 0 {
+		best = freest(free, best)
 	}
 	httpjson.Write(w, http.StatusOK, api.VM{Zone: best})
 }
 
-// roomIn is the number of cells of n accelerators that a zone could give out or, for
+// freeIn is the number of cells of n accelerators that a zone could give out or, for
 // none, its eighths of processors and memory.
-func roomIn(s *rpc.Summary, n int) int {
+func freeIn(s *rpc.Summary, n int) int {
 	if n == 0 {
 		return int(s.GetRoom())
 	}
@@ -264,25 +264,25 @@
 	return 0
 }
 
-// roomByZone is what the placers told last that they could give out.
-func (d *Daemon) roomByZone(n int) map[string]int {
-	room := map[string]int{}
+// freeByZone is what the placers told last that they could give out.
+func (d *Daemon) freeByZone(n int) map[string]int {
+	free := map[string]int{}
 	for _, p := range d.members.All() {
 		s := p.Info.GetSummary()
 		if s == nil || p.Info.GetState() != peer.Alive {
 			continue
 		}
 		zone := p.Info.GetZone()
-		room[zone] = max(room[zone], roomIn(s, n))
+		free[zone] = max(free[zone], freeIn(s, n))
 	}
-	return room
+	return free
 }
 
-// roomiest is the zone with the most room, the first by name among equals, or
+// freest is the zone with the most capacity, the first by name among equals, or
 // the given one if none has any.
-func roomiest(room map[string]int, best string) string {
-	for _, zone := range slices.Sorted(maps.Keys(room)) {
-		if room[zone] > room[best] {
+func freest(free map[string]int, best string) string {
+	for _, zone := range slices.Sorted(maps.Keys(free)) {
+		if free[zone] > free[best] {
 			best = zone
 		}
 	}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -17,15 +17,15 @@
 	retryAdopts = 100 * time.Millisecond
 )
 
-// Stop shuts the daemon down gracefully: health turns to leaving, the office
-// is handed on, what was admitted is finished, and the keys go to an heir.
+// Stop shuts the daemon down gracefully: health turns to leaving, the lead
+// is handed on, what was admitted is finished, and the keys go to a successor.
 func (d *Daemon) Stop() error {
 	deadline := time.Now().Add(time.Duration(d.set.Deadlines.Stop))
 	d.leaving.Store(true)
 	d.logger.Info("leaving")
 	d.members.Change(func(self *rpc.Member) { self.State = peer.Leaving })
 	d.tell()
-	d.handOffice()
+	d.handLead()
 	time.Sleep(time.Duration(d.set.Deadlines.Drain))
 	d.stopping.Store(true)
 	cut := d.finish(deadline)
@@ -62,20 +62,20 @@
 	}
 }
 
-// handOffice gives the zone's office up and passes on its open jobs. Those in the
+// handLead gives the zone's lead up and passes on its open jobs. Those in the
 // log are found there if the next placer does not answer.
-func (d *Daemon) handOffice() {
+func (d *Daemon) handLead() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Deadlines.Stop)/2)
 	defer cancel()
-	d.placer.SetOffice(false)
-	for _, stray := range d.placer.Stray(ctx) {
-		j := stray.Job
+	d.placer.SetLeading(false)
+	for _, orphan := range d.placer.Orphans(ctx) {
+		j := orphan.Job
 		j.Zone = d.set.Zone
 		for ctx.Err() == nil {
-			if _, err := d.submit(ctx, j); err == nil || stray.Durable {
+			if _, err := d.submit(ctx, j); err == nil || orphan.Durable {
 				break
 			}
-			metric.Retry("handoffice")
+			metric.Retry("handover")
 			pause(ctx, retryAdopts)
 		}
 	}
@@ -101,43 +101,43 @@
 	return cut
 }
 
-// handKeys hands every home to an heir.
+// handKeys hands every owner to a successor.
 func (d *Daemon) handKeys(deadline time.Time) {
 	d.mu.Lock()
-	homes := make([]*home, 0, len(d.homes))
-	for _, h := range d.homes {
-		homes = append(homes, h)
+	owners := make([]*owner, 0, len(d.owners))
+	for _, h := range d.owners {
+		owners = append(owners, h)
 	}
 	d.mu.Unlock()
-	for _, h := range homes {
-		d.handHome(h, deadline)
+	for _, h := range owners {
+		d.handOwner(h, deadline)
 	}
 }
 
-// handHome asks one heir until it confirms: once it may have taken the keys, no
+// handOwner asks one successor until it confirms: once it may have taken the keys, no
 // other VM may be given them. Only a VM that was never reached is passed over.
-func (d *Daemon) handHome(h *home, deadline time.Time) {
+func (d *Daemon) handOwner(h *owner, deadline time.Time) {
 	in := handover(h)
-	heir, ok := d.heir()
+	successor, ok := d.successor()
 	for ok && time.Now().Before(deadline) {
 		ctx, cancel := context.WithTimeout(context.Background(), adoptCall)
-		_, err := heir.Client.Adopt(ctx, in)
+		_, err := successor.Client.Adopt(ctx, in)
 		cancel()
 		if err == nil {
 			return
 		}
 		metric.Retry("adopt")
 		if unsent(err) {
-			d.members.Failed(heir.Info.GetName())
-			heir, ok = d.heir()
+			d.members.Failed(successor.Info.GetName())
+			successor, ok = d.successor()
 			continue
 		}
 		time.Sleep(retryAdopts)
 	}
 }
 
-func handover(h *home) *rpc.Handover {
-	in := &rpc.Handover{Home: h.minter.Home(), Secret: h.minter.Secret()}
+func handover(h *owner) *rpc.Handover {
+	in := &rpc.Handover{Home: h.minter.Owner(), Secret: h.minter.Secret()}
 	for _, k := range h.table.Export() {
 		in.Entries = append(in.Entries, &rpc.Entry{
 			Key: k.Key, Print: k.Print, Remaining: time.Until(k.Deadline).Milliseconds(), Reply: toReply(k.Response),
@@ -146,8 +146,8 @@
 	return in
 }
 
-// heir is a VM to take this one's keys over: of the own zone, or else of any.
-func (d *Daemon) heir() (peer.Peer, bool) {
+// successor is a VM to take this one's keys over: of the own zone, or else of any.
+func (d *Daemon) successor() (peer.Peer, bool) {
 	for _, zone := range d.members.Zones() {
 		for _, p := range d.members.Live(zone) {
 			return p, true
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -28,8 +28,8 @@
 	namespace = errorx.NewNamespace("http")
 	// ErrUnsent: no byte of the call reached the peer.
 	ErrUnsent = errorx.NewType(namespace, "unsent").New("the peer was not reached")
-	// ErrDoubt: the call may have taken effect.
-	ErrDoubt = errorx.NewType(namespace, "doubt").New("the answer was lost")
+	// ErrUnknownOutcome: the call may have taken effect.
+	ErrUnknownOutcome = errorx.NewType(namespace, "unknown").New("the answer was lost")
 )
 
 // StatusError is an answer other than 2xx: the peer refused the call.
@@ -186,13 +186,13 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
 	if err != nil {
-		return out, ErrDoubt
+		return out, ErrUnknownOutcome
 	}
 	if refused(resp.StatusCode) {
 		return out, statusError(resp.StatusCode, data)
 	}
 	if len(data) > 0 && json.Unmarshal(data, &out) != nil {
-		return out, ErrDoubt
+		return out, ErrUnknownOutcome
 	}
 	return out, nil
 }
@@ -227,13 +227,13 @@
 func Hash(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
 // Classify turns a transport error into ErrUnsent if the connection was never
-// made, and into ErrDoubt otherwise.
+// made, and into ErrUnknownOutcome otherwise.
 func Classify(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrUnsent
 	}
-	return ErrDoubt
+	return ErrUnknownOutcome
 }
 
 // Reason returns the refusal's reason, or empty if err is no refusal.
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -1,8 +1,8 @@
-// Package idempotency lets each keyed request run at most once on its home, the
+// Package idempotency lets each keyed request run at most once on its owner, the
 // one VM process that decides about the key.
 //
-// A key is either a ticket, which names its home, or a caller's own key, whose
-// home is settled by package claim. The home keeps each key until its deadline:
+// A key is either a ticket, which names its owner, or a caller's own key, whose
+// owner is settled by package claim. The owner keeps each key until its deadline:
 // running, answered, or refused for good.
 package idempotency
 
@@ -44,7 +44,7 @@
 	Bytes int
 }
 
-// Table is the set of keys that one home decides about.
+// Table is the set of keys that one owner decides about.
 type Table struct {
 	mu     sync.Mutex
 	limits Limits
--- a/internal/idempotency/ticket.go
+++ b/internal/idempotency/ticket.go
@@ -21,40 +21,40 @@
 	macSize    = 16
 )
 
-// ErrTicket is returned for a text that is no ticket of this home.
-var ErrTicket = errorx.NewType(namespace, "ticket").New("not a ticket of this home")
+// ErrTicket is returned for a text that is no ticket of this owner.
+var ErrTicket = errorx.NewType(namespace, "ticket").New("not a ticket of this owner")
 
-// Home names one process of a VM: a restarted VM is another home.
-func Home(vm string, incarnation int64) string { return fmt.Sprintf("%s~%d", vm, incarnation) }
+// Owner names one process of a VM: a restarted VM is another owner.
+func Owner(vm string, incarnation int64) string { return fmt.Sprintf("%s~%d", vm, incarnation) }
 
-// Minter makes and verifies the tickets of one home. A ticket reads
-// home.counter.deadline.code, the deadline in Unix milliseconds.
+// Minter makes and verifies the tickets of one owner. A ticket reads
+// owner.counter.deadline.code, the deadline in Unix milliseconds.
 type Minter struct {
-	home    string
+	owner   string
 	secret  []byte
 	counter atomic.Uint64
 }
 
 // NewMinter returns a minter. Without a secret it makes one up.
-func NewMinter(home string, secret []byte) (*Minter, error) {
+func NewMinter(owner string, secret []byte) (*Minter, error) {
 	if secret == nil {
 		secret = make([]byte, secretSize)
 		if _, err := rand.Read(secret); err != nil {
 			return nil, errorx.Decorate(err, "secret")
 		}
 	}
-	return &Minter{home: home, secret: secret}, nil
+	return &Minter{owner: owner, secret: secret}, nil
 }
 
-// Home returns the home that the tickets name.
-func (m *Minter) Home() string { return m.home }
+// Owner returns the owner that the tickets name.
+func (m *Minter) Owner() string { return m.owner }
 
-// Secret returns the secret, for handing the home over.
+// Secret returns the secret, for handing the owner over.
 func (m *Minter) Secret() []byte { return m.secret }
 
 // Mint makes a ticket that is good until the deadline.
 func (m *Minter) Mint(deadline time.Time) string {
-	text := fmt.Sprintf("%s.%d.%d", m.home, m.counter.Add(1), deadline.UnixMilli())
+	text := fmt.Sprintf("%s.%d.%d", m.owner, m.counter.Add(1), deadline.UnixMilli())
 	return text + "." + m.code(text)
 }
 
@@ -78,11 +78,11 @@
 	return time.UnixMilli(millis), nil
 }
 
-// HomeOf returns the home that a ticket names, unverified.
-func HomeOf(ticket string) (string, error) {
-	home, _, ok := strings.Cut(ticket, ".")
-	if !ok || home == "" {
+// OwnerOf returns the owner that a ticket names, unverified.
+func OwnerOf(ticket string) (string, error) {
+	owner, _, ok := strings.Cut(ticket, ".")
+	if !ok || owner == "" {
 		return "", ErrTicket
 	}
-	return home, nil
+	return owner, nil
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -2,7 +2,7 @@
 // of the platform's log and, for as long as the log is out of reach, as replicas on
 // other VMs of the zone.
 //
-// Only the VM that holds the zone's office writes records, and only the next one
+// Only the VM that holds the zone's lead writes records, and only the next one
 // reads the replicas. No VM takes part in a decision by holding some, so that it
 // may do so without agreeing with others.
 package journal
@@ -113,7 +113,7 @@
 	flushes  chan struct{}
 
 	mu      sync.Mutex
-	office  bool
+	leading bool
 	news    bool
 	entries map[string]*entry
 	version uint64
@@ -137,12 +137,12 @@
 	duties.Wait()
 }
 
-// SetOffice tells whether this VM decides for the zone. On taking office the
+// SetLeading tells whether this VM decides for the zone. On taking the lead the
 // replicas of all other VMs are read anew.
-func (j *Journal) SetOffice(office bool) {
+func (j *Journal) SetLeading(leading bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.office = office
+	j.leading = leading
 	for _, s := range j.peers {
 		s.asked = false
 	}
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -138,11 +138,11 @@
 }
 
 // yield gives this VM's own records up once another VM has taken them over, unless
-// it holds office itself or there are newer ones.
+// it leads itself or there are newer ones.
 func (j *Journal) yield(t *rpc.ReplicaSet) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if t.GetOrigin() != j.cfg.Origin || t.GetVersion() != j.version || j.office {
+	if t.GetOrigin() != j.cfg.Origin || t.GetVersion() != j.version || j.leading {
 		return
 	}
 	for _, e := range j.entries {
--- a/internal/journal/replicate.go
+++ b/internal/journal/replicate.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// round brings the replicas on other VMs up to date and, in office, reads those
+// round brings the replicas on other VMs up to date and, that leads, reads those
 // that other VMs have.
 func (j *Journal) round(ctx context.Context) {
 	j.takeHeld()
@@ -86,7 +86,7 @@
 // update tells the peer what changed since it last answered. A VM that may have
 // records stays one that is told, so that none is left with old ones.
 func (j *Journal) update(s *standing, chosen, inStep bool, now time.Time) *rpc.ReplicaUpdate {
-	u := &rpc.ReplicaUpdate{Set: &rpc.ReplicaSet{Origin: j.cfg.Origin}, Read: j.office && !s.asked}
+	u := &rpc.ReplicaUpdate{Set: &rpc.ReplicaSet{Origin: j.cfg.Origin}, Read: j.leading && !s.asked}
 	if (chosen || s.tried) && (j.behind(s) || j.stale(s, now)) {
 		j.fill(u, s)
 		s.tried = true
@@ -149,11 +149,11 @@
 	return true
 }
 
-// takeHeld has a VM in office take over what it holds of other origins itself.
+// takeHeld has a VM that leads take over what it holds of other origins itself.
 func (j *Journal) takeHeld() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.office {
+	if !j.leading {
 		return
 	}
 	inStep := j.inStep()
--- a/internal/minion/minion.go
+++ b/internal/minion/minion.go
@@ -41,9 +41,9 @@
 	ErrBusy = errorx.NewType(namespace, "busy").New("the minion has no free slot")
 	// ErrLeaving: the minion takes nothing new and did not run it.
 	ErrLeaving = errorx.NewType(namespace, "leaving").New("the minion is leaving")
-	// ErrDoubt: the request may have run; the answer was lost, cut off or
+	// ErrUnknownOutcome: the request may have run; the answer was lost, cut off or
 	// belongs to another request.
-	ErrDoubt = errorx.NewType(namespace, "doubt").New("the minion's answer was lost")
+	ErrUnknownOutcome = errorx.NewType(namespace, "unknown").New("the minion's answer was lost")
 )
 
 // Attempt is one try at a request.
@@ -90,7 +90,7 @@
 		return Answer{}, ErrUnsent
 	}
 	if err != nil {
-		return Answer{}, ErrDoubt
+		return Answer{}, ErrUnknownOutcome
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return read(resp, a)
@@ -100,14 +100,14 @@
 func read(resp *http.Response, a Attempt) (Answer, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, httpjson.MaxBody+1))
 	if err != nil || len(body) > httpjson.MaxBody {
-		return Answer{}, ErrDoubt
+		return Answer{}, ErrUnknownOutcome
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return Answer{}, refusal(body)
 	}
 	h := resp.Header
 	if h.Get(api.HeaderRequest) != a.Request || h.Get(api.HeaderAttempt) != a.Attempt || h.Get(api.HeaderHash) != httpjson.Hash(body) {
-		return Answer{}, ErrDoubt
+		return Answer{}, ErrUnknownOutcome
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -115,7 +115,7 @@
 	case http.StatusUnprocessableEntity:
 		return Answer{Failed: true, Body: body}, nil
 	}
-	return Answer{}, ErrDoubt
+	return Answer{}, ErrUnknownOutcome
 }
 
 func refusal(body []byte) error {
@@ -125,7 +125,7 @@
 	case ReasonLeaving:
 		return ErrLeaving
 	}
-	return ErrDoubt
+	return ErrUnknownOutcome
 }
 
 func reason(body []byte) string {
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -1,5 +1,5 @@
 // Package peer speaks to the other entry VMs: heartbeats with gossip, requests
-// forwarded to their home, hand-over of keys, configuration and jobs.
+// forwarded to their owner, hand-over of keys, configuration and jobs.
 package peer
 
 import (
@@ -426,17 +426,17 @@
 	return out
 }
 
-// Serving finds the VM that answers for a home.
-func (m *Members) Serving(home string) (Peer, bool) {
+// Serving finds the VM that answers for an owner.
+func (m *Members) Serving(owner string) (Peer, bool) {
 	for _, p := range m.All() {
-		if p.Info.GetState() != Gone && slices.Contains(p.Info.GetHomes(), home) {
+		if p.Info.GetState() != Gone && slices.Contains(p.Info.GetHomes(), owner) {
 			return p, true
 		}
 	}
 	return Peer{}, false
 }
 
-// Placer names the VM that should hold a zone's office: the one with the
+// Placer names the VM that should hold a zone's lead: the one with the
 // highest rendezvous weight among the live ones.
 func (m *Members) Placer(zone string) string {
 	best, bestWeight := "", uint64(0)
@@ -454,7 +454,7 @@
 	return best
 }
 
-// weight is the rendezvous weight of a VM for its zone's office.
+// weight is the rendezvous weight of a VM for its zone's lead.
 func weight(zone, name string) uint64 { return xxhash.Sum64String(zone + "\x00" + name) }
 
 // Successors lists the other live VMs of the own zone, the likeliest next placer in
@@ -468,16 +468,16 @@
 	return out
 }
 
-// HoldsOffice reports whether the VM claims its zone's office, as far as this
+// ClaimsLead reports whether the VM claims its zone's lead, as far as this
 // VM has heard.
-func (m *Members) HoldsOffice(name string) bool {
+func (m *Members) ClaimsLead(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.all[name]
 	return v != nil && v.info.GetSummary() != nil && v.info.GetState() == Alive && !m.suspect(v, time.Now())
 }
 
-// PlacerOf returns the VM that holds a zone's office by its own account, or
+// PlacerOf returns the VM that holds a zone's lead by its own account, or
 // else the one that should.
 func (m *Members) PlacerOf(zone string) (Peer, bool) {
 	want := m.Placer(zone)
--- a/internal/placer/gang.go
+++ b/internal/placer/gang.go
@@ -41,7 +41,7 @@
 	p.launchSeats(j, seats, evict, now)
 }
 
-// launchSeats makes room by stopping other jobs and starts the gang.
+// launchSeats frees capacity by stopping other jobs and starts the gang.
 func (p *Placer) launchSeats(j *job, seats []seat, evict []string, now time.Time) {
 	j.status.State = api.Starting
 	j.status.Reason = ""
@@ -68,7 +68,7 @@
 			loose, err = p.startGang(seats)
 		}
 		p.post(func() {
-			if p.office && began.Equal(p.since) && j.status.Generation == generation {
+			if p.leading && began.Equal(p.since) && j.status.Generation == generation {
 				j.launching = false
 				p.onLaunched(j, loose, err)
 			}
@@ -76,7 +76,7 @@
 	}()
 }
 
-// abortStarting tells launches under way that they have to make room. Their
+// abortStarting tells launches under way that they have to give way. Their
 // calls are still on their way to the workers, so that only they can end them.
 func (p *Placer) abortStarting(ids []string) bool {
 	found := false
@@ -94,9 +94,9 @@
 	var out []worker.Part
 	for _, part := range placement.Parts {
 		ref := worker.Part{Cell: p.ref(part.Cell)}
-		if part.Home >= 0 {
-			home := p.ref(part.Home)
-			ref.Home = &home
+		if part.Bound >= 0 {
+			bound := p.ref(part.Bound)
+			ref.Home = &bound
 		}
 		out = append(out, ref)
 	}
@@ -181,7 +181,7 @@
 		metric.Observe("gang_start_seconds", begun)
 		return nil, nil
 	}
-	p.reportDoubt(seats, errs)
+	p.reportUnknown(seats, errs)
 	return p.undo(seats, errs), err
 }
 
@@ -191,7 +191,7 @@
 		return nil
 	}
 	errs := each(seats, p.holdOne)
-	p.reportDoubt(seats, errs)
+	p.reportUnknown(seats, errs)
 	return errors.Join(errs...)
 }
 
@@ -211,7 +211,7 @@
 // and not one that it has raised itself meanwhile. It reports whether it did.
 func (p *Placer) onFenced(seats []seat) bool {
 	for _, s := range seats {
-		if w := p.workers[s.name]; w != nil && w.fenced && !w.doubt && s.fence == p.fenceOf(w) {
+		if w := p.workers[s.name]; w != nil && w.fenced && !w.unknown && s.fence == p.fenceOf(w) {
 			return p.recheck(time.Now())
 		}
 	}
--- a/internal/placer/halt.go
+++ b/internal/placer/halt.go
@@ -14,7 +14,7 @@
 // seconds.
 const minLeft = 0.001
 
-// victim is a spare gang that has to make room.
+// victim is a spare gang that has to give way.
 type victim struct {
 	id    string
 	seats []seat
@@ -22,7 +22,7 @@
 	saved bool
 }
 
-// victims marks the jobs that make room as on their way out.
+// victims marks the jobs that give way as on their way out.
 func (p *Placer) victims(ids []string) []victim {
 	var out []victim
 	for _, id := range ids {
@@ -92,7 +92,7 @@
 // that did not confirm.
 func (p *Placer) stopSeats(seats []seat) error {
 	errs := each(seats, p.stop)
-	p.reportDoubt(seats, errs)
+	p.reportUnknown(seats, errs)
 	err := errors.Join(errs...)
 	if errors.Is(err, worker.ErrFenced) {
 		p.post(func() { p.onFenced(seats) })
@@ -104,8 +104,8 @@
 	return s.stops.do(s.client, s.fence, worker.Stop{Job: s.lease.Job, Generation: s.lease.Generation})
 }
 
-// reportDoubt marks the workers whose state is not known for certain.
-func (p *Placer) reportDoubt(seats []seat, errs []error) {
+// reportUnknown marks the workers whose state is not known for certain.
+func (p *Placer) reportUnknown(seats []seat, errs []error) {
 	var names []string
 	for i, err := range errs {
 		if troubled(err) {
@@ -113,17 +113,17 @@
 		}
 	}
 	if len(names) > 0 {
-		p.post(func() { p.doubt(names) })
+		p.post(func() { p.refence(names) })
 	}
 }
 
-// doubt has the workers fenced again at once, which shuts out calls that are
+// refence has the workers fenced again at once, which shuts out calls that are
 // still under way, and their tables read.
-func (p *Placer) doubt(names []string) {
+func (p *Placer) refence(names []string) {
 	for _, name := range names {
-		if w := p.workers[name]; w != nil && p.office {
-			metric.Count("placer_doubts_total")
-			w.doubt = true
+		if w := p.workers[name]; w != nil && p.leading {
+			metric.Count("placer_unknown_outcomes_total")
+			w.unknown = true
 			w.rival = true
 			w.visitAt(time.Now())
 			p.avoid(w, time.Now())
@@ -135,7 +135,7 @@
 // member may have started and did not confirm the stop.
 func (p *Placer) undo(seats []seat, started []error) []string {
 	stopped := each(seats, p.stop)
-	p.reportDoubt(seats, stopped)
+	p.reportUnknown(seats, stopped)
 	var loose []string
 	for i, s := range seats {
 		if len(started) > 0 && mayHaveActed(started[i]) && stopped[i] != nil {
@@ -148,7 +148,7 @@
 // onReclaimed lets the victims wait again.
 func (p *Placer) onReclaimed(victims []victim, stopped bool, began time.Time) {
 	now := time.Now()
-	if !p.office || !began.Equal(p.since) {
+	if !p.leading || !began.Equal(p.since) {
 		return
 	}
 	for _, v := range victims {
--- a/internal/placer/job.go
+++ b/internal/placer/job.go
@@ -5,8 +5,8 @@
 	"sort"
 	"time"
 
+	"rhubarbshore/internal/capacity"
 	"rhubarbshore/internal/cell"
-	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -17,8 +17,8 @@
 	level  int
 	// each is what a task of a job without accelerators counts for, and peak the most
 	// that one was seen to use.
-	each      room.Size
-	peak      room.Size
+	each      capacity.Size
+	peak      capacity.Size
 	members   []string
 	refs      []worker.Part
 	seats     []seat
@@ -68,7 +68,7 @@
 		in.Accelerators = max(1, in.Accelerators)
 	}
 	return &job{
-		each:     room.Size{Cores: in.Cores, Memory: in.Memory},
+		each:     capacity.Size{Cores: in.Cores, Memory: in.Memory},
 		status:   api.JobStatus{Job: in, State: api.Queued, Zone: zone, Submitted: time.Now()},
 		level:    cell.Level(in.Accelerators),
 		finished: map[string]bool{},
--- a/internal/placer/journal.go
+++ b/internal/placer/journal.go
@@ -25,11 +25,11 @@
 	Open(ctx context.Context) journal.Known
 	// News reports, once, that there is more to read than when Open read all.
 	News() bool
-	// SetOffice tells whether this VM decides for the zone.
-	SetOffice(office bool)
+	// SetLeading tells whether this VM decides for the zone.
+	SetLeading(leading bool)
 }
 
-// readJournal fetches, once per office and after news, the jobs that no lease tells
+// readJournal fetches, once per term of leading and after news, the jobs that no lease tells
 // of.
 func (p *Placer) readJournal(now time.Time) {
 	if p.cfg.Journal == nil {
@@ -48,7 +48,7 @@
 		known := p.cfg.Journal.Open(ctx)
 		p.post(func() {
 			p.reading = false
-			if p.office && began.Equal(p.since) {
+			if p.leading && began.Equal(p.since) {
 				p.onJournal(known)
 			}
 		})
@@ -160,8 +160,8 @@
 }
 
 // setJournal tells the journal whether this VM decides for the zone.
-func (p *Placer) setJournal(office bool) {
+func (p *Placer) setJournal(leading bool) {
 	if p.cfg.Journal != nil {
-		p.cfg.Journal.SetOffice(office)
+		p.cfg.Journal.SetLeading(leading)
 	}
 }
--- a/internal/placer/office.go
+++ b/internal/placer/lead.go
@@ -10,7 +10,7 @@
 	"rhubarbshore/internal/worker"
 )
 
-// Tuning of taking office.
+// Tuning of taking the lead.
 const (
 	retryFence    = 500 * time.Millisecond
 	settleTime    = time.Second
@@ -31,14 +31,14 @@
 	down   bool
 	// busy is set while a call of visit is under way.
 	busy bool
-	// doubt is set after a call whose effect is unknown: the worker is fenced
+	// unknown is set after a call whose effect is unknown: the worker is fenced
 	// again, and its table read, before its leases are renewed.
-	doubt bool
+	unknown bool
 	// rival is set while another placer's fence is or may be in force: this one
 	// looks before it raises its own, and leaves the worker to a living rival.
-	rival bool
-	shy   time.Time
-	next  time.Time
+	rival   bool
+	avoided time.Time
+	next    time.Time
 	// due is when visit may have something to do, in Unix nanoseconds: it is looked
 	// at on every tick for every worker.
 	due int64
@@ -61,25 +61,25 @@
 func (w *member) reset() {
 	w.fenced = false
 	w.down = true
-	w.doubt = false
+	w.unknown = false
 	w.rival = false
-	w.shy = time.Time{}
+	w.avoided = time.Time{}
 	w.next, w.due = time.Time{}, 0
 	w.lost = time.Time{}
 	w.limited = false
 }
 
-// takeOffice forgets everything but the jobs' names and fences all workers.
-func (p *Placer) takeOffice(now time.Time) {
-	p.cfg.Logger.Info("placer takes office")
-	metric.Count("placer_offices_total")
+// takeLead forgets everything but the jobs' names and fences all workers.
+func (p *Placer) takeLead(now time.Time) {
+	p.cfg.Logger.Info("placer starts to lead")
+	metric.Count("placer_leads_total")
 	open := p.openJobs()
 	p.reset()
 	p.setJournal(true)
 	p.since = now
 	for _, name := range slices.Sorted(maps.Keys(p.workers)) {
 		p.tree.SetDown(name, true)
-		p.book.SetDown(name, true)
+		p.account.SetDown(name, true)
 	}
 	for _, j := range open {
 		p.enqueue(j)
@@ -89,8 +89,8 @@
 	}
 }
 
-// recheck rebuilds everything like takeOffice, but leaves each worker to another
-// placer that has fenced it meanwhile and still claims the office. It follows a
+// recheck rebuilds everything like takeLead, but leaves each worker to another
+// placer that has fenced it meanwhile and still claims the lead. It follows a
 // pause of this process and any sign of another placer. It reports false if the
 // last rebuilding began only a moment ago.
 func (p *Placer) recheck(now time.Time) bool {
@@ -98,7 +98,7 @@
 		return false
 	}
 	metric.Count("placer_rechecks_total")
-	p.takeOffice(now)
+	p.takeLead(now)
 	for _, w := range p.workers {
 		w.rival = true
 		p.hear(w, now)
@@ -106,12 +106,12 @@
 	return true
 }
 
-// leaveOffice forgets everything. Open jobs are kept aside until Stray hands
+// leaveLead forgets everything. Open jobs are kept aside until Orphans hands
 // them to the next placer, which may know some already.
-func (p *Placer) leaveOffice() {
-	p.cfg.Logger.Info("placer leaves office")
+func (p *Placer) leaveLead() {
+	p.cfg.Logger.Info("placer stops leading")
 	for _, j := range p.openJobs() {
-		p.stray = append(p.stray, j.status)
+		p.orphans = append(p.orphans, j.status)
 	}
 	p.setJournal(false)
 	p.reset()
@@ -131,7 +131,7 @@
 		return
 	}
 	w.busy = true
-	if !w.fenced || w.doubt {
+	if !w.fenced || w.unknown {
 		p.sendFence(w, now)
 		return
 	}
@@ -152,8 +152,8 @@
 	if !w.down {
 		earlier(w.lost)
 	}
-	if !w.shy.IsZero() {
-		earlier(w.shy)
+	if !w.avoided.IsZero() {
+		earlier(w.avoided)
 	}
 	if !w.busy {
 		earlier(w.next)
@@ -182,7 +182,7 @@
 		p.post(func() {
 			w.busy = false
 			w.due = 0
-			if !p.office || !began.Equal(p.since) {
+			if !p.leading || !began.Equal(p.since) {
 				return
 			}
 			p.onFence(w, f, t, err, now)
@@ -212,7 +212,7 @@
 	}
 	w.fenced = true
 	w.limited = false
-	w.doubt = false
+	w.unknown = false
 	p.hear(w, asked)
 	w.visitAt(now)
 	p.takeTable(w, t, now)
@@ -220,7 +220,7 @@
 }
 
 // stepBack leaves the worker to the holder of a higher fence as long as that
-// placer uses it. Only on taking office is the first higher fence outbid at
+// placer uses it. Only on taking the lead is the first higher fence outbid at
 // once: it is then that of the placer before.
 func (p *Placer) stepBack(w *member, t worker.Table, now time.Time) {
 	metric.Count("placer_fenced_total")
@@ -254,10 +254,10 @@
 
 // avoid keeps new work off a worker that gave trouble, for a while.
 func (p *Placer) avoid(w *member, now time.Time) {
-	w.shy = now.Add(avoidFor)
+	w.avoided = now.Add(avoidFor)
 	w.due = 0
-	p.tree.SetShy(w.name, true)
-	p.book.SetShy(w.name, true)
+	p.tree.SetAvoided(w.name, true)
+	p.account.SetAvoided(w.name, true)
 }
 
 // setUp makes the worker's accelerators usable unless it is in quarantine.
@@ -268,7 +268,7 @@
 	w.down = false
 	w.due = 0
 	p.tree.SetDown(w.name, false)
-	p.book.SetDown(w.name, false)
+	p.account.SetDown(w.name, false)
 	p.dirty = true
 	p.restoreFound()
 }
@@ -281,7 +281,7 @@
 	w.down = true
 	metric.Count("placer_workers_lost_total")
 	p.cfg.Logger.Warn("worker lost", "worker", w.name)
-	for _, id := range append(p.tree.SetDown(w.name, true), p.book.SetDown(w.name, true)...) {
+	for _, id := range append(p.tree.SetDown(w.name, true), p.account.SetDown(w.name, true)...) {
 		if j := p.jobs[id]; j != nil {
 			j.notBefore = w.lapse.Add(p.cfg.Drift)
 			p.requeue(j, "worker lost")
@@ -297,10 +297,10 @@
 // checkLost gives up a worker that has been silent for too long, and ends the
 // avoidance of one that gave trouble a while ago.
 func (p *Placer) checkLost(w *member, now time.Time) {
-	if !w.shy.IsZero() && w.shy.Before(now) {
-		w.shy = time.Time{}
-		p.tree.SetShy(w.name, false)
-		p.book.SetShy(w.name, false)
+	if !w.avoided.IsZero() && w.avoided.Before(now) {
+		w.avoided = time.Time{}
+		p.tree.SetAvoided(w.name, false)
+		p.account.SetAvoided(w.name, false)
 		p.dirty = true
 	}
 	if w.down || now.Before(w.lost) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -1,8 +1,8 @@
 // Package placer decides in one availability zone which job runs on which
 // accelerators, and starts, renews and stops gangs on the workers.
 //
-// Every VM of the zone has a Placer, one of which holds office at a time. The
-// office is only for speed: what keeps two placers apart is the fence that each
+// Every VM of the zone has a Placer, one of which leads at a time. The
+// lead is only for speed: what keeps two placers apart is the fence that each
 // worker enforces. All state can be rebuilt from the workers' lease tables, and
 // nothing here waits for the platform's log.
 package placer
@@ -18,11 +18,11 @@
 
 	"github.com/joomcode/errorx"
 
+	"rhubarbshore/internal/capacity"
 	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/estimate"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/ring"
-	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -39,8 +39,8 @@
 // Errors of the placer. Callers test for them with errors.Is.
 var (
 	namespace = errorx.NewNamespace("placer")
-	// ErrNoOffice: this VM is not the zone's placer.
-	ErrNoOffice = errorx.NewType(namespace, "nooffice").New("this VM is not the zone's placer")
+	// ErrNotLeading: this VM is not the zone's placer.
+	ErrNotLeading = errorx.NewType(namespace, "notleading").New("this VM is not the zone's placer")
 	// ErrFull: the placer has more to do than it may queue.
 	ErrFull = errorx.NewType(namespace, "full").New("the placer's queue is full")
 )
@@ -75,7 +75,7 @@
 	// written again after Restate, zero for never, since the log drops records.
 	Journal Journal
 	Restate time.Duration
-	// Holds reports whether another VM still claims the zone's office; nil
+	// Holds reports whether another VM still claims the zone's lead; nil
 	// leaves that to the workers.
 	Holds func(vm string) bool
 
@@ -111,15 +111,15 @@
 	events *ring.Ring[func()]
 
 	holding atomic.Bool
-	office  bool
+	leading bool
 	ready   bool
 	since   time.Time
 	epoch   uint64
 	tree    *cell.Tree
 	layout  cell.Config
-	book    *room.Book
+	account *capacity.Account
 	// each is the size of every worker.
-	each    room.Size
+	each    capacity.Size
 	jobsMax map[string]int
 	workers map[string]*member
 	// listed are the same workers, for the tick.
@@ -131,9 +131,9 @@
 	found map[string]*gang
 	halts map[string]*halt
 	kept  *reservation
-	// runs outlives a loss of office.
+	// runs outlives a loss of the lead.
 	runs *estimate.Estimator
-	// sizes compares the memory used with the declared one. It outlives an office too.
+	// sizes compares the memory used with the declared one. It outlives a lead too.
 	sizes   *estimate.Estimator
 	reading bool
 	read    bool
@@ -144,21 +144,21 @@
 	keepAt  time.Time
 	// dirty is set when something may have become placeable.
 	dirty bool
-	// reclaims counts the jobs stopped to make room.
+	// reclaims counts the jobs stopped to give way.
 	reclaims int
 	// wake is when the first pause of a waiting job ends.
-	wake  time.Time
-	stray []api.JobStatus
+	wake    time.Time
+	orphans []api.JobStatus
 }
 
-// New returns a placer without office. Run serves it.
+// New returns a placer that does not lead. Run serves it.
 func New(cfg Config) *Placer {
 	p := &Placer{cfg: cfg, events: ring.New[func()](events), workers: map[string]*member{}, runs: estimate.New(), sizes: estimate.New()}
 	p.reset()
 	return p
 }
 
-// reset forgets all that is rebuilt on taking office.
+// reset forgets all that is rebuilt on taking the lead.
 func (p *Placer) reset() {
 	p.ready = false
 	p.read = false
@@ -171,7 +171,7 @@
 	p.halts = map[string]*halt{}
 	p.kept = nil
 	p.tree = cell.NewTree(p.layout)
-	p.book = room.New(room.Config{Racks: p.layout.Racks, Each: p.each})
+	p.account = capacity.New(capacity.Config{Racks: p.layout.Racks, Each: p.each})
 	for _, w := range p.workers {
 		w.reset()
 	}
@@ -227,7 +227,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if p.office && p.ready && p.dirty {
+		if p.leading && p.ready && p.dirty {
 			p.dirty = false
 			p.schedule(time.Now())
 		}
@@ -240,35 +240,35 @@
 	now := time.Now()
 	gap := now.Sub(*last)
 	*last = now
-	if gap < p.cfg.Lost || !p.office || p.cfg.Unsafe.NoRecheck {
+	if gap < p.cfg.Lost || !p.leading || p.cfg.Unsafe.NoRecheck {
 		return
 	}
 	metric.Count("placer_pauses_total")
 	p.recheck(now)
 }
 
-// SetOffice tells the placer whether this VM should decide for the zone.
-func (p *Placer) SetOffice(office bool) {
+// SetLeading tells the placer whether this VM should decide for the zone.
+func (p *Placer) SetLeading(leading bool) {
 	p.post(func() {
-		if office == p.office {
+		if leading == p.leading {
 			return
 		}
-		p.office = office
-		p.holding.Store(office)
-		if office {
-			p.takeOffice(time.Now())
+		p.leading = leading
+		p.holding.Store(leading)
+		if leading {
+			p.takeLead(time.Now())
 			return
 		}
-		p.leaveOffice()
+		p.leaveLead()
 	})
 }
 
-// Holding reports whether this VM holds the zone's office.
+// Holding reports whether this VM holds the zone's lead.
 func (p *Placer) Holding() bool { return p.holding.Load() }
 
 // SetLayout replaces the zone's layout and guarantees, and the size of every worker.
 // Running jobs keep their cells where these still exist.
-func (p *Placer) SetLayout(layout cell.Config, each room.Size, waiting map[string]int) {
+func (p *Placer) SetLayout(layout cell.Config, each capacity.Size, waiting map[string]int) {
 	p.post(func() {
 		p.layout = layout
 		p.each = each
@@ -299,10 +299,10 @@
 
 // onTick does what is due.
 func (p *Placer) onTick(now time.Time) {
-	if !p.office {
+	if !p.leading {
 		return
 	}
-	for _, name := range p.book.Changed() {
+	for _, name := range p.account.Changed() {
 		if w := p.workers[name]; w != nil {
 			w.resized = true
 			w.due = 0
--- a/internal/placer/plain.go
+++ b/internal/placer/plain.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"rhubarbshore/internal/capacity"
 	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/estimate"
 	"rhubarbshore/internal/metric"
-	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -30,7 +30,7 @@
 // feasible reports whether the idle zone could hold the job.
 func (p *Placer) feasible(j *job) bool {
 	if j.isPlain() {
-		return j.status.Job.Tasks > 0 && p.book.Feasible(j.status.Job.Tasks, j.each)
+		return j.status.Job.Tasks > 0 && p.account.Feasible(j.status.Job.Tasks, j.each)
 	}
 	return p.tree.Feasible(j.level, j.status.Job.Cells)
 }
@@ -38,7 +38,7 @@
 // free gives up all that the job holds.
 func (p *Placer) free(id string) {
 	p.tree.Release(id)
-	p.book.Release(id)
+	p.account.Release(id)
 }
 
 // plainInOrder lists the customers with waiting jobs without accelerators, the one
@@ -53,7 +53,7 @@
 	return leastHeld(p.plain, held)
 }
 
-// schedulePlain starts what there is room for. Smaller jobs may go before one that
+// schedulePlain starts what there is capacity for. Smaller jobs may go before one that
 // does not fit.
 func (p *Placer) schedulePlain(q *queue, now time.Time) {
 	for _, j := range slices.Clone(q.jobs[:min(depth, len(q.jobs))]) {
@@ -65,9 +65,9 @@
 
 func (p *Placer) tryPlain(j *job, now time.Time) {
 	begun := time.Now()
-	tasks, err := p.book.Place(j.status.Job.ID, j.status.Job.Tasks, j.each)
-	metric.Observe("placer_room_seconds", begun)
-	if errors.Is(err, room.ErrInfeasible) {
+	tasks, err := p.account.Place(j.status.Job.ID, j.status.Job.Tasks, j.each)
+	metric.Observe("placer_place_seconds", begun)
+	if errors.Is(err, capacity.ErrInfeasible) {
 		p.unqueue(j)
 		p.ended(j, api.Refused, reasonInfeasible)
 	}
@@ -100,11 +100,11 @@
 	for _, s := range seats {
 		taken[s.name] = len(s.lease.Accelerators)
 	}
-	p.book.Take(j.status.Job.ID, taken)
+	p.account.Take(j.status.Job.ID, taken)
 	if p.cfg.Unsafe.NoParts {
 		return nil
 	}
-	return p.book.Evictions(seatNames(seats))
+	return p.account.Evictions(seatNames(seats))
 }
 
 // retakeParts registers the accelerators of a job that runs already.
@@ -115,8 +115,8 @@
 			taken[s.Worker]++
 		}
 	}
-	p.book.Take(j.status.Job.ID, taken)
-	p.makeRoom(slices.Sorted(maps.Keys(taken)))
+	p.account.Take(j.status.Job.ID, taken)
+	p.evictOver(slices.Sorted(maps.Keys(taken)))
 }
 
 // restorePlain registers a gang without accelerators that was found running.
@@ -137,14 +137,14 @@
 
 // holdPlain registers a job without accelerators that runs already.
 func (p *Placer) holdPlain(j *job, tasks map[string]int) {
-	p.book.Hold(j.status.Job.ID, tasks, j.each)
-	p.makeRoom(j.members)
+	p.account.Hold(j.status.Job.ID, tasks, j.each)
+	p.evictOver(j.members)
 }
 
-// makeRoom stops the jobs without accelerators that the workers' memory does not
+// evictOver stops the jobs without accelerators that the workers' memory does not
 // suffice for.
-func (p *Placer) makeRoom(workers []string) {
-	evict := p.book.Evictions(workers)
+func (p *Placer) evictOver(workers []string) {
+	evict := p.account.Evictions(workers)
 	if len(evict) == 0 || p.abortStarting(evict) {
 		return
 	}
@@ -156,13 +156,13 @@
 	if !w.resized || !w.fenced || !w.limited {
 		return false
 	}
-	w.resized = !maps.Equal(p.book.Limits(w.name), w.limits)
+	w.resized = !maps.Equal(p.account.Limits(w.name), w.limits)
 	return w.resized
 }
 
 // renewal is what a renewal of the worker's leases carries, and the limits in it.
 func (p *Placer) renewal(w *member, now time.Time) (worker.Renew, map[string]float64) {
-	limits := p.book.Limits(w.name)
+	limits := p.account.Limits(w.name)
 	out := worker.Renew{Term: p.cfg.Term}
 	if !w.limited || !maps.Equal(limits, w.limits) {
 		out.Limits = &worker.Limits{}
@@ -172,7 +172,7 @@
 			}
 		}
 	}
-	out.Usage = !p.cfg.Unsafe.NoUsage && p.book.Busy(w.name) && now.Sub(w.usage) >= usageEvery
+	out.Usage = !p.cfg.Unsafe.NoUsage && p.account.Busy(w.name) && now.Sub(w.usage) >= usageEvery
 	return out, limits
 }
 
@@ -188,8 +188,8 @@
 		if j == nil || !j.isPlain() || j.status.State != api.Running || j.status.Generation != u.Generation {
 			continue
 		}
-		if n := p.book.Tasks(u.Job)[w.name]; n > 0 {
-			p.resize(j, room.Size{Cores: u.Cores / float64(n), Memory: u.Memory / float64(n)}, now)
+		if n := p.account.Tasks(u.Job)[w.name]; n > 0 {
+			p.resize(j, capacity.Size{Cores: u.Cores / float64(n), Memory: u.Memory / float64(n)}, now)
 		}
 	}
 }
@@ -208,7 +208,7 @@
 // expectSize has a job that waits count for the memory that its customer's jobs were
 // seen to use, against what they had declared.
 func (p *Placer) expectSize(j *job) {
-	if !j.isPlain() || j.peak != (room.Size{}) {
+	if !j.isPlain() || j.peak != (capacity.Size{}) {
 		return
 	}
 	if ratio, ok := p.sizes.Ratio(estimate.Run{Customer: j.status.Job.Customer}, likelySize); ok {
@@ -225,10 +225,10 @@
 
 // resize has the job count for what a task of it was seen to use. Below what it has
 // declared it counts only after it has run for a while.
-func (p *Placer) resize(j *job, used room.Size, now time.Time) {
-	j.peak = room.Size{Cores: max(j.peak.Cores, used.Cores), Memory: max(j.peak.Memory, used.Memory)}
+func (p *Placer) resize(j *job, used capacity.Size, now time.Time) {
+	j.peak = capacity.Size{Cores: max(j.peak.Cores, used.Cores), Memory: max(j.peak.Memory, used.Memory)}
 	settled := now.Sub(j.status.Started) >= settledUsage
-	each := room.Size{
+	each := capacity.Size{
 		Cores:  min(p.each.Cores, counted(j.peak.Cores, j.status.Job.Cores, j.each.Cores, settled)),
 		Memory: min(p.each.Memory, counted(j.peak.Memory, j.status.Job.Memory, j.each.Memory, settled)),
 	}
@@ -237,7 +237,7 @@
 	}
 	j.each = each
 	metric.Count("placer_resizes_total")
-	p.book.Resize(j.status.Job.ID, each)
+	p.account.Resize(j.status.Job.ID, each)
 	p.dirty = true
-	p.makeRoom(j.members)
+	p.evictOver(j.members)
 }
--- a/internal/placer/rebuild.go
+++ b/internal/placer/rebuild.go
@@ -6,9 +6,9 @@
 	"sort"
 	"time"
 
+	"rhubarbshore/internal/capacity"
 	"rhubarbshore/internal/cell"
 	"rhubarbshore/internal/metric"
-	"rhubarbshore/internal/room"
 	"rhubarbshore/internal/worker"
 	"rhubarbshore/pkg/api"
 )
@@ -235,10 +235,10 @@
 		if !ok {
 			return nil, false
 		}
-		part := cell.Part{Cell: id, Home: -1}
+		part := cell.Part{Cell: id, Bound: -1}
 		if ref.Home != nil {
-			if home, found := p.tree.Find(ref.Home.Level, cell.Slot{Worker: ref.Home.Worker, Index: ref.Home.Index}); found {
-				part.Home, part.Unit = home, ref.Home.Level
+			if bound, found := p.tree.Find(ref.Home.Level, cell.Slot{Worker: ref.Home.Worker, Index: ref.Home.Index}); found {
+				part.Bound, part.Unit = bound, ref.Home.Level
 			}
 		}
 		out = append(out, part)
@@ -268,17 +268,17 @@
 
 // replant builds the tree anew for a changed layout.
 func (p *Placer) replant() {
-	old, book := p.tree, p.book
+	old, book := p.tree, p.account
 	p.tree = cell.NewTree(p.layout)
-	p.book = room.New(room.Config{Racks: p.layout.Racks, Each: p.each})
+	p.account = capacity.New(capacity.Config{Racks: p.layout.Racks, Each: p.each})
 	p.kept = nil
 	for name, w := range p.workers {
 		if w.down {
 			p.tree.SetDown(name, true)
-			p.book.SetDown(name, true)
+			p.account.SetDown(name, true)
 		}
 	}
-	if !p.office || old == nil {
+	if !p.leading || old == nil {
 		return
 	}
 	for _, j := range p.byAge() {
--- a/internal/placer/renew.go
+++ b/internal/placer/renew.go
@@ -21,7 +21,7 @@
 		p.post(func() {
 			w.busy = false
 			w.due = 0
-			if !p.office || !began.Equal(p.since) {
+			if !p.leading || !began.Equal(p.since) {
 				return
 			}
 			if err == nil {
@@ -58,7 +58,7 @@
 	}
 	if r.Running > p.runningOn(w) || r.Running+len(r.Changes) < p.settledOn(w, asked) {
 		// An old call came late, or the worker has lost its table.
-		w.doubt = true
+		w.unknown = true
 		w.rival = true
 		w.visitAt(now)
 	}
--- a/internal/placer/schedule.go
+++ b/internal/placer/schedule.go
@@ -241,7 +241,7 @@
 }
 
 // compact moves small spare jobs out of the reserved cell once the large job
-// has waited for a while and there is room for them elsewhere.
+// has waited for a while and there is capacity for them elsewhere.
 func (p *Placer) compact(now time.Time) {
 	r := p.kept
 	if r == nil || r.moved || now.Sub(r.job.status.Submitted) < patience {
--- a/internal/placer/serve.go
+++ b/internal/placer/serve.go
@@ -27,8 +27,8 @@
 	var fresh *job
 	var failure error
 	err := p.ask(ctx, func() {
-		if !p.office {
-			failure = ErrNoOffice
+		if !p.leading {
+			failure = ErrNotLeading
 			return
 		}
 		if j := p.jobs[in.ID]; j != nil {
@@ -94,13 +94,13 @@
 
 // guaranteed reports whether the customer's guarantees could ever hold the job.
 func (p *Placer) guaranteed(j *job) bool {
-	room := 0
+	free := 0
 	for _, u := range p.tree.Units() {
 		if u.Customer() == j.status.Job.Customer && u.Level() >= j.level {
-			room += cell.Size(u.Level() - j.level)
+			free += cell.Size(u.Level() - j.level)
 		}
 	}
-	return room >= j.status.Job.Cells
+	return free >= j.status.Job.Cells
 }
 
 func (p *Placer) waiting(customer string) int {
@@ -119,8 +119,8 @@
 	var failure error
 	err := p.ask(ctx, func() {
 		j := p.jobs[id]
-		if !p.office || j == nil {
-			failure = ErrNoOffice
+		if !p.leading || j == nil {
+			failure = ErrNotLeading
 			return
 		}
 		p.cancel(j)
@@ -174,7 +174,7 @@
 		}
 		for _, r := range p.layout.Racks {
 			for _, w := range r.Workers {
-				plain := p.book.Used(w.Name)
+				plain := p.account.Used(w.Name)
 				out.Workers = append(out.Workers, api.Worker{
 					Name: w.Name, Zone: p.cfg.Zone, State: p.stateOf(w.Name), Accelerators: w.Accelerators,
 					Used: used[w.Name], Leases: leases[w.Name], Cores: plain.Cores, Memory: plain.Memory,
@@ -194,8 +194,8 @@
 		return "quarantined"
 	case w.down:
 		return "lost"
-	case w.doubt:
-		return "doubtful"
+	case w.unknown:
+		return "unknown"
 	}
 	return "live"
 }
@@ -227,12 +227,12 @@
 	return out, err
 }
 
-// Stray returns, once, the jobs that a lost office left with this process only.
-func (p *Placer) Stray(ctx context.Context) []api.JobStatus {
+// Orphans returns, once, the jobs that a lost lead left with this process only.
+func (p *Placer) Orphans(ctx context.Context) []api.JobStatus {
 	var out []api.JobStatus
 	_ = p.ask(ctx, func() {
-		out = p.stray
-		p.stray = nil
+		out = p.orphans
+		p.orphans = nil
 	})
 	return out
 }
@@ -241,22 +241,22 @@
 // for jobs without accelerators, and how many jobs wait already.
 type Summary struct {
 	Cells   cell.Summary
-	Room    int
+	Free    int
 	Waiting int
 }
 
 // Summary tells what the zone could take. It reports
-// false without office.
+// false that does not lead.
 func (p *Placer) Summary(ctx context.Context) (Summary, bool) {
 	var s Summary
 	ok := false
 	err := p.ask(ctx, func() {
-		if !p.office || !p.ready {
+		if !p.leading || !p.ready {
 			return
 		}
 		ok = true
 		s.Cells = p.tree.Summary()
-		s.Room = p.book.Room()
+		s.Free = p.account.FreeEighths()
 		for customer := range p.jobsMax {
 			s.Waiting += p.waiting(customer)
 		}
@@ -264,7 +264,7 @@
 	return s, ok && err == nil
 }
 
-// Ready reports whether this VM holds office and has rebuilt its state.
+// Ready reports whether this VM leads and has rebuilt its state.
 func (p *Placer) Ready(ctx context.Context) bool {
 	_, ok := p.Summary(ctx)
 	return ok
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -77,7 +77,7 @@
 	req      *request.Request
 	reply    chan api.Response
 	attempts int
-	doubt    bool
+	unknown  bool
 	tried    []string
 	ready    time.Time
 }
@@ -272,8 +272,8 @@
 // tells what became of it.
 func (q *Queue) retry(e ending, now time.Time) {
 	it := e.item
-	sent := errors.Is(e.err, minion.ErrDoubt)
-	it.doubt = it.doubt || sent
+	sent := errors.Is(e.err, minion.ErrUnknownOutcome)
+	it.unknown = it.unknown || sent
 	if reason := q.refuseRetry(it, sent, now); reason != "" {
 		q.giveUp(it, reason)
 		return
@@ -297,7 +297,7 @@
 	case errors.Is(err, minion.ErrUnsent):
 		return "unsent"
 	}
-	return "doubt"
+	return "unknown"
 }
 
 // refuseRetry names the reason against another attempt, if there is one.
@@ -318,7 +318,7 @@
 // giveUp tells the truth about a request that gets no further attempt.
 func (q *Queue) giveUp(it *item, reason string) {
 	outcome := api.NotRun
-	if it.doubt {
+	if it.unknown {
 		outcome = api.Unknown
 	}
 	resp := it.req.Refuse(outcome, reason)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -19,7 +19,7 @@
 	ReasonFull      = "full"
 	ReasonLog       = "log"
 	ReasonGap       = "gap"
-	ReasonHome      = "home"
+	ReasonOwner     = "owner"
 	ReasonTicket    = "ticket"
 	ReasonStopping  = "stopping"
 	ReasonOverload  = "overload"
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// scheduleGang starts a gang as a whole if it can. It reports whether room is
+// scheduleGang starts a gang as a whole if it can. It reports whether capacity is
 // kept for it until running work ends.
 func (c *Core) scheduleGang(now time.Time, s *step, mayReserve bool) bool {
 	for _, t := range s.tasks {
@@ -46,8 +46,8 @@
 	return false
 }
 
-// fitGang finds workers for a gang in free room. Of several racks it takes the one
-// with the least room left, so that others stay free for large gangs.
+// fitGang finds workers for a gang in free capacity. Of several racks it takes the one
+// with the least capacity left, so that others stay free for large gangs.
 func (c *Core) fitGang(now time.Time, s *step) []*worker {
 	var best []*worker
 	least := int64(math.MaxInt64)
@@ -122,15 +122,15 @@
 	n := int64(0)
 	for _, w := range c.racks[rack] {
 		if s.suits(w) {
-			n += times(w.info.Capacity, s.spec.room())
+			n += times(w.info.Capacity, s.spec.demand())
 		}
 	}
 	return n >= int64(len(s.tasks))
 }
 
-// fitAll finds a worker for each task of the step in free room, or returns nil.
+// fitAll finds a worker for each task of the step in free capacity, or returns nil.
 func (c *Core) fitAll(now time.Time, s *step, rack string) []*worker {
-	need := s.spec.room().Accelerators * int64(len(s.tasks))
+	need := s.spec.demand().Accelerators * int64(len(s.tasks))
 	if need > 0 && c.rackFree(now, rack, s.occ.job.level) < need {
 		return nil
 	}
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -64,8 +64,8 @@
 	Fill        bool          `json:"fill,omitempty"`    // uses idle processors only
 }
 
-// room is what a task of the step takes of a worker's capacity.
-func (s *Step) room() Resources {
+// demand is what a task of the step takes of a worker's capacity.
+func (s *Step) demand() Resources {
 	need := s.Need
 	if s.Fill {
 		need.CPU = 0
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// planUrgent keeps room for urgent tasks, all or none, and stops work of lower
+// planUrgent keeps capacity for urgent tasks, all or none, and stops work of lower
 // priority that is in the way, where that loses least.
 func (c *Core) planUrgent(now time.Time, tasks []*task, rack string) {
 	racks := []string{rack}
@@ -91,7 +91,7 @@
 		done[w] = true
 		// The plans themselves are part of what is kept there, so nothing is
 		// needed beside them.
-		stops, _, ok := c.makeRoom(now, w, Resources{}, s.occ.job.level, nil)
+		stops, _, ok := c.victimsOn(now, w, Resources{}, s.occ.job.level, nil)
 		if !ok {
 			dropPlans(tasks)
 			return
@@ -120,11 +120,11 @@
 	}
 }
 
-// cheapest finds the worker on which room for the task costs least, and the runs
+// cheapest finds the worker on which capacity for the task costs least, and the runs
 // to stop there.
 func (c *Core) cheapest(now time.Time, t *task, rack string, victims map[*run]bool) (*worker, []*run, float64) {
 	s := t.step
-	need := s.spec.room()
+	need := s.spec.demand()
 	level := s.occ.job.level
 	var best *worker
 	var bestStops []*run
@@ -133,7 +133,7 @@
 		if !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
 			continue
 		}
-		stops, cost, ok := c.makeRoom(now, w, need, level, victims)
+		stops, cost, ok := c.victimsOn(now, w, need, level, victims)
 		if !ok {
 			continue
 		}
@@ -145,8 +145,8 @@
 	return best, bestStops, bestCost
 }
 
-// makeRoom picks runs of less important work to stop so that need fits on the worker.
-func (c *Core) makeRoom(now time.Time, w *worker, need Resources, level int, victims map[*run]bool) ([]*run, float64, bool) {
+// victimsOn picks runs of less important work to stop so that need fits on the worker.
+func (c *Core) victimsOn(now time.Time, w *worker, need Resources, level int, victims map[*run]bool) ([]*run, float64, bool) {
 	free := w.free(level)
 	type choice struct {
 		r    *run
@@ -155,7 +155,7 @@
 	var choices []choice
 	for _, r := range w.sortedRuns() {
 		if !r.stopping.IsZero() || victims[r] {
-			free = free.plus(r.room)
+			free = free.plus(r.demand)
 			continue
 		}
 		if r.task == nil || r.task.step.occ.job.level <= level || r.task.step.occ.job.level == levelUrgent && level > levelGuaranteed {
@@ -170,7 +170,7 @@
 	var stops []*run
 	cost := 0.0
 	for _, ch := range choices {
-		free = free.plus(ch.r.room)
+		free = free.plus(ch.r.demand)
 		stops = append(stops, ch.r)
 		cost += ch.loss
 		if free.Fits(need) {
@@ -182,7 +182,7 @@
 	}
 	// A large run may have made earlier, smaller choices needless.
 	for i := len(stops) - 2; i >= 0; i-- {
-		if rest := free.minus(stops[i].room); rest.Fits(need) {
+		if rest := free.minus(stops[i].demand); rest.Fits(need) {
 			free = rest
 			cost -= c.loss(now, stops[i])
 			stops = append(stops[:i], stops[i+1:]...)
@@ -192,7 +192,7 @@
 }
 
 // restartLoss is the time in seconds that a stopped run loses besides its work: it
-// waits for room again, and is ordered and started.
+// waits for capacity again, and is ordered and started.
 const restartLoss = 1.5
 
 // waitShare and maxStopWait bound stopWait. Objectives of urgent work leave half
@@ -226,7 +226,7 @@
 	return loss
 }
 
-// reserve keeps room for a gang on the workers that are expected to be free
+// reserve keeps capacity for a gang on the workers that are expected to be free
 // soonest, without stopping anything.
 func (c *Core) reserve(now time.Time, s *step) bool {
 	racks := c.gangRacks(now, s)
@@ -244,7 +244,7 @@
 		wait time.Duration
 	}
 	var options []option
-	need := s.spec.room()
+	need := s.spec.demand()
 	level := s.occ.job.level
 	for _, w := range c.in(rack) {
 		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
@@ -266,7 +266,7 @@
 		}
 		t.setPlan(options[i].w, now.Add(reserveLife))
 	}
-	c.cfg.Logger.Info("room is kept for a gang", "job", s.occ.job.spec.ID, "tasks", len(s.tasks), "rack", rack,
+	c.cfg.Logger.Info("capacity is kept for a gang", "job", s.occ.job.spec.ID, "tasks", len(s.tasks), "rack", rack,
 		"waited_ms", now.Sub(s.since).Milliseconds())
 	return true
 }
@@ -278,8 +278,8 @@
 		return 0
 	}
 	type end struct {
-		room Resources
-		in   time.Duration
+		demand Resources
+		in     time.Duration
 	}
 	var ends []end
 	for _, r := range w.sortedRuns() {
@@ -290,11 +290,11 @@
 				in -= now.Sub(r.begun)
 			}
 		}
-		ends = append(ends, end{r.room, max(in, 0)})
+		ends = append(ends, end{r.demand, max(in, 0)})
 	}
 	sort.SliceStable(ends, func(i, k int) bool { return ends[i].in < ends[k].in })
 	for _, e := range ends {
-		free = free.plus(e.room)
+		free = free.plus(e.demand)
 		if free.Fits(need) {
 			return e.in
 		}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -16,25 +16,25 @@
 	// urgentPatience is the same for jobs of priority 0. They have to begin 2.9 s
 	// after their acceptance, and stopping others takes up to half a second.
 	urgentPatience = 1800 * time.Millisecond
-	// planLife is how long room is kept for a task before the plan is made anew.
+	// planLife is how long capacity is kept for a task before the plan is made anew.
 	planLife = 1500 * time.Millisecond
 	// reserveLife is the same for a gang that waits for work to end by itself:
 	// twice the longest run on the sites.
 	reserveLife = 25 * time.Second
-	// reserveAfter is how long a gang waits before room is kept for it.
+	// reserveAfter is how long a gang waits before capacity is kept for it.
 	reserveAfter = time.Second
 )
 
-// plan is room that is kept for a task until it is free.
+// plan is capacity that is kept for a task until it is free.
 type plan struct {
 	worker *worker
-	room   Resources
+	demand Resources
 	level  int
 	until  time.Time
 }
 
 func (t *task) setPlan(w *worker, until time.Time) {
-	t.plan = &plan{worker: w, room: t.step.spec.room(), level: t.step.occ.job.level, until: until}
+	t.plan = &plan{worker: w, demand: t.step.spec.demand(), level: t.step.occ.job.level, until: until}
 	w.plans = append(w.plans, t.plan)
 }
 
@@ -272,7 +272,7 @@
 			continue
 		}
 		if s.spec.Tight && s.rack == "" {
-			s.rack = c.roomiestRack(now, s)
+			s.rack = c.freestRack(now, s)
 		}
 		w := c.choose(now, t, s.homeRack())
 		if w == nil && s.homeRack() != "" && (now.Sub(s.since) > c.patience(s) || len(c.racks[s.homeRack()]) == 0) {
@@ -291,7 +291,7 @@
 	}
 }
 
-// awaitsPlan starts a task whose planned room is free, and reports whether there
+// awaitsPlan starts a task whose planned capacity is free, and reports whether there
 // is nothing else to do for it now.
 func (c *Core) awaitsPlan(now time.Time, t *task) bool {
 	if t.plan == nil {
@@ -317,19 +317,19 @@
 	return false
 }
 
-// roomiestRack is the rack with room for most of the step's tasks.
-func (c *Core) roomiestRack(now time.Time, s *step) string {
-	room := map[string]int64{}
-	need := s.spec.room()
+// freestRack is the rack with capacity for most of the step's tasks.
+func (c *Core) freestRack(now time.Time, s *step) string {
+	free := map[string]int64{}
+	need := s.spec.demand()
 	best, most := "", int64(0)
 	for _, w := range c.order {
 		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
 			continue
 		}
 		n := times(w.free(s.occ.job.level), need)
-		room[w.info.Rack] += n
-		if room[w.info.Rack] > most {
-			best, most = w.info.Rack, room[w.info.Rack]
+		free[w.info.Rack] += n
+		if free[w.info.Rack] > most {
+			best, most = w.info.Rack, free[w.info.Rack]
 		}
 	}
 	return best
@@ -346,23 +346,23 @@
 	return n
 }
 
-// choose picks the worker for a task: the one with the least room left
+// choose picks the worker for a task: the one with the least capacity left
 // afterwards, so that whole workers stay free for large tasks.
 func (c *Core) choose(now time.Time, t *task, rack string) *worker {
 	s := t.step
-	need := s.spec.room()
+	need := s.spec.demand()
 	key := shape{need, s.occ.job.level, s.occ.job.queue.Service, rack, s.spec.Label}
 	if c.full[key] {
 		return nil
 	}
 	var best *worker
 	var bestCost float64
-	room := false
+	fits := false
 	for _, w := range c.in(rack) {
 		if !w.usable(now, c.cfg.Silence) || !w.free(s.occ.job.level).Fits(need) || !s.suits(w) {
 			continue
 		}
-		room = true
+		fits = true
 		if !s.spreadAllows(w) {
 			continue
 		}
@@ -371,7 +371,7 @@
 			best, bestCost = w, cost
 		}
 	}
-	if !room && !c.planning {
+	if !fits && !c.planning {
 		c.full[key] = true
 	}
 	return best
@@ -398,7 +398,7 @@
 	s := t.step
 	j := s.occ.job
 	t.phase, t.run = placed, number
-	t.live = &run{task: t, name: t.name, number: number, worker: w, room: s.spec.room(), saved: t.saved}
+	t.live = &run{task: t, name: t.name, number: number, worker: w, demand: s.spec.demand(), saved: t.saved}
 	w.add(t.live)
 	if !j.started {
 		j.started = true
@@ -413,11 +413,11 @@
 		Worker: w.id, Address: w.info.Address, Task: t.name, Run: number, Text: j.spec.Text, Saved: t.saved,
 	})
 	c.cfg.Logger.Info("run is started", "task", t.name, "run", number, "worker", w.id, "rack", w.info.Rack,
-		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.since).Milliseconds(), "free_before", w.info.Capacity.minus(w.used).plus(t.live.room).Accelerators,
+		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.since).Milliseconds(), "free_before", w.info.Capacity.minus(w.used).plus(t.live.demand).Accelerators,
 		"rank", j.rank, "saved", t.saved != "")
 }
 
-// startPlanned starts tasks whose planned room has become free, all or none. It
+// startPlanned starts tasks whose planned capacity has become free, all or none. It
 // drops plans that can't be kept.
 func (c *Core) startPlanned(now time.Time, tasks []*task) bool {
 	sum := map[*worker]Resources{}
@@ -429,10 +429,10 @@
 			}
 			return false
 		}
-		sum[w] = sum[w].plus(t.plan.room)
+		sum[w] = sum[w].plus(t.plan.demand)
 	}
-	for w, room := range sum {
-		if !w.info.Capacity.minus(w.used).Fits(room) {
+	for w, demand := range sum {
+		if !w.info.Capacity.minus(w.used).Fits(demand) {
 			return false
 		}
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -43,7 +43,7 @@
 	name     string
 	number   int
 	worker   *worker
-	room     Resources
+	demand   Resources
 	answered time.Time // when the worker last confirmed an order about it
 	begun    time.Time // when it was first listed as running
 	first    float64   // percent at that time
@@ -277,7 +277,7 @@
 	case st.value.Worker != "":
 		w := c.worker(st.value.Worker)
 		t.phase = placed
-		t.live = &run{task: t, name: t.name, number: t.run, worker: w, room: t.step.spec.room(), answered: now, moved: now}
+		t.live = &run{task: t, name: t.name, number: t.run, worker: w, demand: t.step.spec.demand(), answered: now, moved: now}
 		w.add(t.live)
 	case t.fails > 0:
 		t.step.failed = max(t.step.failed, t.run)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -40,7 +40,7 @@
 	runs   map[runKey]*run
 	used   Resources
 	blind  int     // runs of which it isn't known what they take
-	plans  []*plan // room kept for tasks that wait for it
+	plans  []*plan // capacity kept for tasks that wait for it
 	// fails counts runs in a row that failed here.
 	fails     int
 	suspended time.Time // no new work before
@@ -60,16 +60,16 @@
 
 func (w *worker) add(r *run) {
 	w.runs[runKey{r.name, r.number}] = r
-	w.used = w.used.plus(r.room)
+	w.used = w.used.plus(r.demand)
 }
 
-// kept is the room that work of a level must leave to others: what is planned
+// kept is the capacity that work of a level must leave to others: what is planned
 // for work at least as important.
 func (w *worker) kept(level int) Resources {
 	var sum Resources
 	for _, p := range w.plans {
 		if p.level <= level {
-			sum = sum.plus(p.room)
+			sum = sum.plus(p.demand)
 		}
 	}
 	return sum
@@ -252,7 +252,7 @@
 	if r == nil {
 		r = &run{name: row.Task, number: row.Run, worker: w, answered: now}
 		if t := c.find(row.Task); t != nil {
-			r.room = t.step.spec.room()
+			r.demand = t.step.spec.demand()
 		} else {
 			r.blind = true
 			w.blind++
@@ -344,7 +344,7 @@
 	w := r.worker
 	c.changed = true
 	delete(w.runs, runKey{r.name, r.number})
-	w.used = w.used.minus(r.room)
+	w.used = w.used.minus(r.demand)
 	if r.blind {
 		w.blind--
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -309,7 +309,7 @@
 	w.mu.Unlock()
 	if hang {
 		<-ctx.Done()
-		return worker.ErrDoubt
+		return worker.ErrUnknownOutcome
 	}
 	return nil
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -28,8 +28,8 @@
 	ErrRefused = errorx.NewType(namespace, "refused").New("the worker refused")
 	// ErrUnsent: the worker was not reached. The call had no effect.
 	ErrUnsent = errorx.NewType(namespace, "unsent").New("the worker was not reached")
-	// ErrDoubt: the call may have taken effect, now or later.
-	ErrDoubt = errorx.NewType(namespace, "doubt").New("the worker's answer was lost")
+	// ErrUnknownOutcome: the call may have taken effect, now or later.
+	ErrUnknownOutcome = errorx.NewType(namespace, "unknown").New("the worker's answer was lost")
 )
 
 // Reasons that a worker gives with a refusal.
@@ -242,5 +242,5 @@
 	case httpjson.Reason(err) != "":
 		return ErrRefused
 	}
-	return ErrDoubt
+	return ErrUnknownOutcome
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,19 @@
 // Is makes errors.Is(err, ErrRefused) true.
 func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
 
+// UnreachableError is ErrUnreachable with the addresses that were tried.
+type UnreachableError struct {
+	Addresses []string
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return "no entry VM answers at " + strings.Join(e.Addresses, ", ")
+}
+
+// Unwrap makes the error an ErrUnreachable.
+func (*UnreachableError) Unwrap() error { return ErrUnreachable }
+
 // Config constructs a Client. Addresses are those of entry VMs or of a
 // balancer in front of them. Tickets is the size of a block of tickets.
 type Config struct {
@@ -117,7 +131,7 @@
 		return resp, nil
 	case errors.Is(err, httpjson.ErrUnsent):
 		return api.Response{Outcome: api.Retry, Reason: "unreachable", Request: in.ID}, nil
-	case errors.Is(err, httpjson.ErrDoubt):
+	case errors.Is(err, httpjson.ErrUnknownOutcome):
 		return api.Response{Outcome: api.Unknown, Reason: "lost", Request: in.ID}, nil
 	}
 	return resp, err
@@ -126,14 +140,14 @@
 // repeat asks until the outcome is known.
 func (c *Client) repeat(ctx context.Context, in api.Request, o Options) (api.Response, error) {
 	last := api.Response{Outcome: api.Retry, Reason: "unreachable", Request: in.ID}
-	doubt := false
+	unknown := false
 	start := rand.IntN(len(c.addresses()))
 	header := http.Header{}
 	for n := 0; ctx.Err() == nil; n++ {
 		if n > 0 {
 			wait(ctx, n)
 		}
-		if len(header) == 0 || o.Key == "" && !doubt {
+		if len(header) == 0 || o.Key == "" && !unknown {
 			h, err := c.identify(ctx, o)
 			if err != nil {
 				continue
@@ -148,13 +162,13 @@
 			last = resp
 			c.Forget()
 		case errors.Is(err, httpjson.ErrUnsent):
-		case errors.Is(err, httpjson.ErrDoubt):
-			doubt = true
+		case errors.Is(err, httpjson.ErrUnknownOutcome):
+			unknown = true
 		default:
 			return last, err
 		}
 	}
-	if doubt {
+	if unknown {
 		return api.Response{Outcome: api.Unknown, Reason: "lost", Request: in.ID}, nil
 	}
 	return last, nil
@@ -220,7 +234,7 @@
 			return nil
 		}
 	}
-	return ErrUnreachable
+	return c.unreachable()
 }
 
 // Forget drops the tickets in store, for example after their entry VM failed.
@@ -235,6 +249,8 @@
 	c.at.Store(&addresses)
 }
 
+func (c *Client) unreachable() error { return &UnreachableError{Addresses: c.addresses()} }
+
 func (c *Client) addresses() []string { return *c.at.Load() }
 
 func (c *Client) pick(n int) string {
@@ -257,7 +273,7 @@
 		return resp, refused(err)
 	}
 	if resp.Outcome == "" || resp.Request != in.ID && resp.Request != "" || resp.Hash != "" && resp.Hash != httpjson.Hash(resp.Body) {
-		return resp, httpjson.ErrDoubt
+		return resp, httpjson.ErrUnknownOutcome
 	}
 	return resp, nil
 }
@@ -280,7 +296,15 @@
 			return out, nil
 		}
 	}
-	return out, refused(err)
+	return out, c.answer(err)
+}
+
+// answer is the error of a call that every entry VM was asked in vain.
+func (c *Client) answer(err error) error {
+	if errors.Is(err, httpjson.ErrUnsent) {
+		return c.unreachable()
+	}
+	return refused(err)
 }
 
 // Submit hands a job in. The zone is chosen first, if the job names none, so
@@ -297,7 +321,7 @@
 		}
 		j.Zone = v.Zone
 	}
-	doubt := false
+	unknown := false
 	for n := 0; ctx.Err() == nil; n++ {
 		if n > 0 {
 			wait(ctx, n)
@@ -314,13 +338,13 @@
 			return api.JobStatus{Job: j}, refused(err)
 		case errors.Is(err, httpjson.ErrUnsent):
 		default:
-			doubt = true
+			unknown = true
 		}
 	}
-	if doubt {
+	if unknown {
 		return api.JobStatus{Job: j}, ErrUnsettled
 	}
-	return api.JobStatus{Job: j}, ErrUnreachable
+	return api.JobStatus{Job: j}, c.unreachable()
 }
 
 // Cancel ends a job.
@@ -334,7 +358,7 @@
 			return status, nil
 		}
 	}
-	return status, refused(err)
+	return status, c.answer(err)
 }
 
 // Jobs lists the jobs of all zones that answer.
@@ -376,10 +400,10 @@
 			continue
 		}
 		var refusal *httpjson.StatusError
-		if errors.Is(err, httpjson.ErrDoubt) || errors.As(err, &refusal) && refusal.Status == api.Unknown.Status() {
+		if errors.Is(err, httpjson.ErrUnknownOutcome) || errors.As(err, &refusal) && refusal.Status == api.Unknown.Status() {
 			return out, ErrUnsettled
 		}
 		return out, refused(err)
 	}
-	return api.Published{}, ErrUnreachable
+	return api.Published{}, c.unreachable()
 }
