The leader's loop tells what it spends its rounds on

Cause: logs couldn't tell a leader that is starved of its processor from one whose loop is kept from scheduling, nor which part of a round costs what.

Ruled out: a profile in the daemon (the platform's processes can hand none out).

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -55,6 +55,8 @@
 	records []store.Record
 }
 
+func (jobsEvent) kind() kind { return kindJobs }
+
 func (e jobsEvent) apply(t *term, now time.Time) {
 	t.fresh[e.part] = now
 	t.addJobs(now, e.records)
@@ -88,6 +90,8 @@
 
 type registryEvent struct{ reg fleet.Registry }
 
+func (registryEvent) kind() kind { return kindRegistry }
+
 func (e registryEvent) apply(t *term, now time.Time) {
 	if e.reg.Whole {
 		listed := make(map[string]bool, len(e.reg.Workers))
@@ -117,6 +121,8 @@
 	err     error
 }
 
+func (question) kind() kind { return kindQuestion }
+
 func (q question) apply(t *term, now time.Time) {
 	var out reply
 	switch {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -147,7 +147,8 @@
 	forgotAt time.Time
 	unstored map[string]bool // jobs whose outcome isn't stored yet
 
-	// lastWrite and failing are read from other goroutines.
+	// The rest is read from other goroutines.
+	progress  progress
 	lastWrite atomic.Int64 // Unix nanoseconds of the last write that succeeded
 	failing   atomic.Bool
 }
@@ -170,7 +171,10 @@
 }
 
 // event changes the leader's state; the loop applies one after the other.
-type event interface{ apply(t *term, now time.Time) }
+type event interface {
+	apply(t *term, now time.Time)
+	kind() kind
+}
 
 // WriteAge returns how long the leader's writes have failed, or 0.
 func (l *Leader) WriteAge() time.Duration {
@@ -203,6 +207,8 @@
 		go t.followJobs(ctx, part, in.jobsNext[part])
 	}
 	go t.followRegistry(ctx, in.registry.Next)
+	t.progress.ended.Store(t.cfg.Now().UnixNano())
+	go t.report(ctx)
 	l.current.Store(t)
 	t.loop(ctx)
 	l.current.CompareAndSwap(t, nil)
@@ -214,15 +220,17 @@
 	defer ticker.Stop()
 	t.maintain(ctx, t.cfg.Now())
 	for {
+		var begun time.Time
 		select {
 		case <-ctx.Done():
 			return
 		case ev := <-t.inbox:
-			now := t.cfg.Now()
-			ev.apply(t, now)
+			begun = t.cfg.Now()
+			t.apply(ev, begun)
 			t.drain()
 		case <-ticker.C:
 			now := t.cfg.Now()
+			begun = now
 			if snap := t.cfg.Catalog(); snap != nil && snap.Offset() > t.version {
 				t.setPolicy(snap)
 			}
@@ -231,11 +239,19 @@
 		}
 		now := t.cfg.Now()
 		t.collect(t.core.Flush(now))
+		scheduled := t.cfg.Now()
 		t.store(ctx, now)
 		t.maintain(ctx, now)
+		t.progress.round(begun, now, scheduled, t.cfg.Now())
 	}
 }
 
+// apply takes an event in.
+func (t *term) apply(ev event, now time.Time) {
+	ev.apply(t, now)
+	t.progress.took(ev.kind())
+}
+
 // drain applies what else has arrived, so that one round of scheduling and one
 // append serve it all. Each event is taken in at a time after its arrival: an answer
 // that seemed older than it is would make a run look lost that was begun meanwhile.
@@ -243,7 +259,7 @@
 	for {
 		select {
 		case ev := <-t.inbox:
-			ev.apply(t, t.cfg.Now())
+			t.apply(ev, t.cfg.Now())
 		default:
 			return
 		}
@@ -348,6 +364,8 @@
 
 type storedEvent struct{ err error }
 
+func (storedEvent) kind() kind { return kindStored }
+
 func (e storedEvent) apply(t *term, now time.Time) { t.stored(now, e.err) }
 
 // stored carries out what waited for the batch under way.
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -186,6 +186,8 @@
 	asked fleet.Renewal
 }
 
+func (heldEvent) kind() kind { return kindRenewal }
+
 func (e heldEvent) apply(t *term, now time.Time) {
 	l := t.links[e.id]
 	if l == nil {
@@ -323,6 +325,8 @@
 	result scheduler.StartResult
 }
 
+func (startedEvent) kind() kind { return kindStart }
+
 func (e startedEvent) apply(t *term, now time.Time) {
 	t.core.StartAnswered(now, e.start.Worker, e.start.Task, e.start.Run, e.result)
 	if l := t.links[e.start.Worker]; l != nil {
@@ -356,6 +360,8 @@
 
 type stoppedEvent struct{ stop scheduler.Stop }
 
+func (stoppedEvent) kind() kind { return kindStop }
+
 func (e stoppedEvent) apply(t *term, now time.Time) {
 	t.core.StopAnswered(now, e.stop.Worker, e.stop.Task, e.stop.Run)
 	if l := t.links[e.stop.Worker]; l != nil {
