A fenced leader takes no more answers in; a panic of the leader ends its term only

Cause: a worker's answer that a later leader has called was applied as a failed write: it cleared the write under way and ended the term. The loop went on with what was queued, and the answer of that write, sent before the later leader fenced the stream, found no write under way: a nil dereference in term.stored. Class: events handled after the state they belong to is gone.

Ruled out: put of a record that can't be encoded; concurrent maps (all maps of the term belong to its loop; the race detector finds none in the drawn histories).

Change: deposition is an event of its own. Once the term has ended, the loop takes in nothing more, schedules nothing and starts no write (it began one more write before). Goroutines of the term recover: a panic is logged as one line with its stack, counted, and ends the term. A panic in another part of the daemon is logged the same way, and the process ends through its usual exit. Panics in HTTP handlers go to the log, too.

--- a/internal/cmd/join/join.go
+++ b/internal/cmd/join/join.go
@@ -57,14 +57,19 @@
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
-	for sig := range o.signals {
-		if sig != syscall.SIGHUP {
+	for {
+		select {
+		case err := <-n.Failed():
+			return err
+		case sig := <-o.signals:
+			if sig == syscall.SIGHUP {
+				again, err := platform.Load()
+				logger.Info("settings read again", "zone", again.Zone, "error", err)
+				continue
+			}
 			logger.Info("stopping", "signal", sig.String())
-			break
+			n.Stop()
+			return nil
 		}
-		again, err := platform.Load()
-		logger.Info("settings read again", "zone", again.Zone, "error", err)
 	}
-	n.Stop()
-	return nil
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -194,6 +196,7 @@
 		links: map[string]*link{}, pending: batch{seen: map[string]note{}}, unstored: map[string]bool{},
 		core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
 	}
+	defer t.recovered()
 	t.lastWrite.Store(time.Now().UnixNano())
 	in, err := t.load(ctx)
 	if err != nil {
@@ -204,14 +207,32 @@
 	t.cfg.Logger.Info("leading", "epoch", epoch, "load_ms", time.Since(t.begun).Milliseconds(), "workers", len(t.links))
 	metric.Seconds("load_seconds", time.Since(t.begun))
 	for part := range intake.Parts {
-		go t.followJobs(ctx, part, in.jobsNext[part])
+		t.spawn(func() { t.followJobs(ctx, part, in.jobsNext[part]) })
 	}
-	go t.followRegistry(ctx, in.registry.Next)
+	t.spawn(func() { t.followRegistry(ctx, in.registry.Next) })
 	t.progress.ended.Store(t.cfg.Now().UnixNano())
-	go t.report(ctx)
+	t.spawn(func() { t.report(ctx) })
 	l.current.Store(t)
+	defer l.current.CompareAndSwap(t, nil)
 	t.loop(ctx)
-	l.current.CompareAndSwap(t, nil)
+}
+
+// recovered ends a term that panicked, not the process: the next leader reads the same
+// stored state, and this VM goes on to take jobs in.
+func (t *term) recovered() {
+	if v := recover(); v != nil {
+		metric.Count("panics_total")
+		t.cfg.Logger.Error("leader panicked", "epoch", t.epoch, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+		t.end()
+	}
+}
+
+// spawn runs f beside the loop. A panic of f ends the term.
+func (t *term) spawn(f func()) {
+	go func() {
+		defer t.recovered()
+		f()
+	}()
 }
 
 // loop owns the scheduler's state.
@@ -219,7 +240,7 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	t.maintain(ctx, t.cfg.Now())
-	for {
+	for ctx.Err() == nil {
 		var begun time.Time
 		select {
 		case <-ctx.Done():
@@ -237,6 +258,9 @@
 			t.core.Tick(now)
 			t.lapse(now)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		now := t.cfg.Now()
 		t.collect(t.core.Flush(now))
 		scheduled := t.cfg.Now()
@@ -256,7 +280,7 @@
 // append serve it all. Each event is taken in at a time after its arrival: an answer
 // that seemed older than it is would make a run look lost that was begun meanwhile.
 func (t *term) drain() {
-	for {
+	for t.ctx.Err() == nil {
 		select {
 		case ev := <-t.inbox:
 			t.apply(ev, t.cfg.Now())
@@ -269,7 +293,7 @@
 // collect sends stops and adds the rest to what is to be stored.
 func (t *term) collect(e scheduler.Effects) {
 	for _, s := range e.Stops {
-		go t.stop(t.ctx, s)
+		t.spawn(func() { t.stop(t.ctx, s) })
 	}
 	for _, r := range e.Records {
 		t.pending.records = append(t.pending.records, store.Record{Key: r.Key, Value: r.Value})
@@ -293,7 +317,7 @@
 	b := t.nextBatch()
 	t.flight = &b
 	if len(b.records) == 0 && !idle {
-		t.stored(now, nil)
+		t.stored(now)
 		return
 	}
 	if len(b.records) == 0 {
@@ -301,7 +325,8 @@
 	}
 	t.sequence++
 	b.sent = now
-	go t.append(ctx, &b, t.sequence)
+	sequence := t.sequence
+	t.spawn(func() { t.append(ctx, &b, sequence) })
 }
 
 // nextBatch takes what is pending. If that is more than one append may carry, it
@@ -340,7 +365,7 @@
 			return
 		}
 		if errors.Is(err, store.ErrFenced) {
-			t.post(ctx, storedEvent{err: ErrDeposed})
+			t.post(ctx, deposedEvent{by: "the store"})
 			return
 		}
 		t.failing.Store(true)
@@ -362,27 +387,34 @@
 	}
 }
 
-type storedEvent struct{ err error }
+// deposedEvent tells that another VM leads. It ends the term: events after it, such as
+// the answer to a write sent before, aren't taken in.
+type deposedEvent struct{ by string }
+
+func (deposedEvent) kind() kind { return kindStored }
+
+func (e deposedEvent) apply(t *term, _ time.Time) {
+	t.cfg.Logger.Warn("leader is deposed", "epoch", t.epoch, "by", e.by, "error", ErrDeposed)
+	t.end()
+}
+
+type storedEvent struct{}
 
 func (storedEvent) kind() kind { return kindStored }
 
-func (e storedEvent) apply(t *term, now time.Time) { t.stored(now, e.err) }
+func (storedEvent) apply(t *term, now time.Time) { t.stored(now) }
 
 // stored carries out what waited for the batch under way.
-func (t *term) stored(now time.Time, err error) {
+func (t *term) stored(now time.Time) {
 	b := t.flight
 	t.flight = nil
-	if err != nil {
-		t.cfg.Logger.Warn("leader is deposed", "epoch", t.epoch, "error", err)
-		t.end()
-		return
-	}
 	for _, s := range b.starts {
 		if l := t.links[s.Worker]; l != nil {
 			// However late it is carried out, the lease ends before the next leader
 			// stops waiting for those that were ordered when the batch was sent.
 			until := earlier(now.Add(startLease), b.sent.Add(t.cfg.Scheduler.MaxLease))
-			go t.start(t.ctx, s, l.deadline(now, until.Sub(now)))
+			deadline := l.deadline(now, until.Sub(now))
+			t.spawn(func() { t.start(t.ctx, s, deadline) })
 			l.granted(now, until.Sub(now))
 			l.poke()
 		}
@@ -402,7 +434,8 @@
 	}
 	if len(t.forget) > 0 && time.Since(t.forgotAt) > forgetEvery {
 		t.forgotAt = time.Now()
-		go t.dropJobs(t.forget)
+		ids := t.forget
+		t.spawn(func() { t.dropJobs(ids) })
 		t.forget = nil
 	}
 }
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -146,7 +146,8 @@
 			l.granted(now, grant)
 		}
 		l.busy, l.renewed = true, now
-		go t.hold(ctx, l.id, l.address, r)
+		id, address := l.id, l.address
+		t.spawn(func() { t.hold(ctx, id, address, r) })
 	}
 }
 
@@ -196,8 +197,7 @@
 	l.busy = false
 	switch {
 	case e.err == nil && e.held.Verdict == fleet.Fenced:
-		t.cfg.Logger.Warn("worker obeys a later leader", "worker", e.id, "epoch", t.epoch)
-		t.end()
+		deposedEvent{by: "worker " + e.id}.apply(t, now)
 		return
 	case e.err != nil || e.held.Verdict != fleet.Taken:
 		e.failed(t, l, now)
@@ -300,7 +300,7 @@
 			"unanswered", unanswered, "error", lastErr, "took_ms", time.Since(begun).Milliseconds())
 	}
 	if last == fleet.Fenced && lastErr == nil {
-		t.post(ctx, storedEvent{err: ErrDeposed})
+		t.post(ctx, deposedEvent{by: "worker " + s.Worker})
 		return
 	}
 	t.post(ctx, startedEvent{s, result})
@@ -345,7 +345,7 @@
 		cancel()
 		if err == nil {
 			if a.Verdict == fleet.Fenced {
-				t.post(ctx, storedEvent{err: ErrDeposed})
+				t.post(ctx, deposedEvent{by: "worker " + s.Worker})
 				return
 			}
 			if a.Verdict == fleet.Taken || a.Verdict == fleet.Old {
--- a/internal/leader/progress_test.go
+++ b/internal/leader/progress_test.go
@@ -160,3 +160,35 @@
 		}
 	})
 }
+
+// panicking panics at the first start.
+type panicking struct {
+	leader.Workers
+	once sync.Once
+}
+
+func (p *panicking) Start(ctx context.Context, o scheduler.Start, token, deadline int64) (fleet.OrderAnswer, error) {
+	p.once.Do(func() { panic("a fault of the leader") })
+	return p.Workers.Start(ctx, o, token, deadline)
+}
+
+// A panic of the leader ends its term, not the process, and the next leader finishes
+// what was begun: the process of a VM that takes jobs in was once ended by it.
+func TestPanicEndsTheTermOnly(t *testing.T) {
+	broken := run(t, 4, func(p *pool) {
+		faulty := &panicking{}
+		p.wrap = func(c leader.Config) leader.Config {
+			faulty.Workers = c.Workers
+			c.Workers = faulty
+			return c
+		}
+		first := p.elect()
+		p.submit(job(1, 1, step(8, 2)))
+		<-first.over
+		p.elect()
+		if open := p.settled(3 * testLease); len(open) > 0 {
+			t.Errorf("not over: %v", open)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -62,6 +63,9 @@
 	maxHeader   = 16 << 10
 )
 
+// ErrPanicked is delivered by Failed after a panic; the log has the stack.
+var ErrPanicked = errorx.NewType(errorx.NewNamespace("node"), "panicked").New("a part of the daemon panicked")
+
 // Config constructs a Node.
 type Config struct {
 	Settings platform.Settings
@@ -79,6 +83,7 @@
 	intake   *intake.Intake
 	stopping atomic.Bool
 	cancel   context.CancelFunc
+	failed   chan error
 	servers  []*http.Server
 	wg       sync.WaitGroup
 }
@@ -89,7 +94,7 @@
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB) * (1 << 20)))
 	}
-	n := &Node{cfg: cfg, source: platform.NewStore(platform.NewHTTPClient(storeConns, dialTimeout), set.Store)}
+	n := &Node{cfg: cfg, failed: make(chan error, 1), source: platform.NewStore(platform.NewHTTPClient(storeConns, dialTimeout), set.Store)}
 	n.log = store.Watch(n.source)
 	n.leader = leader.New(leader.Config{
 		Log: n.log, Registry: n.source, Workers: platform.NewWorkers(platform.NewHTTPClient(workerConns, dialTimeout)),
@@ -133,7 +138,10 @@
 		}
 	}
 	for _, run := range []func(context.Context){n.followConfig, n.member.Run, n.intake.Run} {
-		n.wg.Go(func() { run(ctx) })
+		n.wg.Go(func() {
+			defer n.recovered()
+			run(ctx)
+		})
 	}
 	if len(set.Duties) > 0 {
 		n.cfg.Logger.Warn("the platform asks for duties that are not built", "duties", set.Duties)
@@ -142,13 +150,32 @@
 	return nil
 }
 
+// recovered reports a panic of one of the daemon's parts, which can't go on then.
+func (n *Node) recovered() {
+	if v := recover(); v != nil {
+		metric.Count("panics_total")
+		n.cfg.Logger.Error("daemon panicked", "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+		select {
+		case n.failed <- ErrPanicked:
+		default:
+		}
+	}
+}
+
+// Failed delivers an error once the daemon can't go on. The process should end, so that
+// a new one starts.
+func (n *Node) Failed() <-chan error { return n.failed }
+
 func (n *Node) listen(ctx context.Context, address string, h http.Handler) error {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return errorx.Decorate(err, "listen")
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * minimumIdle, MaxHeaderBytes: maxHeader}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * minimumIdle, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(n.cfg.Logger.Handler(), slog.LevelError),
+	}
 	n.servers = append(n.servers, srv)
 	n.wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
