Questions are answered beside the leader's loop, and a round takes a bounded number of events

Cause: the loop applied events for as long as any were queued, and scheduled, stored and renewed leases only then. Each cancellation among them ran a whole round of scheduling, 0.1 to 0.3 s on such a VM in a full pool. Once events came faster than that, the loop never got out: no write, no start, no renewal. Other VMs gave up on their questions after 700 ms and asked again, which kept the queue filled. Class: unbounded work before the work that must go on, kept up by retries.

Ruled out: memory (65 MB of 184); the store (no failed write); a full queue (2,967 of 4,096); the network (renewals weren't sent).

Change: a round takes at most 256 events. States of jobs and numbers of waiting jobs are answered from a table that the loop publishes; an outcome shows once it is stored, as before, and 'unknown' needs a reading of the stream within 2.5 s, now counted from when the records were read, not from when they were taken in. A cancellation runs no round. While a write is under way nothing is scheduled, since nothing could start; that was one round for nearly each event.

--- /dev/null
+++ b/internal/leader/answers.go
@@ -0,0 +1,155 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/scheduler"
+)
+
+// countEvery spaces the counting of waiting jobs, which may be two seconds old.
+const countEvery = 500 * time.Millisecond
+
+// answers is what the leader tells about jobs. The loop writes it; questions are
+// answered from it beside the loop, so that any number of them costs the loop nothing.
+type answers struct {
+	mu      sync.Mutex
+	jobs    map[string]view
+	waiting map[string]int
+	counted time.Time
+	fresh   [intake.Parts]time.Time // when the newest records read of each stream were there
+}
+
+// view is what is known of a job. An outcome shows once it is stored.
+type view struct {
+	state    scheduler.State
+	customer string
+}
+
+// show publishes what the scheduler knows of a job.
+func (a *answers) show(core *scheduler.Core, id string) {
+	state, customer, known := core.Owner(id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !known {
+		delete(a.jobs, id)
+		return
+	}
+	a.jobs[id] = view{state, customer}
+}
+
+// read notes that all records that a stream of jobs had at a time are taken in.
+func (a *answers) read(part int, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fresh[part] = at
+}
+
+// count publishes the numbers of waiting jobs once in a while.
+func (a *answers) count(now time.Time, core *scheduler.Core) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.counted) >= countEvery {
+		a.waiting, a.counted = core.Waiting(), now
+	}
+}
+
+// state looks a job up for a customer. A job is unknown for sure only if the streams of
+// jobs were read lately.
+func (a *answers) state(now time.Time, id, customer string) (scheduler.State, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v, known := a.jobs[id]
+	switch {
+	case known && scheduler.MaySee(customer, v.customer):
+		return v.state, nil
+	case now.Sub(a.fresh[intake.PartOf(id)]) > feedFresh:
+		return "", ErrNotSure
+	}
+	return "", scheduler.ErrUnknown
+}
+
+// State returns the state of a customer's job.
+func (l *Leader) State(_ context.Context, id, customer string) (scheduler.State, error) {
+	t := l.current.Load()
+	if t == nil || t.ctx.Err() != nil {
+		return "", ErrDeposed
+	}
+	return t.answers.state(t.cfg.Now(), id, customer)
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (l *Leader) Waiting(_ context.Context, queue string) (int, error) {
+	t := l.current.Load()
+	if t == nil || t.ctx.Err() != nil {
+		return 0, ErrDeposed
+	}
+	t.answers.mu.Lock()
+	defer t.answers.mu.Unlock()
+	if t.cfg.Now().Sub(t.answers.counted) > feedFresh {
+		return 0, ErrNotSure
+	}
+	return t.answers.waiting[queue], nil
+}
+
+// Cancel ends a job; its end is stored when it returns.
+func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
+	t := l.current.Load()
+	if t == nil {
+		return "", ErrDeposed
+	}
+	c := cancellation{id, customer, make(chan cancelled, 1)}
+	select {
+	case t.inbox <- c:
+	case <-t.ctx.Done():
+		return "", ErrDeposed
+	case <-ctx.Done():
+		return "", ErrNotSure
+	}
+	select {
+	case out := <-c.answer:
+		return out.state, out.err
+	case <-t.ctx.Done():
+		return "", ErrDeposed
+	case <-ctx.Done():
+		return "", ErrNotSure
+	}
+}
+
+// cancellation asks the loop to end a job. It is answered once the outcome is stored.
+type cancellation struct {
+	job, customer string
+	answer        chan cancelled
+}
+
+type cancelled struct {
+	state scheduler.State
+	err   error
+}
+
+func (cancellation) kind() kind { return kindCancel }
+
+func (c cancellation) apply(t *term, now time.Time) {
+	var out cancelled
+	out.state, out.err = t.core.Cancel(now, c.job, c.customer)
+	t.collect(t.core.Take())
+	if errors.Is(out.err, scheduler.ErrUnknown) {
+		_, out.err = t.answers.state(now, c.job, c.customer)
+	}
+	send := func() { c.answer <- out }
+	switch {
+	case !t.unstored[c.job]:
+		send()
+	case t.flight != nil && !slices.Contains(t.pending.outcome, c.job):
+		t.flight.replies = append(t.flight.replies, send)
+	default:
+		t.pending.replies = append(t.pending.replies, send)
+	}
+}
+
+// Leading reports whether this VM schedules at present.
+func (l *Leader) Leading() bool { return l.current.Load() != nil }
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"rhubarbshore/internal/fleet"
@@ -36,7 +35,7 @@
 			records, next, err := t.newest(ctx, stream)
 			if err == nil {
 				from = next
-				t.post(ctx, jobsEvent{part, records})
+				t.post(ctx, jobsEvent{part, records, t.cfg.Now()})
 			}
 		case err != nil:
 			if failures++; failures%logEvery == 1 && ctx.Err() == nil {
@@ -45,7 +44,7 @@
 			time.Sleep(retryPause * 5)
 		default:
 			from, failures = page.Next, 0
-			t.post(ctx, jobsEvent{part, page.Records})
+			t.post(ctx, jobsEvent{part, page.Records, t.cfg.Now()})
 		}
 	}
 }
@@ -53,13 +52,15 @@
 type jobsEvent struct {
 	part    int
 	records []store.Record
+	read    time.Time
 }
 
 func (jobsEvent) kind() kind { return kindJobs }
 
 func (e jobsEvent) apply(t *term, now time.Time) {
-	t.fresh[e.part] = now
 	t.addJobs(now, e.records)
+	t.collect(t.core.Take())
+	t.answers.read(e.part, e.read)
 }
 
 // followRegistry reads changes of the workers' entries from an offset on.
@@ -106,86 +107,3 @@
 	}
 	t.seeWorkers(now, e.reg)
 }
-
-// question is asked of the loop; answer is called once, perhaps after a change
-// is stored.
-type question struct {
-	job, cancel, queue string
-	customer           string
-	answer             chan reply
-}
-
-type reply struct {
-	state   scheduler.State
-	waiting int
-	err     error
-}
-
-func (question) kind() kind { return kindQuestion }
-
-func (q question) apply(t *term, now time.Time) {
-	var out reply
-	switch {
-	case q.job != "":
-		out.state, out.err = t.core.JobState(q.job, q.customer)
-	case q.cancel != "":
-		out.state, out.err = t.core.Cancel(now, q.cancel, q.customer)
-		t.collect(t.core.Flush(now))
-	default:
-		out.waiting = t.core.Waiting(q.queue)
-	}
-	if errors.Is(out.err, scheduler.ErrUnknown) && now.Sub(t.fresh[intake.PartOf(q.job+q.cancel)]) > feedFresh {
-		out.err = ErrNotSure
-	}
-	send := func() { q.answer <- out }
-	id := q.job + q.cancel
-	switch {
-	case !t.unstored[id]:
-		send()
-	case t.flight != nil && !slices.Contains(t.pending.outcome, id):
-		t.flight.replies = append(t.flight.replies, send)
-	default:
-		t.pending.replies = append(t.pending.replies, send)
-	}
-}
-
-// ask puts a question to the loop.
-func (l *Leader) ask(ctx context.Context, q question) reply {
-	t := l.current.Load()
-	if t == nil {
-		return reply{err: ErrDeposed}
-	}
-	q.answer = make(chan reply, 1)
-	select {
-	case t.inbox <- q:
-	case <-ctx.Done():
-		return reply{err: ErrNotSure}
-	}
-	select {
-	case out := <-q.answer:
-		return out
-	case <-ctx.Done():
-		return reply{err: ErrNotSure}
-	}
-}
-
-// State returns the state of a customer's job.
-func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
-	out := l.ask(ctx, question{job: id, customer: customer})
-	return out.state, out.err
-}
-
-// Cancel ends a job; its end is stored when it returns.
-func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
-	out := l.ask(ctx, question{cancel: id, customer: customer})
-	return out.state, out.err
-}
-
-// Waiting counts the jobs of a queue of which no task has started.
-func (l *Leader) Waiting(ctx context.Context, queue string) (int, error) {
-	out := l.ask(ctx, question{queue: queue})
-	return out.waiting, out.err
-}
-
-// Leading reports whether this VM schedules at present.
-func (l *Leader) Leading() bool { return l.current.Load() != nil }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -106,6 +106,9 @@
 	lapseSlack = 250 * time.Millisecond
 	// events bounds the queue of the leader's loop.
 	events = 4096
+	// roundEvents bounds the events of a round. At the 1 ms that the heaviest take on a
+	// VM with 0.19 cores, a round of them is a quarter of a second.
+	roundEvents = 256
 	// recordOverhead is what a record takes beside its key and value, in bytes.
 	recordOverhead = 8
 	// forgetEvery spaces the dropping of descriptions of jobs that are over.
@@ -144,12 +147,12 @@
 	flight   *batch
 	sequence int64
 	version  int64
-	fresh    [intake.Parts]time.Time // when each stream of jobs was last read
 	forget   []string                // jobs whose outcome is stored and whose description is not yet dropped
 	forgotAt time.Time
 	unstored map[string]bool // jobs whose outcome isn't stored yet
 
 	// The rest is read from other goroutines.
+	answers   answers
 	progress  progress
 	lastWrite atomic.Int64 // Unix nanoseconds of the last write that succeeded
 	failing   atomic.Bool
@@ -194,7 +197,7 @@
 	t := &term{
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, ctx: ctx, begun: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{seen: map[string]note{}}, unstored: map[string]bool{},
-		core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
+		answers: answers{jobs: map[string]view{}}, core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
 	}
 	defer t.recovered()
 	t.lastWrite.Store(time.Now().UnixNano())
@@ -257,12 +260,18 @@
 			}
 			t.core.Tick(now)
 			t.lapse(now)
+			t.answers.count(now, t.core)
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		now := t.cfg.Now()
-		t.collect(t.core.Flush(now))
+		if t.flight == nil {
+			t.collect(t.core.Flush(now))
+		} else {
+			// Nothing can start before the write under way is answered.
+			t.collect(t.core.Take())
+		}
 		scheduled := t.cfg.Now()
 		t.store(ctx, now)
 		t.maintain(ctx, now)
@@ -277,10 +286,15 @@
 }
 
 // drain applies what else has arrived, so that one round of scheduling and one
-// append serve it all. Each event is taken in at a time after its arrival: an answer
-// that seemed older than it is would make a run look lost that was begun meanwhile.
+// append serve it all. It takes no more than roundEvents: events may arrive as fast as
+// they are applied, and renewals and writes must not wait for that to end. Each event
+// is taken in at a time after its arrival: an answer that seemed older than it is would
+// make a run look lost that was begun meanwhile.
 func (t *term) drain() {
-	for t.ctx.Err() == nil {
+	for range roundEvents {
+		if t.ctx.Err() != nil {
+			return
+		}
 		select {
 		case ev := <-t.inbox:
 			t.apply(ev, t.cfg.Now())
@@ -302,6 +316,11 @@
 		t.unstored[id] = true
 		t.pending.outcome = append(t.pending.outcome, id)
 	}
+	for _, id := range e.Changed {
+		if !t.unstored[id] {
+			t.answers.show(t.core, id)
+		}
+	}
 	t.pending.starts = append(t.pending.starts, e.Starts...)
 }
 
@@ -427,6 +446,7 @@
 	}
 	for _, id := range b.outcome {
 		delete(t.unstored, id)
+		t.answers.show(t.core, id)
 	}
 	t.forget = append(t.forget, b.outcome...)
 	for _, reply := range b.replies {
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -105,9 +105,13 @@
 	}
 	for part := range in.jobs {
 		t.addJobs(now, in.jobs[part])
-		t.fresh[part] = in.requested
 	}
 	t.seeWorkers(now, in.registry)
+	t.collect(t.core.Take())
+	for part := range in.jobs {
+		t.answers.read(part, in.requested)
+	}
+	t.answers.count(now, t.core)
 }
 
 // retry repeats a reading until it succeeds or ctx ends.
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -18,13 +18,13 @@
 	kindStored
 	kindJobs
 	kindRegistry
-	kindQuestion
+	kindCancel
 	kinds // their number
 )
 
 // String names the kind in logs and metrics.
 func (k kind) String() string {
-	return [...]string{"renewal", "start", "stop", "stored", "jobs", "registry", "question"}[k]
+	return [...]string{"renewal", "start", "stop", "stored", "jobs", "registry", "cancel"}[k]
 }
 
 // reportEvery spaces the lines about the loop's progress.
--- a/internal/leader/progress_test.go
+++ b/internal/leader/progress_test.go
@@ -17,11 +17,13 @@
 )
 
 // eventCost is what an event costs a VM with 0.19 cores in the plays of the incident,
-// and askers is how many calls other VMs repeat: more than it can answer in askAgain.
+// and askers is how many calls other VMs repeat after askAgain and askPause: more than
+// it can answer.
 const (
 	eventCost = time.Millisecond
 	askers    = 1500
 	askAgain  = 700 * time.Millisecond
+	askPause  = 60 * time.Millisecond
 )
 
 // Questions and cancellations that arrive faster than a small VM takes them in keep it
@@ -49,6 +51,7 @@
 						_, _ = p.last().leader.State(call, job(1, 1).ID, "")
 					}
 					cancel()
+					time.Sleep(askPause)
 				}
 			})
 		}
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -98,8 +98,8 @@
 	Cancelled State = "cancelled"
 )
 
-// final reports whether the state stands for good.
-func (s State) final() bool { return s == Completed || s == Failed || s == Cancelled }
+// Final reports whether the state stands for good.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
 
 // Cause says how a run ended.
 type Cause string
@@ -187,11 +187,13 @@
 	Stops   []Stop
 	// Forget lists jobs whose description is needed no more.
 	Forget []string
+	// Changed lists jobs whose state is another, or that are forgotten.
+	Changed []string
 }
 
 // Empty reports whether there is nothing to do.
 func (e *Effects) Empty() bool {
-	return len(e.Records) == 0 && len(e.Starts) == 0 && len(e.Stops) == 0 && len(e.Forget) == 0
+	return len(e.Records) == 0 && len(e.Starts) == 0 && len(e.Stops) == 0 && len(e.Forget) == 0 && len(e.Changed) == 0
 }
 
 // taskName renders the name of a task: job, occurrence, step and index.
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -403,6 +403,7 @@
 	if !j.started {
 		j.started = true
 		j.state = Running
+		c.out.Changed = append(c.out.Changed, j.spec.ID)
 	}
 	s.occ.started = true
 	if s.spec.Tight && s.rack == "" {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -168,6 +168,7 @@
 			return errorx.Decorate(err, "stored job %s", key)
 		}
 		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, ended: now, stored: true}
+		c.out.Changed = append(c.out.Changed, key)
 		return nil
 	}
 	id, _, ok := parseTask(key)
@@ -193,7 +194,7 @@
 // AddJob takes in an accepted job. A job that is known already is left as it is.
 func (c *Core) AddJob(now time.Time, spec Job) {
 	if j, known := c.jobs[spec.ID]; known {
-		if j.state.final() {
+		if j.state.Final() {
 			c.out.Forget = append(c.out.Forget, spec.ID)
 		}
 		return
@@ -218,6 +219,7 @@
 		c.restoreTask(now, j, t)
 	}
 	delete(c.stored, spec.ID)
+	c.out.Changed = append(c.out.Changed, spec.ID)
 	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "priority", j.queue.Priority,
 		"customer", spec.Customer, "tasks", j.width(), "steps", len(spec.Steps), "repeat", spec.Repeat)
 }
@@ -324,12 +326,16 @@
 // without a customer needed no key.
 func (c *Core) lookUp(id, customer string) (*job, error) {
 	j := c.jobs[id]
-	if j == nil || customer != "" && j.spec.Customer != "" && j.spec.Customer != customer {
+	if j == nil || !MaySee(customer, j.spec.Customer) {
 		return nil, ErrUnknown
 	}
 	return j, nil
 }
 
+// MaySee reports whether a customer may see a job of an owner. Either is empty if its
+// call needed no key.
+func MaySee(customer, owner string) bool { return customer == "" || owner == "" || customer == owner }
+
 // Cancel ends a job on its customer's request. It returns the state that the
 // job has then.
 func (c *Core) Cancel(now time.Time, id, customer string) (State, error) {
@@ -337,7 +343,7 @@
 	if err != nil {
 		return "", err
 	}
-	if !j.state.final() {
+	if !j.state.Final() {
 		c.end(now, j, Cancelled, "cancelled by its customer")
 	}
 	return j.state, nil
@@ -352,12 +358,21 @@
 	return j.state, nil
 }
 
-// Waiting counts the jobs of a queue of which no task has started.
-func (c *Core) Waiting(queue string) int {
-	n := 0
+// Owner returns a job's state and customer, and whether it is known.
+func (c *Core) Owner(id string) (State, string, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	return j.state, j.spec.Customer, true
+}
+
+// Waiting counts the jobs of each queue of which no task has started.
+func (c *Core) Waiting() map[string]int {
+	n := map[string]int{}
 	for _, j := range c.active {
-		if j.queue.Name == queue && !j.started {
-			n++
+		if !j.started {
+			n[j.queue.Name]++
 		}
 	}
 	return n
@@ -382,6 +397,7 @@
 		}
 	}
 	c.out.Forget = append(c.out.Forget, j.spec.ID)
+	c.out.Changed = append(c.out.Changed, j.spec.ID)
 	c.cfg.Logger.Info("job ended", "job", j.spec.ID, "state", string(state), "why", why,
 		"age_ms", now.Sub(j.accepted).Milliseconds(), "objective_ms", j.deadline.Sub(j.accepted).Milliseconds())
 }
@@ -415,6 +431,11 @@
 		c.settle(now)
 		c.schedule(now)
 	}
+	return c.Take()
+}
+
+// Take hands over what is to be carried out so far, and places nothing.
+func (c *Core) Take() Effects {
 	out := c.out
 	c.out = Effects{}
 	return out
@@ -424,10 +445,10 @@
 func (c *Core) settle(now time.Time) {
 	kept := c.active[:0]
 	for _, j := range c.active {
-		if !j.state.final() && j.done == len(j.occs) {
+		if !j.state.Final() && j.done == len(j.occs) {
 			c.end(now, j, Completed, "all tasks are done")
 		}
-		if !j.state.final() {
+		if !j.state.Final() {
 			kept = append(kept, j)
 		}
 	}
@@ -443,8 +464,9 @@
 		c.watch(now, w)
 	}
 	for id, j := range c.jobs {
-		if j.state.final() && now.Sub(j.ended) > c.cfg.KeepEnded {
+		if j.state.Final() && now.Sub(j.ended) > c.cfg.KeepEnded {
 			delete(c.jobs, id)
+			c.out.Changed = append(c.out.Changed, id)
 			c.out.Records = append(c.out.Records, Record{Key: id})
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -360,7 +360,7 @@
 	c.learn(now, r, cause)
 	c.cfg.Logger.Info("run ended", "task", r.name, "run", r.number, "worker", w.id, "cause", string(cause),
 		"percent", r.percent, "ran_ms", ranMillis(now, r), "why", r.reason)
-	if j.state.final() || t.phase == done {
+	if j.state.Final() || t.phase == done {
 		return
 	}
 	if cause == Done && !t.step.spec.Lasting {
