A leader whose loop stands still is replaced

Cause: standbys replace a leader that doesn't answer or whose write fails. One whose loop starts no write at all answers pings beside the loop and counted as healthy. Class: a health check that doesn't look at the work.

Ruled out: lost pings (none were missing).

Change: a leader is stuck if its writes fail for 1.5 s, as before, or if no round of its loop has ended for 2.5 s. Standbys log what is wrong with a leader once for each cause, not with each ping.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -52,9 +52,6 @@
 	logEvery = 16
 	// peerLife is how long a standby counts after its last ping.
 	peerLife = 4 * time.Second
-	// stuckAfter is how long a leader may fail to write before a standby that
-	// reaches the store replaces it.
-	stuckAfter = 1500 * time.Millisecond
 )
 
 // Log is what an election needs of the store.
@@ -100,9 +97,8 @@
 	Client      *http.Client
 	Logger      *slog.Logger
 	Work        Leadership
-	// WriteAge is how long ago the leader's last write succeeded, if one fails
-	// since; 0 otherwise.
-	WriteAge func() time.Duration
+	// Stuck reports whether this VM leads but gets nothing done.
+	Stuck func() bool
 }
 
 // Member is a VM's part in the election.
@@ -122,6 +118,8 @@
 	standbys map[string]standby // those that ping this VM while it leads
 	suspect  chan struct{}
 	stopping bool
+	// complaint isn't repeated for each ping while the leader stays away.
+	complaint complaint
 }
 
 type standby struct {
@@ -214,22 +212,42 @@
 	pong, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+held.Address+"/ping", &in, nil)
 	switch {
 	case errors.Is(err, httpjson.ErrUnsent) && ctx.Err() == nil:
-		m.cfg.Logger.Warn("leader refuses connections", "vm", held.VM, "epoch", held.Epoch)
+		m.complain(held, "leader refuses connections")
 		return misses
 	case err != nil:
 		return missed + 1
-	case !pong.Leading || pong.Stuck:
-		m.cfg.Logger.Warn("leader is not able to lead", "vm", held.VM, "epoch", held.Epoch, "leading", pong.Leading, "stuck", pong.Stuck)
+	case !pong.Leading:
+		m.complain(held, "leader does not lead")
+		return misses
+	case pong.Stuck:
+		m.complain(held, "leader gets nothing done")
 		return misses
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.complaint = complaint{}
 	if m.current.Life == held.Life {
 		m.heard, m.rank, m.peers = time.Now(), pong.Rank, pong.Peers
 	}
 	return 0
 }
 
+// complaint is what was last logged of a leader.
+type complaint struct {
+	epoch int64
+	why   string
+}
+
+// complain logs that a leader is not to be relied on, once for each cause.
+func (m *Member) complain(held Holder, why string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now := (complaint{held.Epoch, why}); now != m.complaint {
+		m.complaint = now
+		m.cfg.Logger.Warn(why, "leader", held.VM, "epoch", held.Epoch)
+	}
+}
+
 // replace campaigns for the lead unless another VM has it.
 func (m *Member) replace(ctx context.Context, failed Holder, ask bool) {
 	if !m.refresh(ctx, failed) {
@@ -377,7 +395,7 @@
 	now := time.Now()
 	m.standbys[in.VM] = standby{in.Address, now}
 	names := m.liveStandbys(now)
-	out := Pong{Leading: true, Stuck: m.cfg.WriteAge() > stuckAfter}
+	out := Pong{Leading: true, Stuck: m.cfg.Stuck()}
 	for i, name := range names {
 		if name == in.VM {
 			out.Rank = i
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -39,7 +39,7 @@
 	epochs  []int64
 	leading bool
 	end     context.CancelFunc
-	stuck   time.Duration
+	stuck   bool
 }
 
 // Lead implements election.Leadership.
@@ -109,7 +109,7 @@
 	m := &member{net: p.net, name: name, over: make(chan struct{})}
 	m.Member = election.New(election.Config{
 		VM: name, Address: name, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Work: m,
-		WriteAge: func() time.Duration { m.mu.Lock(); defer m.mu.Unlock(); return m.stuck },
+		Stuck: func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.stuck },
 	})
 	p.net.mu.Lock()
 	p.net.members[name] = m
@@ -237,7 +237,7 @@
 		old, _ := p.await(nil)
 		time.Sleep(3 * time.Second)
 		old.mu.Lock()
-		old.stuck = 2 * time.Second
+		old.stuck = true
 		old.mu.Unlock()
 		_, took := p.await(old)
 		assert.Assert(t, took < takeover, "took %s", took)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -99,6 +99,12 @@
 	// storeAway is how long leases are renewed after the last write that
 	// succeeded, beyond one lease: about the longest outage on the sites.
 	storeAway = 5 * time.Second
+	// writeStuck is how long writes may fail, and loopStuck how long a round may take,
+	// before the leader counts as stuck. Gangs whose start is cut short in between have
+	// to be whole, and tasks of jobs that were cancelled to be gone, within three to
+	// four seconds.
+	writeStuck = 1500 * time.Millisecond
+	loopStuck  = 2500 * time.Millisecond
 	// drift bounds how much slower than real a worker's clock runs, with some
 	// reserve on the 2 % of the platform's rules.
 	drift = 1.03
@@ -147,7 +153,7 @@
 	flight   *batch
 	sequence int64
 	version  int64
-	forget   []string                // jobs whose outcome is stored and whose description is not yet dropped
+	forget   []string // jobs whose outcome is stored and whose description is not yet dropped
 	forgotAt time.Time
 	unstored map[string]bool // jobs whose outcome isn't stored yet
 
@@ -181,13 +187,17 @@
 	kind() kind
 }
 
-// WriteAge returns how long the leader's writes have failed, or 0.
-func (l *Leader) WriteAge() time.Duration {
+// Stuck reports whether this VM leads but gets nothing done: its writes fail, or its
+// loop stands still. Another VM should lead then.
+func (l *Leader) Stuck() bool {
 	t := l.current.Load()
-	if t == nil || !t.failing.Load() {
-		return 0
+	if t == nil {
+		return false
 	}
-	return time.Since(time.Unix(0, t.lastWrite.Load()))
+	if t.failing.Load() && time.Since(time.Unix(0, t.lastWrite.Load())) > writeStuck {
+		return true
+	}
+	return time.Since(time.Unix(0, t.progress.ended.Load())) > loopStuck
 }
 
 // Lead loads the state and schedules until ctx ends or another VM leads.
--- a/internal/leader/progress_test.go
+++ b/internal/leader/progress_test.go
@@ -85,9 +85,9 @@
 	return nil
 }
 
-// A leader whose loop stands still says so, although no write of it fails: standbys
+// A leader whose loop stands still says so within 4 s, although no write of it fails: standbys
 // left such a leader alone until the end of the day.
-func TestLeaderWithoutProgressIsStalled(t *testing.T) {
+func TestLeaderWithoutProgressIsStuck(t *testing.T) {
 	broken := run(t, 4, func(p *pool) {
 		until := &atomic.Int64{}
 		p.wrap = func(c leader.Config) leader.Config {
@@ -96,14 +96,14 @@
 		}
 		l := p.elect()
 		time.Sleep(time.Second)
-		calm := l.leader.WriteAge()
+		calm := l.leader.Stuck()
 		until.Store(time.Now().Add(5 * time.Second).UnixNano())
 		p.submit(job(1, 1, step(4, 1)))
 		time.Sleep(4 * time.Second)
-		stalled := l.leader.WriteAge()
+		stalled := l.leader.Stuck()
 		time.Sleep(3 * time.Second)
-		if after := l.leader.WriteAge(); calm != 0 || stalled < 3*time.Second || after != 0 {
-			t.Errorf("stalled for %s before, %s 4 s after the loop stopped, %s once it went on", calm, stalled, after)
+		if after := l.leader.Stuck(); calm || !stalled || after {
+			t.Errorf("stuck: %t before, %t 4 s after the loop stopped, %t once it went on", calm, stalled, after)
 		}
 	})
 	assert.DeepEqual(t, broken, []string(nil))
