A leader that has just won is not replaced before it knows

A standby that read the leader's record before the leader had the answer to its own append found that it doesn't lead, and campaigned 60 ms later without asking anybody.

Change: that a leader doesn't lead has to be seen twice, 50 ms apart.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -172,7 +172,7 @@
 			switch how := m.ping(ctx, held); {
 			case how == answered:
 				missed = 0
-			case how == silent && missed+1 < misses:
+			case (how == silent || how == idle) && missed+1 < misses:
 				missed++
 			default:
 				missed = 0
@@ -219,8 +219,9 @@
 const (
 	answered condition = iota
 	silent             // no answer in time
+	idle               // it doesn't lead; it may have won just now and not know yet
 	refused            // nothing listens there, as far as this VM can tell
-	resigned           // it doesn't lead, or says that it can't
+	resigned           // it says that it can't lead
 )
 
 // ping looks at the leader.
@@ -237,7 +238,7 @@
 		return silent
 	case !pong.Leading:
 		m.complain(held, "leader does not lead")
-		return resigned
+		return idle
 	case pong.Stuck:
 		m.complain(held, "leader gets nothing done")
 		return resigned
@@ -274,7 +275,7 @@
 		return
 	}
 	m.pause(ctx, m.stagger())
-	if how != resigned && m.othersHear(ctx, how == refused) {
+	if (how == silent || how == refused) && m.othersHear(ctx, how == refused) {
 		m.pause(ctx, pingEvery)
 		return
 	}
@@ -452,7 +453,7 @@
 		return Pong{HeardMS: -1}
 	case leading:
 		return Pong{HeardMS: 0}
-	case in.Refused && !fresh && m.ping(ctx, held) >= refused:
+	case in.Refused && !fresh && m.ping(ctx, held) > silent:
 		m.Suspect(held.Address)
 		return Pong{HeardMS: -1}
 	}
