VMs with more processor lead, and get the lead back

Cause: standbys ranked by name, and campaigned at random where they knew no rank. A small leader loads the state for 0.5 to 1.2 s, is late with its first renewals and pings, and is replaced by the next one.

Change: ranks go by processor share and reach of the store, and outlast a change of leader. A much larger standby is given the lead, after the leader has finished the starts that it has decided (Pause), which planned stops do now, too.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -39,14 +39,25 @@
 	// misses is how many answers in a row have to be missing before a leader
 	// that doesn't refuse connections is taken for failed.
 	misses = 2
-	// rankDelay lets standbys campaign one after the other.
+	// rankDelay lets standbys campaign one after the other; those from maxRank on
+	// campaign together.
 	rankDelay = 120 * time.Millisecond
+	maxRank   = 8
+	// shareDelay is how much later VMs with no processor to speak of campaign than
+	// those with a whole core, if ranks aren't known.
+	shareDelay = 300 * time.Millisecond
+	// largerBy is how many times a leader's processor a standby must have to be given
+	// the lead: the takeover costs a quarter of a second without starts.
+	largerBy = 1.5
+	// settled is how long a leader must lead, and a standby be heard, before that.
+	settled = 2 * time.Second
+	// offerEvery spaces looks for such a standby, and offerAgain offers that came to
+	// nothing.
+	offerEvery = 500 * time.Millisecond
+	offerAgain = 10 * time.Second
 	// hearsay is how recently another standby must have heard the leader for
 	// this one to keep waiting.
 	hearsay = 800 * time.Millisecond
-	// freshHearsay is how recently a standby must have heard the leader to answer
-	// without another look.
-	freshHearsay = 50 * time.Millisecond
 	// callTimeout bounds calls to the store.
 	callTimeout = time.Second
 	// storePause spaces attempts while the store doesn't answer.
@@ -78,30 +89,41 @@
 	Epoch   int64  `json:"epoch"`
 	// Refused tells a standby that the leader refuses the caller's connections.
 	Refused bool `json:"refused,omitempty"`
+	// Cores is the VM's share of a processor. Unfit VMs don't reach the store.
+	Cores float64 `json:"cores,omitempty"`
+	Unfit bool    `json:"unfit,omitempty"`
 }
 
-// Pong answers a Ping. Rank is the place of the caller among the standbys.
+// Pong answers a Ping. Rank is the place of the caller among the standbys, and Larger
+// tells that a much larger VM is among them.
 type Pong struct {
 	Leading bool     `json:"leading"`
 	Stuck   bool     `json:"stuck,omitempty"`
 	Rank    int      `json:"rank,omitempty"`
+	Larger  bool     `json:"larger,omitempty"`
 	Peers   []string `json:"peers,omitempty"` // addresses of other standbys
 	// HeardMS is how long ago a standby that is asked has heard the leader.
 	HeardMS int64 `json:"heard"`
 }
 
-// Leadership is a leader's work. Lead returns when it is over.
+// Leadership is a leader's work. Lead returns when it is over. Pause begins nothing new
+// for a while, and returns when what was begun is finished.
 type Leadership interface {
 	Lead(ctx context.Context, epoch int64)
+	Pause(ctx context.Context)
 }
 
 // Config constructs a Member.
 type Config struct {
 	VM, Address string
-	Log         Log
-	Client      *http.Client
-	Logger      *slog.Logger
-	Work        Leadership
+	// Cores is the VM's share of a processor; larger VMs lead if they can.
+	Cores  float64
+	Log    Log
+	Client *http.Client
+	Logger *slog.Logger
+	Work   Leadership
+	// Fit reports whether the store answers this VM.
+	Fit func() bool
 	// Stuck reports whether this VM leads but gets nothing done.
 	Stuck func() bool
 }
@@ -119,6 +141,7 @@
 	leading  bool
 	led      int64 // highest epoch that this VM has led
 	rank     int
+	larger   bool // a much larger VM is among the standbys
 	peers    []string
 	standbys map[string]standby // those that ping this VM while it leads
 	suspect  chan struct{}
@@ -128,8 +151,21 @@
 }
 
 type standby struct {
-	address string
-	seen    time.Time
+	name, address string
+	cores         float64
+	unfit         bool
+	first, seen   time.Time
+}
+
+// before reports whether a standby should take over sooner than another.
+func (s standby) before(o standby) bool {
+	if s.unfit != o.unfit {
+		return o.unfit
+	}
+	if s.cores != o.cores {
+		return s.cores > o.cores
+	}
+	return s.name < o.name
 }
 
 // New returns a Member; Run takes part.
@@ -228,7 +264,7 @@
 func (m *Member) ping(ctx context.Context, held Holder) condition {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	in := Ping{VM: m.cfg.VM, Address: m.cfg.Address, Epoch: held.Epoch}
+	in := Ping{VM: m.cfg.VM, Address: m.cfg.Address, Epoch: held.Epoch, Cores: m.cfg.Cores, Unfit: !m.cfg.Fit()}
 	pong, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+held.Address+"/ping", &in, nil)
 	switch {
 	case errors.Is(err, httpjson.ErrUnsent) && ctx.Err() == nil:
@@ -247,7 +283,7 @@
 	defer m.mu.Unlock()
 	m.complaint = complaint{}
 	if m.current.Life == held.Life {
-		m.heard, m.rank, m.peers = time.Now(), pong.Rank, pong.Peers
+		m.heard, m.rank, m.larger, m.peers = time.Now(), pong.Rank, pong.Larger, pong.Peers
 	}
 	return answered
 }
@@ -291,15 +327,20 @@
 	return m.stopping
 }
 
+// stagger is how long this VM waits before it campaigns: VMs with more processor
+// campaign sooner.
 func (m *Member) stagger() time.Duration {
 	m.mu.Lock()
-	rank := m.rank
+	rank, larger := m.rank, m.larger
 	m.mu.Unlock()
-	jitter := time.Duration(rand.Int64N(int64(rankDelay) / 2))
+	delay := time.Duration(rand.Int64N(int64(rankDelay) / 2))
 	if rank < 0 {
-		return time.Duration(rand.Int64N(int64(3 * rankDelay)))
+		return delay + time.Duration(float64(shareDelay)*(1-min(m.cfg.Cores, 1)))
+	}
+	if larger {
+		delay += pingEvery // it may notice that much later
 	}
-	return time.Duration(rank)*rankDelay + jitter
+	return delay + time.Duration(min(rank, maxRank))*rankDelay
 }
 
 // refresh reads who leads. It returns true if the store answers and nobody has
@@ -331,7 +372,8 @@
 	m.end = end
 	if held.Epoch > m.current.Epoch {
 		m.cfg.Logger.Info("another VM leads", "vm", held.VM, "epoch", held.Epoch, "before", m.current.VM)
-		m.current, m.rank, m.peers = held, -1, nil
+		// The rank stays: the order of the standbys is much the same under the next one.
+		m.current, m.peers = held, nil
 	}
 	return m.current.Epoch == failed.Epoch && !m.won()
 }
@@ -400,13 +442,50 @@
 	m.leading, m.led, m.rank = true, epoch, -1
 	clear(m.standbys)
 	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	var offering sync.WaitGroup
+	offering.Go(func() { m.offer(ctx, epoch) })
 	m.cfg.Work.Lead(ctx, epoch)
+	cancel()
+	offering.Wait()
 	m.mu.Lock()
 	m.leading = false
 	m.mu.Unlock()
 	m.cfg.Logger.Info("no longer leading", "epoch", epoch)
 }
 
+// offer hands the lead to a much larger VM once there is one.
+func (m *Member) offer(ctx context.Context, epoch int64) {
+	next := time.Now().Add(settled)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(offerEvery):
+		}
+		if time.Now().Before(next) {
+			continue
+		}
+		m.mu.Lock()
+		first, ok := m.firstStandby(time.Now())
+		m.mu.Unlock()
+		if ok && !first.unfit && first.cores > m.cfg.Cores && first.cores >= largerBy*m.cfg.Cores && time.Since(first.first) >= settled {
+			m.handTo(ctx, first, epoch)
+			next = time.Now().Add(offerAgain)
+		}
+	}
+}
+
+// handTo asks a standby to take the lead.
+func (m *Member) handTo(ctx context.Context, to standby, epoch int64) {
+	m.cfg.Work.Pause(ctx)
+	in := Ping{VM: m.cfg.VM, Epoch: epoch}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := httpjson.Post[Ping, Pong](call, m.cfg.Client, "http://"+to.address+"/take", &in, nil)
+	m.cfg.Logger.Info("lead is handed over", "to", to.name, "cores", to.cores, "own_cores", m.cfg.Cores, "epoch", epoch, "error", err)
+}
+
 // Pinged answers a standby.
 func (m *Member) Pinged(in Ping) Pong {
 	m.mu.Lock()
@@ -415,30 +494,46 @@
 		return Pong{}
 	}
 	now := time.Now()
-	m.standbys[in.VM] = standby{in.Address, now}
-	names := m.liveStandbys(now)
+	in.Cores = max(in.Cores, 0)
+	first := now
+	if before, known := m.standbys[in.VM]; known {
+		first = before.first
+	}
+	m.standbys[in.VM] = standby{in.VM, in.Address, in.Cores, in.Unfit, first, now}
 	out := Pong{Leading: true, Stuck: m.cfg.Stuck()}
-	for i, name := range names {
-		if name == in.VM {
+	for i, s := range m.liveStandbys(now) {
+		out.Larger = out.Larger || !s.unfit && s.cores > in.Cores && s.cores >= largerBy*in.Cores
+		if s.name == in.VM {
 			out.Rank = i
 		} else if len(out.Peers) < 3 {
-			out.Peers = append(out.Peers, m.standbys[name].address)
+			out.Peers = append(out.Peers, s.address)
 		}
 	}
 	return out
 }
 
-func (m *Member) liveStandbys(now time.Time) []string {
-	var names []string
+// liveStandbys lists the standbys that were heard lately, those first that should take
+// over first.
+func (m *Member) liveStandbys(now time.Time) []standby {
+	var live []standby
 	for name, s := range m.standbys {
 		if now.Sub(s.seen) > peerLife {
 			delete(m.standbys, name)
 			continue
 		}
-		names = append(names, name)
+		live = append(live, s)
 	}
-	sort.Strings(names)
-	return names
+	sort.Slice(live, func(i, k int) bool { return live[i].before(live[k]) })
+	return live
+}
+
+// firstStandby is the one that should take over. The caller holds the lock.
+func (m *Member) firstStandby(now time.Time) (standby, bool) {
+	live := m.liveStandbys(now)
+	if len(live) == 0 {
+		return standby{}, false
+	}
+	return live[0], true
 }
 
 // Heard answers another standby how long ago the leader of an epoch answered
@@ -446,14 +541,13 @@
 func (m *Member) Heard(ctx context.Context, in Ping) Pong {
 	m.mu.Lock()
 	held, leading := m.current, m.leading
-	fresh := time.Since(m.heard) < freshHearsay
 	m.mu.Unlock()
 	switch {
 	case held.Epoch != in.Epoch:
 		return Pong{HeardMS: -1}
 	case leading:
 		return Pong{HeardMS: 0}
-	case in.Refused && !fresh && m.ping(ctx, held) > silent:
+	case in.Refused && m.ping(ctx, held) > silent:
 		m.Suspect(held.Address)
 		return Pong{HeardMS: -1}
 	}
@@ -472,18 +566,11 @@
 	m.stopping = true
 	leading := m.leading
 	epoch := m.current.Epoch
-	var address string
-	for _, name := range m.liveStandbys(time.Now()) {
-		address = m.standbys[name].address
-		break
-	}
+	first, ok := m.firstStandby(time.Now())
 	m.mu.Unlock()
-	if !leading || address == "" {
-		return
+	if leading && ok {
+		m.handTo(ctx, first, epoch)
 	}
-	in := Ping{VM: m.cfg.VM, Epoch: epoch}
-	_, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+address+"/take", &in, nil)
-	m.cfg.Logger.Info("lead is handed over", "to", address, "epoch", epoch, "error", err)
 }
 
 // Take campaigns at once, on the request of the leader of an epoch.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -41,6 +41,15 @@
 	leading bool
 	end     context.CancelFunc
 	stuck   bool
+	unfit   bool
+	paused  int
+}
+
+// Pause implements election.Leadership.
+func (m *member) Pause(context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused++
 }
 
 // Lead implements election.Leadership.
@@ -109,10 +118,13 @@
 	return p
 }
 
-func (p *pool) add(name string) {
+func (p *pool) add(name string) { p.addWith(name, 0.4) }
+
+func (p *pool) addWith(name string, cores float64) *member {
 	m := &member{net: p.net, name: name, over: make(chan struct{})}
 	m.Member = election.New(election.Config{
-		VM: name, Address: name, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Work: m,
+		VM: name, Address: name, Cores: cores, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Work: m,
+		Fit:   func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.unfit },
 		Stuck: func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.stuck },
 	})
 	p.net.mu.Lock()
@@ -125,6 +137,7 @@
 		m.Run(ctx)
 	}()
 	p.all = append(p.all, m)
+	return m
 }
 
 // kill ends a member's process: connections to it are refused.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -105,6 +105,9 @@
 	// four seconds.
 	writeStuck = 1500 * time.Millisecond
 	loopStuck  = 2500 * time.Millisecond
+	// pauseTime is how long a leader that hands the lead over starts nothing: twice the
+	// half second that an order may take.
+	pauseTime = 2 * orderTimeout
 	// drift bounds how much slower than real a worker's clock runs, with some
 	// reserve on the 2 % of the platform's rules.
 	drift = 1.03
@@ -160,6 +163,8 @@
 	// The rest is read from other goroutines.
 	answers   answers
 	progress  progress
+	paused    atomic.Int64 // Unix nanoseconds until which nothing is started
+	starting  atomic.Int64 // starts that were decided and aren't answered
 	lastWrite atomic.Int64 // Unix nanoseconds of the last write that succeeded
 	failing   atomic.Bool
 }
@@ -200,6 +205,20 @@
 	return time.Since(time.Unix(0, t.progress.ended.Load())) > loopStuck
 }
 
+// Pause starts nothing for pauseTime, and returns when no start is under way. A gang
+// that is started by half would be broken up by the next leader.
+func (l *Leader) Pause(ctx context.Context) {
+	t := l.current.Load()
+	if t == nil {
+		return
+	}
+	end := time.Now().Add(pauseTime)
+	t.paused.Store(end.UnixNano())
+	for t.starting.Load() > 0 && time.Now().Before(end.Add(-pauseTime/2)) && ctx.Err() == nil {
+		time.Sleep(retryPause)
+	}
+}
+
 // Lead loads the state and schedules until ctx ends or another VM leads.
 func (l *Leader) Lead(ctx context.Context, epoch int64) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -276,10 +295,11 @@
 			return
 		}
 		now := t.cfg.Now()
-		if t.flight == nil {
+		if t.flight == nil && now.UnixNano() >= t.paused.Load() {
 			t.collect(t.core.Flush(now))
 		} else {
-			// Nothing can start before the write under way is answered.
+			// Nothing can start before the write under way is answered, and nothing
+			// should while the lead is handed over.
 			t.collect(t.core.Take())
 		}
 		scheduled := t.cfg.Now()
@@ -331,6 +351,7 @@
 			t.answers.show(t.core, id)
 		}
 	}
+	t.starting.Add(int64(len(e.Starts)))
 	t.pending.starts = append(t.pending.starts, e.Starts...)
 }
 
@@ -438,7 +459,10 @@
 	b := t.flight
 	t.flight = nil
 	for _, s := range b.starts {
-		if l := t.links[s.Worker]; l != nil {
+		l := t.links[s.Worker]
+		if l == nil {
+			t.starting.Add(-1)
+		} else {
 			// However late it is carried out, the lease ends before the next leader
 			// stops waiting for those that were ordered when the batch was sent.
 			until := earlier(now.Add(startLease), b.sent.Add(t.cfg.Scheduler.MaxLease))
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -264,6 +264,7 @@
 
 // start carries a start to its worker.
 func (t *term) start(ctx context.Context, s scheduler.Start, deadline int64) {
+	defer t.starting.Add(-1)
 	if t.starts.Acquire(ctx, 1) != nil {
 		return // deposed meanwhile
 	}
--- a/internal/leader/progress_test.go
+++ b/internal/leader/progress_test.go
@@ -195,3 +195,27 @@
 	})
 	assert.DeepEqual(t, broken, []string(nil))
 }
+
+// A leader that hands the lead over finishes the starts that it has decided, and begins
+// no others: gangs that were started by half were broken up by the next leader.
+func TestPausedLeaderStartsNothing(t *testing.T) {
+	broken := run(t, 8, func(p *pool) {
+		l := p.elect()
+		time.Sleep(time.Second)
+		gang := step(12, 2)
+		gang.Gang = true
+		p.submit(job(1, 1, gang))
+		time.Sleep(12 * time.Millisecond)
+		l.leader.Pause(context.Background())
+		whole := p.fleet.Starts()
+		p.submit(job(2, 1, step(4, 1)))
+		time.Sleep(200 * time.Millisecond)
+		if after := p.fleet.Starts(); whole != 12 || after != 12 {
+			t.Errorf("%d members run when the pause begins, and %d runs in it; want 12 and no others", whole, after)
+		}
+		if open := p.settled(20 * time.Second); len(open) > 0 {
+			t.Errorf("not over after the pause: %v", open)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 	})
 	peers := platform.NewHTTPClient(peerConns, dialTimeout)
 	n.member = election.New(election.Config{
-		VM: set.VM, Address: set.Internal, Log: n.log, Client: peers, Logger: cfg.Logger, Work: n.leader, Stuck: n.leader.Stuck,
+		VM: set.VM, Address: set.Internal, Cores: set.Cores, Fit: n.log.Healthy, Log: n.log, Client: peers, Logger: cfg.Logger, Work: n.leader, Stuck: n.leader.Stuck,
 	})
 	n.intake = intake.New(intake.Config{
 		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
