The leader's limits go by the steady clock

Callers saw: nothing that was traced to it; found by reading while the stalled loop was mended.

Cause: the time of the last write, shared between goroutines as Unix nanoseconds, had lost its reading of the steady clock. A step of the time of day by seconds, which the platform announces, would stop renewals or have a healthy leader replaced. Class: points in time stored without the steady clock; the new round_age_ms and pause had it as well.

Ruled out: others in the pool's packages (no further UnixNano outside of stored records).

Change: leader.moment shares a point in time as it is.

Conclusion: fixed by construction.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -163,9 +163,9 @@
 	// The rest is read from other goroutines.
 	answers   answers
 	progress  progress
-	paused    atomic.Int64 // Unix nanoseconds until which nothing is started
+	paused    moment       // until then nothing is started
 	starting  atomic.Int64 // starts that were decided and aren't answered
-	lastWrite atomic.Int64 // Unix nanoseconds of the last write that succeeded
+	lastWrite moment       // when the last write that succeeded was sent
 	failing   atomic.Bool
 }
 
@@ -199,10 +199,10 @@
 	if t == nil {
 		return false
 	}
-	if t.failing.Load() && time.Since(time.Unix(0, t.lastWrite.Load())) > writeStuck {
+	if t.failing.Load() && time.Since(t.lastWrite.get()) > writeStuck {
 		return true
 	}
-	return time.Since(time.Unix(0, t.progress.ended.Load())) > loopStuck
+	return time.Since(t.progress.ended.get()) > loopStuck
 }
 
 // Pause starts nothing for pauseTime, and returns when no start is under way. A gang
@@ -213,7 +213,7 @@
 		return
 	}
 	end := time.Now().Add(pauseTime)
-	t.paused.Store(end.UnixNano())
+	t.paused.set(end)
 	for t.starting.Load() > 0 && time.Now().Before(end.Add(-pauseTime/2)) && ctx.Err() == nil {
 		time.Sleep(retryPause)
 	}
@@ -229,7 +229,7 @@
 		answers: answers{jobs: map[string]view{}}, core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
 	}
 	defer t.recovered()
-	t.lastWrite.Store(time.Now().UnixNano())
+	t.lastWrite.set(time.Now())
 	in, err := t.load(ctx)
 	if err != nil {
 		t.cfg.Logger.Warn("lead not taken", "epoch", epoch, "error", err)
@@ -242,7 +242,7 @@
 		t.spawn(func() { t.followJobs(ctx, part, in.jobsNext[part]) })
 	}
 	t.spawn(func() { t.followRegistry(ctx, in.registry.Next) })
-	t.progress.ended.Store(t.cfg.Now().UnixNano())
+	t.progress.ended.set(t.cfg.Now())
 	t.spawn(func() { t.report(ctx) })
 	l.current.Store(t)
 	defer l.current.CompareAndSwap(t, nil)
@@ -295,7 +295,7 @@
 			return
 		}
 		now := t.cfg.Now()
-		if t.flight == nil && now.UnixNano() >= t.paused.Load() {
+		if t.flight == nil && !now.Before(t.paused.get()) {
 			t.collect(t.core.Flush(now))
 		} else {
 			// Nothing can start before the write under way is answered, and nothing
@@ -360,7 +360,7 @@
 	if t.flight != nil {
 		return
 	}
-	idle := now.Sub(time.Unix(0, t.lastWrite.Load())) > confirmEvery
+	idle := now.Sub(t.lastWrite.get()) > confirmEvery
 	if t.pending.empty() && !idle {
 		return
 	}
@@ -405,7 +405,7 @@
 		_, err := t.cfg.Log.Append(call, Stream, b.records, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: sequence})
 		cancel()
 		if err == nil {
-			t.lastWrite.Store(begun.UnixNano())
+			t.lastWrite.set(begun)
 			t.failing.Store(false)
 			metric.Observe("store_seconds", begun)
 			t.post(ctx, storedEvent{})
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -129,7 +129,7 @@
 func (t *term) maintain(ctx context.Context, now time.Time) {
 	lease := t.cfg.Scheduler.MaxLease
 	// Leases are not renewed for longer than the next leader waits for them.
-	limit := time.Unix(0, t.lastWrite.Load()).Add(lease + storeAway)
+	limit := t.lastWrite.get().Add(lease + storeAway)
 	for id, l := range t.links {
 		runs := t.core.HasRuns(id)
 		if l.busy || now.Before(l.next) || l.address == "" || (!runs && l.seen <= l.noted) {
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -22,7 +22,7 @@
 		_, err := t.cfg.Log.Append(call, Stream, []store.Record{t.mark()}, store.AppendOptions{Producer: producer, Epoch: t.epoch, Sequence: 0})
 		cancel()
 		if err == nil {
-			t.lastWrite.Store(time.Now().UnixNano())
+			t.lastWrite.set(time.Now())
 			return nil
 		}
 		if errors.Is(err, store.ErrFenced) {
--- a/internal/leader/progress.go
+++ b/internal/leader/progress.go
@@ -36,7 +36,7 @@
 	rounds  atomic.Int64
 	events  [kinds]atomic.Int64
 	longest atomic.Int64 // nanoseconds of the longest round since the last report
-	ended   atomic.Int64 // Unix nanoseconds at which the last round ended
+	ended   moment       // of the last round
 	// Nanoseconds spent on taking in events, on scheduling, and on storing and
 	// renewing.
 	applying, scheduling, sending atomic.Int64
@@ -52,7 +52,7 @@
 	p.scheduling.Add(int64(scheduled.Sub(applied)))
 	p.sending.Add(int64(ended.Sub(scheduled)))
 	p.longest.Store(max(p.longest.Load(), int64(ended.Sub(begun))))
-	p.ended.Store(ended.UnixNano())
+	p.ended.set(ended)
 	metric.Seconds("leader_round_seconds", ended.Sub(begun))
 }
 
@@ -79,7 +79,7 @@
 			"schedule_ms", since(&p.scheduling, &scheduling)/int64(time.Millisecond),
 			"send_ms", since(&p.sending, &sending)/int64(time.Millisecond),
 			"longest_ms", p.longest.Swap(0)/int64(time.Millisecond),
-			"round_age_ms", t.cfg.Now().Sub(time.Unix(0, p.ended.Load())).Milliseconds())
+			"round_age_ms", t.cfg.Now().Sub(p.ended.get()).Milliseconds())
 		t.cfg.Logger.Info("leader's rounds", args...)
 	}
 }
