A round of scheduling costs what has changed and what it places

Cause: each round looked at every worker for every waiting gang, for each rack, and again for what might be stopped, with lists of runs sorted anew. The cost of a start grew with the square of the pool.

Change: scheduler.index counts, for each shape that waits, how many tasks fit on each worker, rack and in all, now and after stops; only workers that were touched are counted anew. Gangs try racks that hold them whole. A task is weighed on workers where it leaves least, 16 at most of equal ones. Plans of urgent gangs are weighed on the 8 racks with most room, and a worker's victims once, not for each member.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -1,7 +1,8 @@
 package scheduler
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 		return true
 	}
 	if s.occ.job.queue.Priority == 0 {
-		c.planUrgent(now, s.tasks, "")
+		c.planUrgent(now, s.tasks, c.gangRacks(now, s, c.reachable(s)))
 		return false
 	}
 	if mayReserve && now.Sub(s.since) > reserveAfter {
@@ -49,28 +50,45 @@
 // fitGang finds workers for a gang in free capacity. Of several racks it takes the one
 // with the least capacity left, so that others stay free for large gangs.
 func (c *Core) fitGang(now time.Time, s *step) []*worker {
-	var best []*worker
-	least := int64(math.MaxInt64)
-	for _, rack := range c.gangRacks(now, s) {
-		if rack == "" && best != nil {
-			break
+	sh := c.shapeOf(s)
+	n := int64(len(s.tasks))
+	if sh.all.fit < n {
+		return nil
+	}
+	racks := c.gangRacks(now, s, func(f rackFit) bool { return f.fit >= n })
+	left := make(map[*rack]int64, len(racks))
+	for _, r := range racks {
+		if r != nil {
+			left[r] = r.free(s.occ.job.level)
 		}
-		workers := c.fitAll(now, s, rack)
-		if workers == nil {
-			continue
+	}
+	slices.SortStableFunc(racks, func(a, b *rack) int {
+		if a == nil || b == nil {
+			return cmp.Compare(position(a), position(b))
 		}
-		if left := c.rackFree(now, rack, s.occ.job.level); left < least {
-			best, least = workers, left
+		return cmp.Compare(left[a], left[b])
+	})
+	for _, r := range racks {
+		if workers := c.fitAll(s, r); workers != nil {
+			return workers
 		}
 	}
-	return best
+	return nil
 }
 
-// rackFree sums the free accelerators of a rack, or of all workers.
-func (c *Core) rackFree(now time.Time, rack string, level int) int64 {
+// position puts "any rack" behind all racks.
+func position(r *rack) int {
+	if r == nil {
+		return 1
+	}
+	return 0
+}
+
+// free sums the free accelerators of a rack.
+func (r *rack) free(level int) int64 {
 	n := int64(0)
-	for _, w := range c.in(rack) {
-		if w.usable(now, c.cfg.Silence) {
+	for _, w := range r.workers {
+		if w.open {
 			n += max(w.free(level).Accelerators, 0)
 		}
 	}
@@ -91,60 +109,51 @@
 	return plans
 }
 
-// gangRacks lists the racks to try for a gang, best first; empty stands for any
-// workers.
-func (c *Core) gangRacks(now time.Time, s *step) []string {
-	if s.spec.Rack != "" {
-		if now.Sub(s.since) > c.patience(s) || len(c.racks[s.spec.Rack]) == 0 {
-			return []string{s.spec.Rack, ""}
+// reachable selects racks where the step's tasks fit once others have been stopped.
+func (c *Core) reachable(s *step) func(rackFit) bool {
+	n := int64(len(s.tasks))
+	return func(f rackFit) bool { return f.reach >= n }
+}
+
+// gangRacks lists the racks to try for a gang of those that have enough room, any
+// rack last; nil stands for any workers.
+func (c *Core) gangRacks(now time.Time, s *step, enough func(rackFit) bool) []*rack {
+	sh := c.shapeOf(s)
+	var racks []*rack
+	add := func(r *rack) {
+		if enough(sh.in(r)) {
+			racks = append(racks, r)
 		}
-		return []string{s.spec.Rack}
 	}
-	if !s.spec.Tight {
-		return []string{""}
+	if s.spec.Rack != "" || !s.spec.Tight {
+		for _, r := range c.homes(now, s) {
+			add(r)
+		}
+		return racks
 	}
-	racks := make([]string, 0, len(c.racks)+1)
 	possible := false
-	for _, rack := range c.rackNames {
-		if c.rackHolds(s, rack) {
+	for _, r := range c.index.racks {
+		if sh.in(r).whole >= int64(len(s.tasks)) {
 			possible = true
-			racks = append(racks, rack)
+			add(r)
 		}
 	}
 	if !possible || now.Sub(s.since) > c.patience(s) {
-		racks = append(racks, "")
+		add(nil)
 	}
 	return racks
 }
 
-// rackHolds reports whether an empty rack would hold all of the step's tasks.
-func (c *Core) rackHolds(s *step, rack string) bool {
-	n := int64(0)
-	for _, w := range c.racks[rack] {
-		if s.suits(w) {
-			n += times(w.info.Capacity, s.spec.demand())
-		}
-	}
-	return n >= int64(len(s.tasks))
-}
-
 // fitAll finds a worker for each task of the step in free capacity, or returns nil.
-func (c *Core) fitAll(now time.Time, s *step, rack string) []*worker {
-	need := s.spec.demand().Accelerators * int64(len(s.tasks))
-	if need > 0 && c.rackFree(now, rack, s.occ.job.level) < need {
-		return nil
-	}
-	// What the gang itself has been given makes nothing full for others.
-	c.planning = true
-	defer func() { c.planning = false }()
+func (c *Core) fitAll(s *step, r *rack) []*worker {
 	out := make([]*worker, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		w := c.choose(now, t, rack)
+		w := c.choose(t, r)
 		if w == nil {
 			break
 		}
 		out = append(out, w)
-		t.setPlan(w, now)
+		t.setPlan(w, time.Time{})
 	}
 	dropPlans(s.tasks)
 	if len(out) < len(s.tasks) {
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -130,6 +131,11 @@
 	Born      int64 // Unix milliseconds of this life's start
 }
 
+// fitsSame reports whether the same tasks fit on the worker by another entry.
+func (w *Worker) fitsSame(o Worker) bool {
+	return w.Rack == o.Rack && w.Service == o.Service && w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels)
+}
+
 // RunningTask is a row of a worker's list of what runs there.
 type RunningTask struct {
 	Task    string
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -1,73 +1,140 @@
 package scheduler
 
 import (
-	"math"
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 )
 
-// planUrgent keeps capacity for urgent tasks, all or none, and stops work of lower
-// priority that is in the way, where that loses least.
-func (c *Core) planUrgent(now time.Time, tasks []*task, rack string) {
-	racks := []string{rack}
+// planRacks bounds the racks that a plan is weighed on: those with most room now, where
+// least has to be stopped.
+const planRacks = 8
+
+// planUrgent keeps capacity for urgent tasks on one of the racks, all or none, and stops
+// work of lower priority that is in the way, where that loses least. Any rack, which is
+// nil and last, is tried if no other will do.
+func (c *Core) planUrgent(now time.Time, tasks []*task, racks []*rack) {
 	s := tasks[0].step
-	if rack != "" && now.Sub(s.since) > c.patience(s) {
-		racks = []string{rack, ""}
-	}
-	if s.spec.Gang {
-		racks = c.gangRacks(now, s)
+	if len(racks) > planRacks {
+		sh := c.shapeOf(s)
+		slices.SortStableFunc(racks, func(a, b *rack) int {
+			if a == nil || b == nil {
+				return cmp.Compare(position(a), position(b))
+			}
+			return cmp.Compare(sh.in(b).fit, sh.in(a).fit)
+		})
+		racks = append(racks[:planRacks:planRacks], lastIfAny(racks[planRacks:])...)
 	}
-	best, least := "", math.Inf(1)
-	for _, rack := range racks {
-		if rack == "" && !math.IsInf(least, 1) {
+	var best *proposal
+	for _, r := range racks {
+		if r == nil && best != nil {
 			break
 		}
-		_, cost, ok := c.planOn(now, tasks, rack)
-		dropPlans(tasks)
-		if ok && cost < least {
-			best, least = rack, cost
+		if p := c.planOn(now, tasks, r); p != nil && (best == nil || p.loss < best.loss) {
+			best = p
 		}
 	}
-	if math.IsInf(least, 1) {
+	if best == nil {
 		return
 	}
-	victims, _, _ := c.planOn(now, tasks, best)
+	for i, t := range tasks {
+		t.setPlan(best.workers[i], now.Add(planLife))
+	}
 	if now.Sub(s.since) < c.stopWait(s) {
 		return // what ends by itself needs no stop
 	}
-	for _, r := range victims {
+	for _, r := range best.victims {
 		c.preempt(now, r, tasks[0])
 	}
 }
 
+// lastIfAny returns the last of the racks if it stands for any.
+func lastIfAny(racks []*rack) []*rack {
+	if n := len(racks); n > 0 && racks[n-1] == nil {
+		return racks[n-1:]
+	}
+	return nil
+}
+
 func dropPlans(tasks []*task) {
 	for _, t := range tasks {
 		t.dropPlan()
 	}
 }
 
-// planOn plans the tasks on the workers of a rack. It returns the runs that stand
-// in the way, and what stopping them loses.
-func (c *Core) planOn(now time.Time, tasks []*task, rack string) ([]*run, float64, bool) {
-	victims := map[*run]bool{}
-	var order []*run
-	loss := 0.0
-	for _, t := range tasks {
-		w, stops, cost := c.cheapest(now, t, rack, victims)
-		if w == nil {
-			dropPlans(tasks)
-			return nil, 0, false
+// proposal says where urgent tasks could run, which runs stand in the way, and what
+// stopping them loses.
+type proposal struct {
+	workers []*worker
+	victims []*run
+	loss    float64
+}
+
+// option is a worker with the runs to stop there for one more task.
+type option struct {
+	w     *worker
+	stops []*run
+	cost  float64
+}
+
+// planOn weighs the tasks on the workers of a rack, or of any if that is nil. It returns
+// nil if they don't fit there.
+func (c *Core) planOn(now time.Time, tasks []*task, r *rack) *proposal {
+	s := tasks[0].step
+	sh := c.shapeOf(s)
+	if sh.in(r).reach < int64(len(tasks)) {
+		return nil
+	}
+	taken := map[*run]bool{}
+	var options []option
+	for _, w := range c.in(r) {
+		if sh.reach[w.at] > 0 {
+			if o, ok := c.weigh(now, s, w, taken); ok {
+				options = append(options, o)
+			}
 		}
-		loss += cost
-		for _, r := range stops {
-			if !victims[r] {
-				victims[r] = true
-				order = append(order, r)
+	}
+	p := &proposal{}
+	for _, t := range tasks {
+		best := -1
+		for i := range options {
+			if best < 0 || options[i].cost < options[best].cost {
+				best = i
 			}
 		}
-		t.setPlan(w, now.Add(planLife))
+		if best < 0 {
+			p = nil
+			break
+		}
+		o := options[best]
+		p.workers = append(p.workers, o.w)
+		p.loss += o.cost
+		for _, victim := range o.stops {
+			taken[victim] = true
+			p.victims = append(p.victims, victim)
+		}
+		t.setPlan(o.w, now.Add(planLife))
+		// Only this worker's capacity has changed.
+		if again, ok := c.weigh(now, s, o.w, taken); ok {
+			options[best] = again
+		} else {
+			options = slices.Delete(options, best, best+1)
+		}
 	}
-	return order, loss, true
+	dropPlans(tasks)
+	return p
+}
+
+// weigh finds the runs to stop on a worker for one more task of the step.
+func (c *Core) weigh(now time.Time, s *step, w *worker, taken map[*run]bool) (option, bool) {
+	c.looks++
+	need, level := s.spec.demand(), s.occ.job.level
+	if !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
+		return option{}, false
+	}
+	stops, cost, ok := c.victimsOn(now, w, need, level, taken)
+	return option{w, stops, cost + failCost*float64(w.fails)}, ok
 }
 
 // stopWait is how long urgent work waits for others to end by themselves before
@@ -120,31 +187,6 @@
 	}
 }
 
-// cheapest finds the worker on which capacity for the task costs least, and the runs
-// to stop there.
-func (c *Core) cheapest(now time.Time, t *task, rack string, victims map[*run]bool) (*worker, []*run, float64) {
-	s := t.step
-	need := s.spec.demand()
-	level := s.occ.job.level
-	var best *worker
-	var bestStops []*run
-	bestCost := 0.0
-	for _, w := range c.in(rack) {
-		if !w.usable(now, c.cfg.Silence) || !s.suits(w) || !s.spreadAllows(w) || !w.info.Capacity.minus(w.kept(level)).Fits(need) {
-			continue
-		}
-		stops, cost, ok := c.victimsOn(now, w, need, level, victims)
-		if !ok {
-			continue
-		}
-		cost += failCost * float64(w.fails)
-		if best == nil || cost < bestCost {
-			best, bestStops, bestCost = w, stops, cost
-		}
-	}
-	return best, bestStops, bestCost
-}
-
 // victimsOn picks runs of less important work to stop so that need fits on the worker.
 func (c *Core) victimsOn(now time.Time, w *worker, need Resources, level int, victims map[*run]bool) ([]*run, float64, bool) {
 	free := w.free(level)
@@ -158,7 +200,7 @@
 			free = free.plus(r.demand)
 			continue
 		}
-		if r.task == nil || r.task.step.occ.job.level <= level || r.task.step.occ.job.level == levelUrgent && level > levelGuaranteed {
+		if !r.yieldsTo(level) {
 			continue
 		}
 		choices = append(choices, choice{r, c.loss(now, r)})
@@ -229,25 +271,25 @@
 // reserve keeps capacity for a gang on the workers that are expected to be free
 // soonest, without stopping anything.
 func (c *Core) reserve(now time.Time, s *step) bool {
-	racks := c.gangRacks(now, s)
-	for _, rack := range racks {
-		if c.reserveOn(now, s, rack) {
+	for _, r := range c.gangRacks(now, s, func(rackFit) bool { return true }) {
+		if c.reserveOn(now, s, r) {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *Core) reserveOn(now time.Time, s *step, rack string) bool {
+func (c *Core) reserveOn(now time.Time, s *step, rack *rack) bool {
 	type option struct {
 		w    *worker
 		wait time.Duration
 	}
 	var options []option
+	sh := c.shapeOf(s)
 	need := s.spec.demand()
 	level := s.occ.job.level
 	for _, w := range c.in(rack) {
-		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
+		if !w.open || !sh.suits(w) {
 			continue
 		}
 		if w.info.Capacity.minus(w.kept(level)).Fits(need) {
@@ -266,7 +308,7 @@
 		}
 		t.setPlan(options[i].w, now.Add(reserveLife))
 	}
-	c.cfg.Logger.Info("capacity is kept for a gang", "job", s.occ.job.spec.ID, "tasks", len(s.tasks), "rack", rack,
+	c.cfg.Logger.Info("capacity is kept for a gang", "job", s.occ.job.spec.ID, "tasks", len(s.tasks), "rack", rack.String(),
 		"waited_ms", now.Sub(s.since).Milliseconds())
 	return true
 }
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -1,9 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 func (t *task) setPlan(w *worker, until time.Time) {
 	t.plan = &plan{worker: w, demand: t.step.spec.demand(), level: t.step.occ.job.level, until: until}
 	w.plans = append(w.plans, t.plan)
+	w.touch()
 }
 
 func (t *task) dropPlan() {
@@ -50,6 +52,7 @@
 		}
 	}
 	t.plan = nil
+	w.touch()
 }
 
 // Levels of importance. Work may be stopped for work of a lower level, if that is
@@ -73,13 +76,32 @@
 		}
 	}
 	for _, j := range c.active {
+		level := levelUrgent
 		switch {
 		case j.queue.Priority > 0:
-			j.level = levelOther + j.queue.Priority - 1
+			level = levelOther + j.queue.Priority - 1
 		case need[j.spec.Customer] <= c.guaranteed[j.spec.Customer]:
-			j.level = levelGuaranteed
-		default:
-			j.level = levelUrgent
+			level = levelGuaranteed
+		}
+		if level != j.level {
+			j.level = level
+			j.touchWorkers()
+		}
+	}
+}
+
+// touchWorkers notes that what the job's runs yield to has changed.
+func (j *job) touchWorkers() {
+	if !j.started {
+		return
+	}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.live != nil {
+					t.live.worker.touch()
+				}
+			}
 		}
 	}
 }
@@ -98,8 +120,9 @@
 func (c *Core) schedule(now time.Time) {
 	c.setLevels()
 	c.sortActive(now)
-	c.indexRacks()
-	clear(c.full)
+	c.index.round++
+	c.open(now)
+	c.refresh()
 	reserved := false
 	for _, j := range c.active {
 		for _, o := range j.occs {
@@ -144,18 +167,8 @@
 	for _, j := range c.active {
 		j.rank = j.credit(now)
 	}
-	sort.SliceStable(c.active, func(i, k int) bool {
-		a, b := c.active[i], c.active[k]
-		if a.level != b.level {
-			return a.level < b.level
-		}
-		if a.rank != b.rank {
-			return a.rank < b.rank
-		}
-		if !a.deadline.Equal(b.deadline) {
-			return a.deadline.Before(b.deadline)
-		}
-		return a.spec.ID < b.spec.ID
+	slices.SortStableFunc(c.active, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.rank, b.rank), a.deadline.Compare(b.deadline), strings.Compare(a.spec.ID, b.spec.ID))
 	})
 }
 
@@ -176,52 +189,6 @@
 	return 2
 }
 
-// shape is what a waiting task looks for. If one finds nothing, no equal one does
-// in the same round, as nothing becomes free within it.
-type shape struct {
-	need          Resources
-	level         int
-	service, rack string
-	label         string
-}
-
-// indexRacks lists the workers of each rack.
-func (c *Core) indexRacks() {
-	for rack, workers := range c.racks {
-		c.racks[rack] = workers[:0]
-	}
-	for _, w := range c.order {
-		if w.listed {
-			c.racks[w.info.Rack] = append(c.racks[w.info.Rack], w)
-		}
-	}
-	c.rackNames = c.rackNames[:0]
-	for rack, workers := range c.racks {
-		if len(workers) == 0 {
-			delete(c.racks, rack)
-			continue
-		}
-		c.rackNames = append(c.rackNames, rack)
-	}
-	sort.Strings(c.rackNames)
-}
-
-// in lists the workers of a rack, or all.
-func (c *Core) in(rack string) []*worker {
-	if rack == "" {
-		return c.order
-	}
-	return c.racks[rack]
-}
-
-// suits reports whether tasks of the step may run on the worker at all.
-func (s *step) suits(w *worker) bool {
-	if w.info.Service != s.occ.job.queue.Service {
-		return false
-	}
-	return s.spec.Label == "" || slices.Contains(w.info.Labels, s.spec.Label)
-}
-
 // spreadAllows reports whether one more task of the step may run on the worker.
 func (s *step) spreadAllows(w *worker) bool {
 	if s.spec.Spread == 0 {
@@ -272,18 +239,15 @@
 			continue
 		}
 		if s.spec.Tight && s.rack == "" {
-			s.rack = c.freestRack(now, s)
+			s.rack = c.freestRack(s)
 		}
-		w := c.choose(now, t, s.homeRack())
-		if w == nil && s.homeRack() != "" && (now.Sub(s.since) > c.patience(s) || len(c.racks[s.homeRack()]) == 0) {
-			w = c.choose(now, t, "")
-		}
-		if w != nil {
+		racks := c.homes(now, s)
+		if w := c.chooseIn(t, racks); w != nil {
 			c.start(now, t, w, t.run+1)
 			continue
 		}
 		if s.occ.job.queue.Priority == 0 {
-			c.planUrgent(now, []*task{t}, s.homeRack())
+			c.planUrgent(now, []*task{t}, racks)
 		}
 		if t.plan == nil && !s.mixed() {
 			return // its siblings are equal and won't fit either
@@ -291,6 +255,29 @@
 	}
 }
 
+// homes lists the racks that the step's tasks may run on, best first; nil stands for any.
+func (c *Core) homes(now time.Time, s *step) []*rack {
+	name := s.homeRack()
+	r := c.index.byName[name]
+	switch {
+	case name == "" || r == nil:
+		return []*rack{nil}
+	case now.Sub(s.since) > c.patience(s):
+		return []*rack{r, nil}
+	}
+	return []*rack{r}
+}
+
+// chooseIn picks the worker for a task on the first of some racks that has room.
+func (c *Core) chooseIn(t *task, racks []*rack) *worker {
+	for _, r := range racks {
+		if w := c.choose(t, r); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
 // awaitsPlan starts a task whose planned capacity is free, and reports whether there
 // is nothing else to do for it now.
 func (c *Core) awaitsPlan(now time.Time, t *task) bool {
@@ -318,18 +305,12 @@
 }
 
 // freestRack is the rack with capacity for most of the step's tasks.
-func (c *Core) freestRack(now time.Time, s *step) string {
-	free := map[string]int64{}
-	need := s.spec.demand()
+func (c *Core) freestRack(s *step) string {
+	sh := c.shapeOf(s)
 	best, most := "", int64(0)
-	for _, w := range c.order {
-		if !w.usable(now, c.cfg.Silence) || !s.suits(w) {
-			continue
-		}
-		n := times(w.free(s.occ.job.level), need)
-		free[w.info.Rack] += n
-		if free[w.info.Rack] > most {
-			best, most = w.info.Rack, free[w.info.Rack]
+	for _, r := range c.index.racks {
+		if fit := sh.in(r).fit; fit > most {
+			best, most = r.name, fit
 		}
 	}
 	return best
@@ -346,33 +327,51 @@
 	return n
 }
 
-// choose picks the worker for a task: the one with the least capacity left
-// afterwards, so that whole workers stay free for large tasks.
-func (c *Core) choose(now time.Time, t *task, rack string) *worker {
+// chooseLooks bounds the workers that a task is weighed on of those where it leaves as
+// many accelerators free; they differ in little else.
+const chooseLooks = 16
+
+// choose picks the worker for a task on a rack, or anywhere if that is nil: the one with
+// the least capacity left afterwards, so that whole workers stay free for large tasks.
+func (c *Core) choose(t *task, r *rack) *worker {
 	s := t.step
-	need := s.spec.demand()
-	key := shape{need, s.occ.job.level, s.occ.job.queue.Service, rack, s.spec.Label}
-	if c.full[key] {
+	sh := c.shapeOf(s)
+	if sh.in(r).fit == 0 {
 		return nil
 	}
 	var best *worker
 	var bestCost float64
-	fits := false
-	for _, w := range c.in(rack) {
-		if !w.usable(now, c.cfg.Silence) || !w.free(s.occ.job.level).Fits(need) || !s.suits(w) {
-			continue
-		}
-		fits = true
+	weigh := func(w *worker) bool {
+		c.looks++
 		if !s.spreadAllows(w) {
-			continue
+			return false
 		}
-		cost := c.placeCost(t, w, need)
-		if best == nil || cost < bestCost {
+		if cost := c.placeCost(t, w, sh.need); best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
+		return true
 	}
-	if !fits && !c.planning {
-		c.full[key] = true
+	if r != nil {
+		for _, w := range r.workers {
+			if sh.fit[w.at] > 0 {
+				weigh(w)
+			}
+		}
+		return best
+	}
+	for rest, set := range sh.rest {
+		if best != nil && bestCost <= float64(rest) {
+			break // no cost is below the accelerators left
+		}
+		looks := 0
+		for at := range set.all {
+			if weigh(c.order[at]) {
+				looks++
+			}
+			if looks == chooseLooks {
+				break
+			}
+		}
 	}
 	return best
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"sort"
 	"strings"
 	"time"
 
@@ -122,11 +121,9 @@
 	stored     map[string][]storedTask // tasks whose job isn't known yet, by job
 	out        Effects
 	rates      map[string]*runTime
-	racks      map[string][]*worker // listed workers by rack
-	rackNames  []string
-	full       map[shape]bool // what does not fit anywhere, in this round
-	planning   bool
-	changed    bool // since the last round of scheduling
+	index      *index
+	looks      int64 // workers looked at to place tasks
+	changed    bool  // since the last round of scheduling
 }
 
 type storedTask struct {
@@ -155,7 +152,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
-		guaranteed: map[string]int64{}, racks: map[string][]*worker{}, full: map[shape]bool{}, stored: map[string][]storedTask{}, rates: map[string]*runTime{},
+		guaranteed: map[string]int64{}, index: newIndex(), stored: map[string][]storedTask{}, rates: map[string]*runTime{},
 	}
 }
 
@@ -471,7 +468,3 @@
 		}
 	}
 }
-
-func sortWorkers(workers []*worker) {
-	sort.Slice(workers, func(i, k int) bool { return workers[i].id < workers[k].id })
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -44,16 +46,24 @@
 	// fails counts runs in a row that failed here.
 	fails     int
 	suspended time.Time // no new work before
+
+	index  *index
+	at     int   // position in Core.order
+	rack   *rack // nil while it isn't listed
+	open   bool  // it may be given new work in this round
+	dirty  bool  // the index hasn't counted its last change
+	sorted []*run
 }
 
 // worker returns the worker with the ID, which may not be listed (yet).
 func (c *Core) worker(id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, runs: map[runKey]*run{}}
+		w = &worker{id: id, runs: map[runKey]*run{}, index: c.index}
 		c.workers[id] = w
-		c.order = append(c.order, w)
-		sortWorkers(c.order)
+		at, _ := slices.BinarySearchFunc(c.order, id, func(o *worker, id string) int { return strings.Compare(o.id, id) })
+		c.order = slices.Insert(c.order, at, w)
+		c.index.stale = true
 	}
 	return w
 }
@@ -61,6 +71,8 @@
 func (w *worker) add(r *run) {
 	w.runs[runKey{r.name, r.number}] = r
 	w.used = w.used.plus(r.demand)
+	w.sorted = nil
+	w.touch()
 }
 
 // kept is the capacity that work of a level must leave to others: what is planned
@@ -96,6 +108,7 @@
 	if !w.listed || info.Draining != w.info.Draining || info.Capacity != w.info.Capacity {
 		c.changed = true
 	}
+	c.index.stale = c.index.stale || !w.listed || !w.info.fitsSame(info)
 	w.info, w.listed, w.heard = info, true, now
 	if info.Born > w.born {
 		c.reborn(now, w, info.Born)
@@ -110,7 +123,7 @@
 func (c *Core) DropWorker(id string) {
 	if w := c.workers[id]; w != nil {
 		w.listed = false
-		c.changed = true
+		c.changed, c.index.stale = true, true
 		c.cfg.Logger.Info("worker left", "worker", id, "runs", len(w.runs))
 		if len(w.runs) == 0 {
 			c.forgetWorker(w)
@@ -152,12 +165,8 @@
 
 func (c *Core) forgetWorker(w *worker) {
 	delete(c.workers, w.id)
-	for i, o := range c.order {
-		if o == w {
-			c.order = append(c.order[:i], c.order[i+1:]...)
-			return
-		}
-	}
+	c.order = slices.DeleteFunc(c.order, func(o *worker) bool { return o == w })
+	c.index.stale = true
 }
 
 func (c *Core) loseRuns(now time.Time, w *worker) {
@@ -166,19 +175,17 @@
 	}
 }
 
-// sortedRuns lists the runs in a fixed order, so that histories repeat.
+// sortedRuns lists the runs in a fixed order, so that histories repeat. The list is
+// made anew after a change, so that a caller may end runs while it goes through it.
 func (w *worker) sortedRuns() []*run {
-	out := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	sort.Slice(out, func(i, k int) bool {
-		if out[i].name != out[k].name {
-			return out[i].name < out[k].name
+	if w.sorted == nil {
+		w.sorted = make([]*run, 0, len(w.runs))
+		for _, r := range w.runs {
+			w.sorted = append(w.sorted, r)
 		}
-		return out[i].number < out[k].number
-	})
-	return out
+		slices.SortFunc(w.sorted, func(a, b *run) int { return cmp.Or(strings.Compare(a.name, b.name), cmp.Compare(a.number, b.number)) })
+	}
+	return w.sorted
 }
 
 // HasRuns reports whether the worker has to be asked: runs are counted there, or
@@ -336,6 +343,7 @@
 		r.reason = why
 	}
 	r.stopping = now
+	r.worker.touch()
 	c.out.Stops = append(c.out.Stops, Stop{Worker: r.worker.id, Address: r.worker.info.Address, Task: r.name, Run: r.number})
 }
 
@@ -345,6 +353,8 @@
 	c.changed = true
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.minus(r.demand)
+	w.sorted = nil
+	w.touch()
 	if r.blind {
 		w.blind--
 	}
