A new leader knows stored outcomes from its first answer on

Cause: since questions are answered beside the loop, an outcome shows once it is stored. A restored outcome whose job's description had not been dropped yet was taken for one that isn't stored.

Ruled out: a stream read in part (the outcome was restored); late answers of the leader before (it had shown the job as running).

Change: outcomes are published as they are restored, before descriptions are read.

Figures: TestNewLeaderKnowsStoredOutcomesAtOnce fails before, passes after.

Conclusion: fixed.

--- /dev/null
+++ b/internal/leader/answers_test.go
@@ -0,0 +1,43 @@
+package leader_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/leader"
+	"rhubarbshore/internal/scheduler"
+)
+
+// A new leader knows the outcomes that its predecessors stored from its first answer on:
+// it once said that a completed job doesn't exist until its loop had begun.
+func TestNewLeaderKnowsStoredOutcomesAtOnce(t *testing.T) {
+	broken := run(t, 4, func(p *pool) {
+		first := p.elect()
+		for i := range 3 { // descriptions are dropped once in a while: the first at once
+			p.submit(job(i, 1, step(4, 1)))
+			time.Sleep(time.Second)
+		}
+		if open := p.settled(20 * time.Second); len(open) > 0 {
+			t.Errorf("not over: %v", open)
+		}
+		first.cancel()
+		p.wrap = func(c leader.Config) leader.Config {
+			c.Now = func() time.Time { time.Sleep(eventCost); return time.Now() }
+			return c
+		}
+		second := p.elect()
+		for range 3000 {
+			state, err := second.leader.State(context.Background(), job(2, 1).ID, "")
+			if !errors.Is(err, leader.ErrDeposed) && (err != nil || state != scheduler.Completed) {
+				t.Errorf("state %q, error %v", state, err)
+				break
+			}
+			time.Sleep(time.Millisecond / 10)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -103,6 +103,7 @@
 			t.cfg.Logger.Error("stored state not readable", "key", r.Key, "error", err)
 		}
 	}
+	t.collect(t.core.Take()) // outcomes that are stored show from now on
 	for part := range in.jobs {
 		t.addJobs(now, in.jobs[part])
 	}
