Questions to a late leader aren't repeated into an overload, and follow the lead

Cause: a VM gave a question up after 0.7 s and asked the same leader again 60 ms later, on a new connection, for as long as its client waited. Class: retries without backoff that keep an overload going.

Ruled out: waiting for the first answer only: a connection may have gone silent.

Change: the time for an answer and the pause double with each repeat to the same leader. A question under way moves on as soon as another VM leads. hops_failed_total counts.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -136,7 +136,8 @@
 
 	mu       sync.Mutex
 	current  Holder
-	end      int64 // of the topic, when it was last read
+	changed  chan struct{} // closed when current changes
+	end      int64         // of the topic, when it was last read
 	heard    time.Time
 	leading  bool
 	led      int64 // highest epoch that this VM has led
@@ -170,19 +171,27 @@
 
 // New returns a Member; Run takes part.
 func New(cfg Config) *Member {
-	return &Member{cfg: cfg, life: uuid.NewString(), standbys: map[string]standby{}, suspect: make(chan struct{}, 1), rank: -1}
+	return &Member{cfg: cfg, life: uuid.NewString(), changed: make(chan struct{}), standbys: map[string]standby{}, suspect: make(chan struct{}, 1), rank: -1}
 }
 
-// Leader returns the address of the VM that leads, or empty.
-func (m *Member) Leader() string {
+// Leader returns the address of the VM that leads, or empty, and a channel that is
+// closed once another one does.
+func (m *Member) Leader() (string, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.current.Address
+	return m.current.Address, m.changed
+}
+
+// follow notes who leads. The caller holds the lock.
+func (m *Member) follow(held Holder) {
+	m.current = held
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // Suspect makes the member look at the leader at once.
 func (m *Member) Suspect(address string) {
-	if address != m.Leader() {
+	if held, _ := m.look(); held.Address != address {
 		return
 	}
 	select {
@@ -373,7 +382,8 @@
 	if held.Epoch > m.current.Epoch {
 		m.cfg.Logger.Info("another VM leads", "vm", held.VM, "epoch", held.Epoch, "before", m.current.VM)
 		// The rank stays: the order of the standbys is much the same under the next one.
-		m.current, m.peers = held, nil
+		m.follow(held)
+		m.peers = nil
 	}
 	return m.current.Epoch == failed.Epoch && !m.won()
 }
@@ -428,7 +438,7 @@
 	m.cfg.Logger.Info("campaign won", "epoch", offset+1, "before", before.VM, "before_epoch", before.Epoch)
 	metric.Count("elections_total")
 	m.mu.Lock()
-	m.current = Holder{VM: m.cfg.VM, Address: m.cfg.Address, Life: m.life, Epoch: offset + 1}
+	m.follow(Holder{VM: m.cfg.VM, Address: m.cfg.Address, Life: m.life, Epoch: offset + 1})
 	m.mu.Unlock()
 	select { // Run takes the lead up
 	case m.suspect <- struct{}{}:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,8 +53,9 @@
 
 // Guide knows the VM that schedules.
 type Guide interface {
-	// Leader returns its address, empty if there is none.
-	Leader() string
+	// Leader returns its address, empty if there is none, and a channel that is closed
+	// once that is another.
+	Leader() (string, <-chan struct{})
 	// Suspect tells that a call to it got no answer.
 	Suspect(address string)
 }
@@ -105,11 +106,13 @@
 	maxBytes   = 1 << 20
 	// maxJob bounds one job; the store takes records of 256 KB.
 	maxJob = 255 << 10
-	// hopTimeout is how long a call to the scheduling VM may take before its
-	// repeat, perhaps at another VM.
+	// hopTimeout is how long a call to the scheduling VM may take before its repeat.
+	// It doubles with each repeat to the same VM: one that is late would be later
+	// with more calls.
 	hopTimeout = 700 * time.Millisecond
-	// hopPause spaces such calls.
-	hopPause = 60 * time.Millisecond
+	// hopPause spaces such calls; it doubles as well, up to maxHopPause.
+	hopPause    = 60 * time.Millisecond
+	maxHopPause = 500 * time.Millisecond
 )
 
 // submission is a job that waits for the store.
@@ -315,31 +318,55 @@
 	return rep
 }
 
-// ask leads a question to the scheduling VM until it is answered for sure.
+// ask leads a question to the scheduling VM until it is answered for sure. Once another
+// VM schedules, it asks that one at once.
 func (in *Intake) ask(ctx context.Context, q Question) (Reply, error) {
+	timeout, pause, before := hopTimeout, hopPause, ""
 	for {
-		if local := in.cfg.Local(); local != nil {
-			if rep := Answer(ctx, local, q); rep.Sure {
-				return rep, nil
-			}
-		} else if address := in.cfg.Guide.Leader(); address != "" {
-			hop, cancel := context.WithTimeout(ctx, hopTimeout)
-			rep, err := httpjson.Post[Question, Reply](hop, in.cfg.Client, "http://"+address+"/ask", &q, nil)
-			cancel()
-			if err == nil && rep.Sure {
-				return rep, nil
-			}
-			if err != nil && ctx.Err() == nil {
-				in.cfg.Logger.Warn("scheduling VM did not answer", "address", address, "error", err)
-				in.cfg.Guide.Suspect(address)
-			}
+		address, changed := in.cfg.Guide.Leader()
+		if address != before {
+			timeout, pause, before = hopTimeout, hopPause, address
+		}
+		if rep, ok := in.hop(ctx, q, address, changed, timeout); ok {
+			return rep, nil
 		}
 		select {
 		case <-ctx.Done():
 			return Reply{}, &BusyError{Why: "no VM schedules at present", After: comeBack}
-		case <-time.After(hopPause):
+		case <-changed:
+		case <-time.After(pause):
+		}
+		timeout, pause = 2*timeout, min(2*pause, maxHopPause)
+	}
+}
+
+// hop asks the scheduling VM once. It gives up when another VM schedules.
+func (in *Intake) hop(ctx context.Context, q Question, address string, changed <-chan struct{}, timeout time.Duration) (Reply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if local := in.cfg.Local(); local != nil {
+		rep := Answer(ctx, local, q)
+		return rep, rep.Sure
+	}
+	if address == "" {
+		return Reply{}, false
+	}
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	rep, err := httpjson.Post[Question, Reply](ctx, in.cfg.Client, "http://"+address+"/ask", &q, nil)
+	if err != nil {
+		metric.Count("hops_failed_total")
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			in.cfg.Logger.Warn("scheduling VM did not answer", "address", address, "timeout_ms", timeout.Milliseconds(), "error", err)
+			in.cfg.Guide.Suspect(address)
 		}
 	}
+	return rep, err == nil && rep.Sure
 }
 
 // State returns the state of a customer's job.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -20,16 +21,57 @@
 	"rhubarbshore/internal/store"
 )
 
-type nobody struct{}
+// guide knows a leader that changes.
+type guide struct {
+	mu      sync.Mutex
+	address string
+	changed chan struct{}
+}
+
+func (g *guide) Leader() (string, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.address, g.changed
+}
+
+func (*guide) Suspect(string) {}
+
+func (g *guide) follow(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.changed)
+	g.address, g.changed = address, make(chan struct{})
+}
 
-func (nobody) Leader() string { return "" }
-func (nobody) Suspect(string) {}
+// leaders answer questions after a time of their own, and count them.
+type leaders struct {
+	mu    sync.Mutex
+	takes map[string]time.Duration
+	asked map[string]int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *leaders) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.mu.Lock()
+	l.asked[r.URL.Host]++
+	takes := l.takes[r.URL.Host]
+	l.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-time.After(takes):
+	}
+	body := io.NopCloser(strings.NewReader(`{"sure":true,"known":true,"state":"running"}`))
+	return &http.Response{StatusCode: http.StatusOK, Body: body, Header: http.Header{}}, nil
+}
 
 // site is an intake on a stand-in of the store, in virtual time.
 type site struct {
-	log    *standin.Log
-	intake *intake.Intake
-	ctx    context.Context
+	log     *standin.Log
+	intake  *intake.Intake
+	ctx     context.Context
+	guide   *guide
+	leaders *leaders
 }
 
 func run(t *testing.T, f func(s *site)) {
@@ -38,10 +80,11 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		log := standin.NewLog(standin.LogConfig{Latency: 4 * time.Millisecond, Seed: 1})
 		watched := store.Watch(log.View("vm"))
-		s := &site{log: log, ctx: ctx, intake: intake.New(intake.Config{
-			Log: watched, Guide: nobody{}, Client: http.DefaultClient, Logger: slog.New(slog.DiscardHandler),
+		s := &site{log: log, ctx: ctx, guide: &guide{changed: make(chan struct{})}, leaders: &leaders{takes: map[string]time.Duration{}, asked: map[string]int{}}}
+		s.intake = intake.New(intake.Config{
+			Log: watched, Guide: s.guide, Client: &http.Client{Transport: s.leaders}, Logger: slog.New(slog.DiscardHandler),
 			Local: func() intake.Local { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-		})}
+		})
 		var wg sync.WaitGroup
 		wg.Go(func() { s.intake.Run(ctx) })
 		defer func() {
@@ -173,3 +216,34 @@
 		assert.ErrorIs(t, s.intake.Cancel(ctx, "x", ""), intake.ErrUncertain)
 	})
 }
+
+// Questions to a leader that is late are answered, and not repeated so often that it
+// gets later still: calls that were given up after 0.7 s and repeated kept a leader busy
+// for a whole day.
+func TestLateLeaderIsAskedTwiceAtMost(t *testing.T) {
+	run(t, func(s *site) {
+		s.guide.follow("a")
+		s.leaders.takes["a"] = 1200 * time.Millisecond
+		ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+		defer cancel()
+		state, err := s.intake.State(ctx, "x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, state, scheduler.Running)
+		assert.Assert(t, s.leaders.asked["a"] <= 2, "asked %d times", s.leaders.asked["a"])
+	})
+}
+
+// A question to a leader that is gone goes to the next one as soon as that is known.
+func TestQuestionFollowsTheLead(t *testing.T) {
+	run(t, func(s *site) {
+		s.guide.follow("a")
+		s.leaders.takes["a"] = time.Hour
+		time.AfterFunc(200*time.Millisecond, func() { s.guide.follow("b") })
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+		defer cancel()
+		_, err := s.intake.State(ctx, "x", "")
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(begun) < 250*time.Millisecond, "took %s", time.Since(begun))
+	})
+}
