A gang that isn't whole in half of the time is broken up before its members end alone

Cause: nothing watched the start of a gang. A start that a starved leader sent late, or that got no answer, held up only itself; the others were stopped once it had surely ended, up to 3 s after the first. Class: no deadline over the parts of one operation.

Ruled out: that pacing by 32 starts orders members badly (they go in the order decided).

Change: half of gang_timeout_ms after the first confirmed start, a gang with unconfirmed members is stopped as a whole, and at once if a start got no answer.

Figures: TestGangThatIsNotWholeIsBrokenUp fails before (with the new watch off), passes after, for starts that are late by 2, 3 and 6 s.

--- /dev/null
+++ b/internal/leader/gang_test.go
@@ -0,0 +1,63 @@
+package leader_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/leader"
+	"rhubarbshore/internal/scheduler"
+)
+
+// tardy carries starts on one worker out late, and answers later still, as a leader
+// sees it that gets too little of its processor.
+type tardy struct {
+	leader.Workers
+	worker string
+	delay  time.Duration
+
+	mu   sync.Mutex
+	left int // starts that are late
+}
+
+func (d *tardy) Start(ctx context.Context, o scheduler.Start, token, deadline int64) (fleet.OrderAnswer, error) {
+	d.mu.Lock()
+	late := o.Worker == d.worker && d.left > 0
+	if late {
+		d.left--
+	}
+	d.mu.Unlock()
+	if late {
+		time.Sleep(d.delay) // longer than the call may take; the leader notices afterwards
+	}
+	return d.Workers.Start(context.WithoutCancel(ctx), o, token, deadline)
+}
+
+// A gang of which one start is late by more than its members wait for each other is
+// broken up in time: no member ends alone.
+func TestGangThatIsNotWholeIsBrokenUp(t *testing.T) {
+	for _, delay := range []time.Duration{2 * time.Second, testGangWait, 2 * testGangWait} {
+		var alone []string
+		broken := run(t, 8, func(p *pool) {
+			p.wrap = func(c leader.Config) leader.Config {
+				c.Workers = &tardy{Workers: c.Workers, worker: "w03", delay: delay, left: 1}
+				return c
+			}
+			p.elect()
+			time.Sleep(time.Second)
+			gang := step(8, 8)
+			gang.Gang = true
+			p.submit(job(1, 1, gang))
+			if open := p.settled(40 * time.Second); len(open) > 0 {
+				t.Errorf("not over: %v", open)
+			}
+			alone = p.fleet.Alone()
+		})
+		assert.DeepEqual(t, broken, []string(nil))
+		assert.DeepEqual(t, alone, []string(nil))
+	}
+}
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -31,6 +31,7 @@
 
 const (
 	testLease    = 6 * time.Second
+	testGangWait = 3 * time.Second
 	testPenalty  = 3
 	testAttempts = 3
 )
@@ -60,7 +61,7 @@
 	p := &pool{jobs: map[string]*scheduler.Job{}, maybe: map[string]bool{}, log: standin.NewLog(standin.LogConfig{Latency: 6 * time.Millisecond, Seed: 1})}
 	p.failer = func(string, int) bool { return false }
 	p.fleet = standin.NewFleet(standin.FleetConfig{
-		Seed: 1, MaxLease: 2 * testLease, StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, Penalty: testPenalty,
+		Seed: 1, MaxLease: 2 * testLease, StopTime: 400 * time.Millisecond, GangWait: testGangWait, Penalty: testPenalty,
 		SaveEach: 500 * time.Millisecond, Restore: 250 * time.Millisecond, Latency: 2 * time.Millisecond,
 		Work: p.work, Spec: p.spec,
 	})
@@ -154,6 +155,7 @@
 		Scheduler: scheduler.Config{
 			Logger: testLogger(), MaxLease: testLease, Penalty: testPenalty, KeepEnded: time.Hour, Silence: 5 * time.Second,
 			Restore: 250 * time.Millisecond, SaveEvery: 500 * time.Millisecond,
+			GangWait: testGangWait,
 		},
 	}
 	if p.wrap != nil {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -26,6 +26,7 @@
 	s.rack = ""
 	if workers := c.fitGang(now, s); workers != nil {
 		number := nextRun(s.tasks)
+		s.joined = time.Time{}
 		for i, t := range s.tasks {
 			c.start(now, t, workers[i], number)
 		}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -435,6 +435,7 @@
 		}
 	}
 	number := nextRun(tasks)
+	tasks[0].step.joined = time.Time{}
 	for _, t := range tasks {
 		c.start(now, t, t.plan.worker, number)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -63,6 +63,7 @@
 	done   int
 	rack   string    // where a tight step has begun
 	failed int       // newest run of a gang that was counted as failed
+	joined time.Time // when the first member of a gang's newest run was confirmed
 	since  time.Time // when its turn came
 }
 
@@ -105,6 +106,8 @@
 	Silence time.Duration
 	// Restore is the time a start from a checkpoint takes before it works on.
 	Restore time.Duration
+	// GangWait is how long a worker lets a member of a gang wait for the others.
+	GangWait time.Duration
 	// SaveEvery is the work between two checkpoints.
 	SaveEvery time.Duration
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -314,6 +314,19 @@
 	case Uncertain:
 		w.suspended = now.Add(refusalPause)
 		c.stop(now, r, "its start got no answer")
+		c.breakUp(now, r, "a member's start got no answer")
+	}
+}
+
+// breakUp stops the other members of a run's gang, which can't become whole.
+func (c *Core) breakUp(now time.Time, r *run, why string) {
+	if r.task == nil || r.task.live != r || !r.task.step.spec.Gang {
+		return
+	}
+	for _, t := range r.task.step.tasks {
+		if t.live != nil && t.live.stopping.IsZero() {
+			c.stop(now, t.live, why)
+		}
 	}
 }
 
@@ -330,8 +343,12 @@
 // confirm notes the first answer to an order about the run. From then on the
 // worker lists the run until its end is taken note of.
 func (r *run) confirm(now time.Time) {
-	if r.answered.IsZero() {
-		r.answered = now
+	if !r.answered.IsZero() {
+		return
+	}
+	r.answered = now
+	if r.task != nil && r.task.step.joined.IsZero() {
+		r.task.step.joined = now
 	}
 }
 
@@ -450,6 +467,19 @@
 	}
 }
 
+// gangShare of the time that members wait for each other may pass before a gang that is
+// not whole is broken up: the rest is for stopping them.
+const gangShare = 0.5
+
+// lateMember reports whether the others of its gang have waited too long for a run.
+func (c *Core) lateMember(now time.Time, r *run) bool {
+	if r.task == nil || !r.task.step.spec.Gang || !r.answered.IsZero() || c.cfg.GangWait == 0 {
+		return false
+	}
+	joined := r.task.step.joined
+	return !joined.IsZero() && float64(now.Sub(joined)) > gangShare*float64(c.cfg.GangWait)
+}
+
 // watch repeats orders that were lost and moves work off workers where it
 // stands still.
 func (c *Core) watch(now time.Time, w *worker) {
@@ -459,6 +489,8 @@
 			if now.Sub(r.stopping) > stopAgain {
 				c.stop(now, r, r.reason)
 			}
+		case c.lateMember(now, r):
+			c.breakUp(now, r, "its gang is not whole in time")
 		case w.synced:
 			c.watchRun(now, r)
 		}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -59,6 +59,7 @@
 	failed   map[string]bool
 	broken   []string
 	starts   int
+	alone    []string // runs that ended since the others of their gang did not come
 	checked  func(task string) string
 }
 
@@ -183,6 +184,13 @@
 	return f.starts
 }
 
+// Alone lists the runs that waited in vain for the others of their gang.
+func (f *Fleet) Alone() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.alone...)
+}
+
 // Used sums the accelerators in use.
 func (f *Fleet) Used() int64 {
 	f.mu.Lock()
@@ -421,6 +429,7 @@
 	case !e.stopping.IsZero() && !now.Before(e.stopping):
 		f.finish(e, scheduler.Stopped, now)
 	case e.atWork.IsZero() && now.Sub(e.begun) > f.cfg.GangWait:
+		f.alone = append(f.alone, fmt.Sprintf("%s run %d", e.task, e.run))
 		f.finish(e, scheduler.Alone, now)
 	case f.done(e, now) >= e.need && e.fail:
 		f.finish(e, scheduler.Fault, now)
