--- a/internal/scheduler/worth_test.go
+++ b/internal/scheduler/worth_test.go
@@ -34,12 +34,10 @@
 	l := newLoad(workers, seed)
 	out := outcome{earned: map[string]float64{}, owed: map[string]float64{}}
 	type open struct {
-		queue         string
-		worth         [2]float64
-		begun         time.Time
-		full          time.Duration
-		accelerators  float64
-		ended, forget bool
+		queue string
+		worth [2]float64
+		begun time.Time
+		full  time.Duration
 	}
 	jobs := map[string]*open{}
 	l.submitted = func(j scheduler.Job, k kindOfJob) {
