A question about a running job waits for an end that is on its way

Callers saw: jobs that had ended in time shown as running; told of it a quarter of a second later, when their clients came again, half of the urgent jobs with little time to spare were late.

Cause: clients ask when a job's last task has ended at its worker. The leader hears of the end 2 to 25 ms later, by the answer to its renewal. Class: a read that is older than the question.

Ruled out: a slow write of the outcome (10 ms); asking the worker for each question (a call a question, of which most tell nothing new).

Change: a question about a running job waits 50 ms at most for another state, and then for an outcome that is being stored, as before. So an answer tells of each end that had come when it was asked for.

--- a/internal/leader/answers.go
+++ b/internal/leader/answers.go
@@ -14,9 +14,15 @@
 // countEvery spaces the counting of waiting jobs, which may be two seconds old.
 const countEvery = 500 * time.Millisecond
 
-// storeSoon is how long a question waits for an outcome that is being stored: a write
-// takes 10 ms, and the next writes are as late if the store is slow.
-const storeSoon = 300 * time.Millisecond
+const (
+	// newsTime is how long a question about a running job waits for its end: workers list
+	// an end, and the leader takes it in, within 25 ms. So the answer tells of each end
+	// that had come when the question was sent.
+	newsTime = 50 * time.Millisecond
+	// storeSoon is how long it waits for an outcome that is being stored: a write takes
+	// 10 ms, and the next writes are as late if the store is slow.
+	storeSoon = 300 * time.Millisecond
+)
 
 // answers is what the leader tells about jobs. The loop writes it; questions are
 // answered from it beside the loop, so that any number of them costs the loop nothing.
@@ -32,9 +38,10 @@
 type view struct {
 	state    scheduler.State
 	customer string
-	// storing is closed once the job's outcome is stored. Until then the state is that
-	// of before.
-	storing chan struct{}
+	// storing: the job's outcome isn't stored yet. Until then the state is that of before.
+	storing bool
+	// changed is closed when another view is published; nil if nobody waits for that.
+	changed chan struct{}
 }
 
 // show publishes what the scheduler knows of a job.
@@ -42,13 +49,13 @@
 	state, customer, known := core.Owner(id)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if before := a.jobs[id]; before.changed != nil {
+		close(before.changed)
+	}
 	if !known {
 		delete(a.jobs, id)
 		return
 	}
-	if before := a.jobs[id]; before.storing != nil {
-		close(before.storing)
-	}
 	a.jobs[id] = view{state: state, customer: customer}
 }
 
@@ -56,8 +63,8 @@
 func (a *answers) store(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if v, known := a.jobs[id]; known && v.storing == nil && !v.state.Final() {
-		v.storing = make(chan struct{})
+	if v, known := a.jobs[id]; known && !v.state.Final() {
+		v.storing = true
 		a.jobs[id] = v
 	}
 }
@@ -93,29 +100,55 @@
 	return view{}, scheduler.ErrUnknown
 }
 
-// State returns the state of a customer's job. If an outcome is about to be stored, it
-// waits for that for storeSoon.
+// wait returns a channel that is closed when another view of the job is published, or
+// nil if the view is final.
+func (a *answers) wait(id string) <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v, known := a.jobs[id]
+	if !known || v.state.Final() {
+		return nil
+	}
+	if v.changed == nil {
+		v.changed = make(chan struct{})
+		a.jobs[id] = v
+	}
+	return v.changed
+}
+
+// State returns the state of a customer's job. An end that is on its way to this VM, or
+// about to be stored, is waited for: clients ask when the last task has ended.
 func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
 	if t == nil || t.ctx.Err() != nil {
 		return "", ErrDeposed
 	}
 	v, err := t.answers.state(t.cfg.Now(), id, customer)
-	if err != nil || v.storing == nil {
-		return v.state, err
+	if err == nil && v.state == scheduler.Running && !v.storing {
+		v, err = t.next(ctx, id, customer, newsTime)
 	}
-	timer := time.NewTimer(storeSoon)
-	defer timer.Stop()
-	select {
-	case <-v.storing:
-		v, err = t.answers.state(t.cfg.Now(), id, customer)
-	case <-timer.C:
-	case <-t.ctx.Done():
-	case <-ctx.Done():
+	if err == nil && v.storing {
+		v, err = t.next(ctx, id, customer, storeSoon)
 	}
 	return v.state, err
 }
 
+// next waits for another view of a job, at most for the time given, and returns what is
+// known then.
+func (t *term) next(ctx context.Context, id, customer string, most time.Duration) (view, error) {
+	if changed := t.answers.wait(id); changed != nil {
+		timer := time.NewTimer(most)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-t.ctx.Done():
+		case <-ctx.Done():
+		}
+	}
+	return t.answers.state(t.cfg.Now(), id, customer)
+}
+
 // Waiting counts the jobs of a queue of which no task has started.
 func (l *Leader) Waiting(_ context.Context, queue string) (int, error) {
 	t := l.current.Load()
--- a/internal/leader/answers_test.go
+++ b/internal/leader/answers_test.go
@@ -65,3 +65,47 @@
 	})
 	assert.DeepEqual(t, broken, []string(nil))
 }
+
+// A question that comes right after a job's last task has ended is told so, although the
+// leader hears of the end a moment later: told that the job is running, half of the
+// clients came again a quarter of a second later.
+func TestQuestionRightAfterTheEndIsToldOfIt(t *testing.T) {
+	broken := run(t, 4, func(p *pool) {
+		l := p.elect()
+		for i := range 20 {
+			p.submit(job(i, 1, step(1, 1)))
+			for p.fleet.Used() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			for p.fleet.Used() > 0 {
+				time.Sleep(time.Millisecond)
+				p.fleet.Settle()
+			}
+			if state, err := l.leader.State(context.Background(), job(i, 1).ID, ""); err != nil || state != scheduler.Completed {
+				t.Errorf("state %q, error %v", state, err)
+			}
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
+
+// A question about a job that goes on is answered soon.
+func TestQuestionAboutARunningJobIsAnsweredSoon(t *testing.T) {
+	broken := run(t, 4, func(p *pool) {
+		l := p.elect()
+		p.submit(job(1, 1, step(1, 1)))
+		for p.fleet.Used() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		begun := time.Now()
+		state, err := l.leader.State(context.Background(), job(1, 1).ID, "")
+		if took := time.Since(begun); err != nil || state != scheduler.Running || took > 60*time.Millisecond {
+			t.Errorf("state %q, error %v after %v", state, err, took)
+		}
+		if open := p.settled(20 * time.Second); len(open) > 0 {
+			t.Errorf("not over: %v", open)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
