Jobs of a VM that the store refuses are stored by the VM that schedules

Cause: a VM stored what it took by its own calls only, and refused while the store didn't serve it. Class: a dependency that is missing here and not elsewhere, taken for missing everywhere.

Change: if the store refuses a job or doesn't answer this VM, the job goes to the VM that schedules, if that one answered this VM's last ping. It checks host, path and key by its own configuration and stores the job. What it refuses, or a connection that was never made, stays a refusal; no answer makes the outcome unknown.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,9 +7,20 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"rhubarbshore/internal/scheduler"
 )
 
+// Reasons why a call is not allowed. Callers test for them with errors.Is.
+var (
+	namespace = errorx.NewNamespace("catalog")
+	// ErrRoute: no route leads there.
+	ErrRoute = errorx.NewType(namespace, "route").New("no route leads there")
+	// ErrKey: the key belongs to no customer, and the route needs one.
+	ErrKey = errorx.NewType(namespace, "key").New("the key belongs to no customer")
+)
+
 // Route leads requests of a host and path prefix to a queue.
 type Route struct {
 	Host      string
@@ -93,6 +104,33 @@
 	return name, ok
 }
 
+// Origin is what tells whether a call is allowed.
+type Origin struct {
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Key  string `json:"key,omitempty"`
+}
+
+// Admission is how a call that is allowed goes on.
+type Admission struct {
+	Route    Route
+	Rest     string // of the path
+	Customer string // empty if the call carried no known key and needs none
+}
+
+// Admit finds the route and the customer of a call.
+func (s *Snapshot) Admit(o Origin) (Admission, error) {
+	route, rest, ok := s.Match(o.Host, o.Path)
+	if !ok {
+		return Admission{}, ErrRoute
+	}
+	customer, known := s.Owner(o.Key)
+	if !known && !route.Anonymous {
+		return Admission{}, ErrKey
+	}
+	return Admission{Route: route, Rest: rest, Customer: customer}, nil
+}
+
 // Queues returns the policy of each queue by name.
 func (s *Snapshot) Queues() map[string]scheduler.Queue {
 	out := make(map[string]scheduler.Queue, len(s.cfg.Routes))
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -139,6 +139,7 @@
 	changed  chan struct{} // closed when current changes
 	end      int64         // of the topic, when it was last read
 	heard    time.Time
+	answers  bool // the leader answered the last ping
 	leading  bool
 	led      int64 // highest epoch that this VM has led
 	rank     int
@@ -182,9 +183,22 @@
 	return m.current.Address, m.changed
 }
 
+// Answers reports whether the VM that leads answered this VM's last ping.
+func (m *Member) Answers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answers
+}
+
+func (m *Member) noteAnswer(held Holder, how condition) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answers = how == answered && m.current.Life == held.Life
+}
+
 // follow notes who leads. The caller holds the lock.
 func (m *Member) follow(held Holder) {
-	m.current = held
+	m.current, m.answers = held, false
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -214,7 +228,9 @@
 		case held.Life == m.life:
 			m.replace(ctx, held, resigned)
 		default:
-			switch how := m.ping(ctx, held); {
+			how := m.ping(ctx, held)
+			m.noteAnswer(held, how)
+			switch {
 			case how == answered:
 				missed = 0
 			case (how == silent || how == idle) && missed+1 < misses:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/httpjson"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
@@ -58,6 +59,8 @@
 	Leader() (string, <-chan struct{})
 	// Suspect tells that a call to it got no answer.
 	Suspect(address string)
+	// Answers reports whether it answered this VM when it was last looked at.
+	Answers() bool
 }
 
 // Local answers if this VM schedules itself.
@@ -79,6 +82,8 @@
 	// long it hasn't.
 	Healthy    func() bool
 	FailingFor func() time.Duration
+	// Catalog returns the configuration in force, or nil.
+	Catalog func() *catalog.Snapshot
 }
 
 const (
@@ -148,9 +153,19 @@
 	return in
 }
 
-// Submit stores the job. A nil error means that it is stored; a BusyError that
-// it never runs because of this call.
-func (in *Intake) Submit(ctx context.Context, j scheduler.Job) error {
+// Submit stores the job, through the scheduling VM if the store doesn't serve this one. A
+// nil error means that it is stored; a BusyError that it never runs because of this call.
+func (in *Intake) Submit(ctx context.Context, j scheduler.Job, from catalog.Origin) error {
+	err := in.store(ctx, j)
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		return in.relay(ctx, Relayed{Job: j, From: from}, busy)
+	}
+	return err
+}
+
+// store stores the job with this VM's own calls.
+func (in *Intake) store(ctx context.Context, j scheduler.Job) error {
 	if !in.cfg.Healthy() {
 		why := fmt.Sprintf("the store has not answered this VM for %d ms", in.cfg.FailingFor().Milliseconds())
 		return &BusyError{Why: why, After: in.retryAfter()}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/intake"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/standin"
@@ -25,6 +26,7 @@
 type guide struct {
 	mu      sync.Mutex
 	address string
+	silent  bool
 	changed chan struct{}
 }
 
@@ -36,6 +38,12 @@
 
 func (*guide) Suspect(string) {}
 
+func (g *guide) Answers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.silent
+}
+
 func (g *guide) follow(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -65,6 +73,14 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: body, Header: http.Header{}}, nil
 }
 
+// allowing is a configuration by which a customer's key allows jobs at /jobs/.
+func allowing(key string) *catalog.Snapshot {
+	return catalog.New(catalog.Config{
+		Routes:    []catalog.Route{{Host: "h", Prefix: "/jobs/", Queue: scheduler.Queue{Name: "q"}}},
+		Customers: []catalog.Customer{{Name: "c", Keys: []string{key}}},
+	})
+}
+
 // site is an intake on a stand-in of the store, in virtual time.
 type site struct {
 	log     *standin.Log
@@ -72,6 +88,8 @@
 	ctx     context.Context
 	guide   *guide
 	leaders *leaders
+	client  *http.Client
+	wg      sync.WaitGroup // what ends with ctx
 }
 
 func run(t *testing.T, f func(s *site)) {
@@ -81,15 +99,16 @@
 		log := standin.NewLog(standin.LogConfig{Latency: 4 * time.Millisecond, Seed: 1})
 		watched := store.Watch(log.View("vm"))
 		s := &site{log: log, ctx: ctx, guide: &guide{changed: make(chan struct{})}, leaders: &leaders{takes: map[string]time.Duration{}, asked: map[string]int{}}}
+		s.client = &http.Client{Transport: s.leaders}
 		s.intake = intake.New(intake.Config{
-			Log: watched, Guide: s.guide, Client: &http.Client{Transport: s.leaders}, Logger: slog.New(slog.DiscardHandler),
+			Log: watched, Guide: s.guide, Client: s.client, Logger: slog.New(slog.DiscardHandler),
 			Local: func() intake.Local { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
+			Catalog: func() *catalog.Snapshot { return allowing("k") },
 		})
-		var wg sync.WaitGroup
-		wg.Go(func() { s.intake.Run(ctx) })
+		s.wg.Go(func() { s.intake.Run(ctx) })
 		defer func() {
 			cancel()
-			wg.Wait()
+			s.wg.Wait()
 		}()
 		f(s)
 	})
@@ -100,7 +119,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
 	begun := time.Now()
-	err := s.intake.Submit(ctx, scheduler.Job{ID: fmt.Sprintf("%016x", id)})
+	job := scheduler.Job{ID: fmt.Sprintf("%016x", id), Customer: "c"}
+	err := s.intake.Submit(ctx, job, catalog.Origin{Host: "h", Path: "/jobs/" + job.ID, Key: "k"})
 	return time.Since(begun), err
 }
 
@@ -196,13 +216,13 @@
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 				defer cancel()
-				err := s.intake.Submit(ctx, scheduler.Job{ID: fmt.Sprintf("%016x", id), Text: strings.Repeat("x", 200<<10)})
+				err := s.intake.Submit(ctx, scheduler.Job{ID: fmt.Sprintf("%016x", id), Text: strings.Repeat("x", 200<<10)}, catalog.Origin{})
 				assert.Check(t, err == nil, "%v", err)
 			})
 		}
 		wg.Wait()
 		assert.Assert(t, s.log.Largest() <= 2<<20, "an append of %d bytes", s.log.Largest())
-		assert.ErrorIs(t, s.intake.Submit(s.ctx, scheduler.Job{ID: "x", Text: strings.Repeat("x", 300<<10)}), intake.ErrTooLarge)
+		assert.ErrorIs(t, s.intake.Submit(s.ctx, scheduler.Job{ID: "x", Text: strings.Repeat("x", 300<<10)}, catalog.Origin{}), intake.ErrTooLarge)
 	})
 }
 
--- /dev/null
+++ b/internal/intake/relay_test.go
@@ -0,0 +1,125 @@
+package intake_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/catalog"
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/standin"
+	"rhubarbshore/internal/store"
+)
+
+// other is another VM that schedules. It takes relayed jobs, unless it is silent or gone.
+type other struct {
+	intake *intake.Intake
+	silent bool
+	gone   bool
+	calls  int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (o *other) RoundTrip(r *http.Request) (*http.Response, error) {
+	o.calls++
+	if o.gone {
+		return nil, &net.OpError{Op: "dial", Err: io.EOF}
+	}
+	if o.silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	var in intake.Relayed
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(o.intake.Take(r.Context(), in))
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data)), Header: http.Header{}}, err
+}
+
+// withOther adds another VM that schedules, with a configuration that knows a key. The
+// store refuses the first VM only.
+func withOther(s *site, key string) *other {
+	watched := store.Watch(s.log.View("other"))
+	o := &other{intake: intake.New(intake.Config{
+		Log: watched, Guide: &guide{changed: make(chan struct{})}, Logger: slog.New(slog.DiscardHandler),
+		Local: func() intake.Local { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
+		Catalog: func() *catalog.Snapshot { return allowing(key) },
+	})}
+	s.wg.Go(func() { o.intake.Run(s.ctx) })
+	s.client.Transport = o
+	s.guide.follow("other")
+	s.log.SetVMFault("vm", &standin.LogFault{Refuse: true})
+	return o
+}
+
+// A job that comes to a VM which the store refuses is stored all the same, if another VM
+// reaches it: a third of the VMs once turned all jobs away for nine seconds.
+func TestJobsOfARefusedVMAreStoredByAnother(t *testing.T) {
+	run(t, func(s *site) {
+		withOther(s, "k")
+		for id := range 20 { // the first while the VM doesn't know yet that it is refused
+			took, err := s.submit(id)
+			assert.NilError(t, err)
+			assert.Assert(t, took < 200*time.Millisecond, "took %s", took)
+			assert.Assert(t, s.stored(t, id))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// A VM that the store refuses may have missed a configuration. A job under a key that has
+// been taken away meanwhile isn't stored.
+func TestJobsThatAreNoLongerAllowedAreNotRelayed(t *testing.T) {
+	run(t, func(s *site) {
+		withOther(s, "another")
+		_, err := s.submit(1)
+		var busy *intake.BusyError
+		assert.Assert(t, errors.As(err, &busy), "%v", err)
+		assert.Assert(t, !s.stored(t, 1))
+	})
+}
+
+// That a job never runs is said only if the other VM can't have stored it.
+func TestRefusalsAfterARelayAreTrue(t *testing.T) {
+	run(t, func(s *site) {
+		o := withOther(s, "k")
+		var busy *intake.BusyError
+		o.gone = true
+		_, err := s.submit(1)
+		assert.Assert(t, errors.As(err, &busy), "%v", err)
+		o.gone, o.silent = false, true
+		took, err := s.submit(2)
+		assert.ErrorIs(t, err, intake.ErrUncertain)
+		assert.Assert(t, took < 700*time.Millisecond, "took %s", took)
+		o.silent = false
+		s.log.SetVMFault("other", &standin.LogFault{Lose: 1, Late: time.Second})
+		_, err = s.submit(3)
+		assert.ErrorIs(t, err, intake.ErrUncertain)
+	})
+}
+
+// A VM that is cut off from the scheduling VM as well refuses at once.
+func TestACutVMRefusesAtOnce(t *testing.T) {
+	run(t, func(s *site) {
+		o := withOther(s, "k")
+		time.Sleep(time.Second)
+		_, err := s.submit(1) // now it knows that it is refused
+		assert.NilError(t, err)
+		s.guide.silent = true
+		time.Sleep(time.Second)
+		calls := o.calls
+		took, err := s.submit(2)
+		var busy *intake.BusyError
+		assert.Assert(t, errors.As(err, &busy), "%v", err)
+		assert.Assert(t, took == 0 && o.calls == calls, "took %s, %d calls", took, o.calls-calls)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,7 +111,7 @@
 	})
 	n.intake = intake.New(intake.Config{
 		Log: n.log, Guide: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
-		Local: n.local,
+		Local: n.local, Catalog: n.catalog.Load,
 	})
 	return n
 }
@@ -198,6 +198,7 @@
 	handle(r, "/heard", func(ctx context.Context, in election.Ping) election.Pong { return n.member.Heard(ctx, in) })
 	// A campaign outlives the call that asked for it.
 	handle(r, "/take", func(_ context.Context, in election.Ping) election.Pong { return n.member.Take(ctx, in) })
+	handle(r, "/store", n.intake.Take)
 	handle(r, "/ask", func(ctx context.Context, q intake.Question) intake.Reply { return intake.Answer(ctx, n.local(), q) })
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metric.Write(w) })
 	return r
