A job that has just been accepted is known

Callers saw: 410, no such job, for a job that had been accepted a millisecond before; found by the soak, which asks at once. The platform allows that for three seconds, and a client that believes it hands the job in anew.

Cause: 'unknown' was said if the streams of jobs had been read within 2.5 s, although the newest records were still on their way to the leader. Class: a read that is older than the question, as with ends.

Ruled out: waiting for a reading of the stream that began after the question (a long poll of 1.5 s without new records).

Change: a question about a job that isn't known waits 50 ms at most for it to be taken in. Who waits is kept beside the views, so that it works for jobs without one.

Conclusion: fixed but for a leader that is more than 50 ms behind, within the platform's bound.

--- a/internal/leader/answers.go
+++ b/internal/leader/answers.go
@@ -15,9 +15,10 @@
 const countEvery = 500 * time.Millisecond
 
 const (
-	// newsTime is how long a question about a running job waits for its end: workers list
-	// an end, and the leader takes it in, within 25 ms. So the answer tells of each end
-	// that had come when the question was sent.
+	// newsTime is how long a question waits for the end of a running job, and for a job
+	// that isn't known: what a worker lists, and what another VM stores, is taken in by
+	// the leader within 25 ms. So the answer tells of what had happened when the question
+	// was sent.
 	newsTime = 50 * time.Millisecond
 	// storeSoon is how long it waits for an outcome that is being stored: a write takes
 	// 10 ms, and the next writes are as late if the store is slow.
@@ -29,6 +30,7 @@
 type answers struct {
 	mu      sync.Mutex
 	jobs    map[string]view
+	changes map[string]chan struct{} // closed when another view of the job is published
 	waiting map[string]int
 	counted time.Time
 	fresh   [intake.Parts]time.Time // when the newest records read of each stream were there
@@ -40,8 +42,6 @@
 	customer string
 	// storing: the job's outcome isn't stored yet. Until then the state is that of before.
 	storing bool
-	// changed is closed when another view is published; nil if nobody waits for that.
-	changed chan struct{}
 }
 
 // show publishes what the scheduler knows of a job.
@@ -49,8 +49,9 @@
 	state, customer, known := core.Owner(id)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if before := a.jobs[id]; before.changed != nil {
-		close(before.changed)
+	if changed := a.changes[id]; changed != nil {
+		close(changed)
+		delete(a.changes, id)
 	}
 	if !known {
 		delete(a.jobs, id)
@@ -100,31 +101,35 @@
 	return view{}, scheduler.ErrUnknown
 }
 
-// wait returns a channel that is closed when another view of the job is published, or
-// nil if the view is final.
-func (a *answers) wait(id string) <-chan struct{} {
+// wait returns a channel that is closed when another view of the job is published.
+func (a *answers) wait(id string) chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	v, known := a.jobs[id]
-	if !known || v.state.Final() {
-		return nil
+	if a.changes[id] == nil {
+		a.changes[id] = make(chan struct{})
 	}
-	if v.changed == nil {
-		v.changed = make(chan struct{})
-		a.jobs[id] = v
+	return a.changes[id]
+}
+
+// leave drops a channel of wait, unless there is another one by now.
+func (a *answers) leave(id string, changed chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.changes[id] == changed {
+		delete(a.changes, id)
 	}
-	return v.changed
 }
 
-// State returns the state of a customer's job. An end that is on its way to this VM, or
-// about to be stored, is waited for: clients ask when the last task has ended.
+// State returns the state of a customer's job. What is on its way to this VM, or about to
+// be stored, is waited for: clients ask when the last task has ended, and as soon as
+// their job is accepted.
 func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
 	if t == nil || t.ctx.Err() != nil {
 		return "", ErrDeposed
 	}
 	v, err := t.answers.state(t.cfg.Now(), id, customer)
-	if err == nil && v.state == scheduler.Running && !v.storing {
+	if errors.Is(err, scheduler.ErrUnknown) || err == nil && v.state == scheduler.Running && !v.storing {
 		v, err = t.next(ctx, id, customer, newsTime)
 	}
 	if err == nil && v.storing {
@@ -133,18 +138,22 @@
 	return v.state, err
 }
 
-// next waits for another view of a job, at most for the time given, and returns what is
-// known then.
+// next waits until the job has another view than a moment ago, at most for the time
+// given, and returns what is known then.
 func (t *term) next(ctx context.Context, id, customer string, most time.Duration) (view, error) {
-	if changed := t.answers.wait(id); changed != nil {
-		timer := time.NewTimer(most)
-		defer timer.Stop()
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-t.ctx.Done():
-		case <-ctx.Done():
-		}
+	changed := t.answers.wait(id)
+	defer t.answers.leave(id, changed)
+	// It may have changed before wait was called.
+	if v, err := t.answers.state(t.cfg.Now(), id, customer); err == nil && v.state.Final() {
+		return v, nil
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-t.ctx.Done():
+	case <-ctx.Done():
 	}
 	return t.answers.state(t.cfg.Now(), id, customer)
 }
--- a/internal/leader/answers_test.go
+++ b/internal/leader/answers_test.go
@@ -109,3 +109,30 @@
 	})
 	assert.DeepEqual(t, broken, []string(nil))
 }
+
+// A job that has just been accepted is known: clients that asked for it at once were told
+// that there is no such job, until the leader had read it.
+func TestAcceptedJobIsKnownAtOnce(t *testing.T) {
+	broken := run(t, 4, func(p *pool) {
+		p.wrap = func(c leader.Config) leader.Config {
+			c.Now = func() time.Time { time.Sleep(5 * eventCost); return time.Now() }
+			return c
+		}
+		l := p.elect()
+		time.Sleep(300 * time.Millisecond) // it leads
+		for i := range 20 {
+			p.submit(job(i, 1, step(1, 1)))
+			if state, err := l.leader.State(context.Background(), job(i, 1).ID, ""); err != nil {
+				t.Errorf("state %q, error %v", state, err)
+			}
+		}
+		begun := time.Now()
+		if _, err := l.leader.State(context.Background(), job(99, 1).ID, ""); !errors.Is(err, scheduler.ErrUnknown) || time.Since(begun) > 100*time.Millisecond {
+			t.Errorf("error %v after %v", err, time.Since(begun))
+		}
+		if open := p.settled(20 * time.Second); len(open) > 0 {
+			t.Errorf("not over: %v", open)
+		}
+	})
+	assert.DeepEqual(t, broken, []string(nil))
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -226,7 +226,7 @@
 	t := &term{
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, events), end: cancel, ctx: ctx, begun: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{seen: map[string]note{}}, unstored: map[string]bool{},
-		answers: answers{jobs: map[string]view{}}, core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
+		answers: answers{jobs: map[string]view{}, changes: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), starts: semaphore.NewWeighted(maxStarts),
 	}
 	defer t.recovered()
 	t.lastWrite.set(time.Now())
