--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -45,6 +45,12 @@
 }
 
 func newDaemon(t *testing.T, p *platformtest.Platform, vm string) *daemon {
+	t.Helper()
+	return newDaemonWith(t, vm, p.Settings)
+}
+
+// newDaemonWith starts a daemon with settings of its own.
+func newDaemonWith(t *testing.T, vm string, settings func(vm string, clients, ready, internal int) string) *daemon {
 	t.Helper()
 	dir := t.TempDir()
 	clients, ready, internal := freePort(t), freePort(t), freePort(t)
@@ -52,7 +58,7 @@
 		settings: filepath.Join(dir, "settings.toml"), log: filepath.Join(dir, "log"),
 		clients: fmt.Sprintf("127.0.0.1:%d", clients), ready: fmt.Sprintf("127.0.0.1:%d", ready),
 	}
-	assert.NilError(t, os.WriteFile(d.settings, []byte(p.Settings(vm, clients, ready, internal)), 0o600))
+	assert.NilError(t, os.WriteFile(d.settings, []byte(settings(vm, clients, ready, internal)), 0o600))
 	d.start(t)
 	return d
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -600,5 +600,13 @@
 	return f.fails[task]
 }
 
+// Finished reports whether a run of the task has ended done.
+func (f *Fleet) Finished(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance(time.Now())
+	return f.ended[task]
+}
+
 // EndedDone reports whether a run of the task has ended done. It is for checks.
 func (f *Fleet) EndedDone(task string) bool { return f.ended[task] }
