A planned stop cuts no call that it has read

Calls of clients were finished only after the lead was gone; if nobody took it, that was the end of the grace period, with no time left. Class: a stop whose steps share one deadline in sequence; and one of a library's that is not as graceful as it says.

Ruled out: connections that were idle (clients get Connection: close for 2.5 s before); a longer grace period (it is the platform's).

Change: calls of clients are finished beside the hand-over, which is tried until the lead is gone. httpjson.Draining closes the listener, after taking what waits there, and lets the calls under way end before the server is shut down.

Conclusion: fixed, but for a call that arrives on an idle connection in the moment it is closed, which no process has read.

--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -173,3 +174,40 @@
 	}
 	return err
 }
+
+// A planned stop of a VM that can't hand the lead over cuts no call of a client: its
+// connections were once cut when the time for the stop had passed.
+func TestPlannedStopWithoutASuccessorCutsNoCall(t *testing.T) {
+	p, err := platformtest.New(platformtest.Config{Workers: 2, Work: func(string) time.Duration { return 100 * time.Millisecond }})
+	assert.NilError(t, err)
+	defer p.Close()
+	p.Publish(1)
+	d := newDaemon(t, p, "vm-0")
+	d.awaitReady(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var cut atomic.Pointer[error]
+	for i := range 8 {
+		wg.Go(func() {
+			c := platformtest.NewClient(p, []string{d.clients})
+			for n := 0; ctx.Err() == nil; n++ {
+				id := fmt.Sprintf("%08x%08x", i, n)
+				_, err := c.Try(context.Background(), id, 0, []scheduler.Step{{Count: 1, Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, Estimate: time.Second}})
+				if refusedConnection(err) {
+					return
+				}
+				if err != nil {
+					cut.Store(&err)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	d.end(syscall.SIGTERM)
+	cancel()
+	wg.Wait()
+	assert.Equal(t, d.cmd.ProcessState.ExitCode(), 0)
+	if err := cut.Load(); err != nil {
+		t.Errorf("a call was cut: %v", *err)
+	}
+}
--- /dev/null
+++ b/internal/httpjson/drain.go
@@ -0,0 +1,97 @@
+package httpjson
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// acceptTime is how long a listener that is being closed takes the connections that
+	// wait for it: some rounds of a small VM's processor.
+	acceptTime = 50 * time.Millisecond
+	// callSoon is how long a new connection counts as used before it brings a call.
+	callSoon = time.Second
+	// drainPoll spaces looks at the connections in use.
+	drainPoll = 10 * time.Millisecond
+)
+
+// Draining is a server that can be stopped without cutting a call. http.Server.Shutdown
+// alone drops calls that it has read while it began to stop.
+type Draining struct {
+	server   *http.Server
+	listener net.Listener
+
+	mu      sync.Mutex
+	stopped bool
+	busy    map[net.Conn]busy
+}
+
+type busy struct {
+	state http.ConnState
+	since time.Time
+}
+
+// NewDraining returns a server on a listener. Its handlers should ask for the closing of
+// connections once the process is leaving.
+func NewDraining(srv *http.Server, l net.Listener) *Draining {
+	d := &Draining{server: srv, listener: l, busy: map[net.Conn]busy{}}
+	srv.ConnState = d.track
+	return d
+}
+
+func (d *Draining) track(c net.Conn, state http.ConnState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateActive:
+		d.busy[c] = busy{state, time.Now()}
+	case http.StateIdle, http.StateHijacked, http.StateClosed:
+		delete(d.busy, c)
+	}
+}
+
+// inUse reports whether a call is under way, or may be about to come.
+func (d *Draining) inUse() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, b := range d.busy {
+		if b.state == http.StateActive || time.Since(b.since) < callSoon {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve answers calls until the server is stopped.
+func (d *Draining) Serve() error {
+	err := d.server.Serve(d.listener)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends the server at once.
+func (d *Draining) Close() error { return d.server.Close() }
+
+// Drain takes no more connections, and returns when the calls under way are answered, or
+// ctx ends.
+func (d *Draining) Drain(ctx context.Context) error {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	if l, ok := d.listener.(interface{ SetDeadline(t time.Time) error }); ok && l.SetDeadline(time.Now().Add(acceptTime)) == nil {
+		time.Sleep(acceptTime)
+	}
+	err := d.listener.Close()
+	for d.inUse() && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	return errors.Join(err, d.server.Shutdown(ctx))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,8 @@
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	failed   chan error
-	servers  []*http.Server
+	clients  *httpjson.Draining
+	servers  []*httpjson.Draining // of readiness and of other VMs
 	wg       sync.WaitGroup
 }
 
@@ -131,12 +132,16 @@
 	front := platform.NewFront(platform.FrontConfig{
 		Jobs: n.intake, Catalog: n.catalog.Load, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
 	})
-	for address, h := range map[string]http.Handler{
-		set.Clients: front, set.Readiness: platform.ReadinessHandler(n.ready), set.Internal: n.internal(ctx),
-	} {
-		if err := n.listen(ctx, address, h); err != nil {
+	var err error
+	if n.clients, err = n.listen(ctx, set.Clients, front); err != nil {
+		return err
+	}
+	for address, h := range map[string]http.Handler{set.Readiness: platform.ReadinessHandler(n.ready), set.Internal: n.internal(ctx)} {
+		srv, err := n.listen(ctx, address, h)
+		if err != nil {
 			return err
 		}
+		n.servers = append(n.servers, srv)
 	}
 	for _, run := range []func(context.Context){n.followConfig, n.member.Run, n.intake.Run} {
 		n.wg.Go(func() {
@@ -167,23 +172,22 @@
 // a new one starts.
 func (n *Node) Failed() <-chan error { return n.failed }
 
-func (n *Node) listen(ctx context.Context, address string, h http.Handler) error {
+func (n *Node) listen(ctx context.Context, address string, h http.Handler) (*httpjson.Draining, error) {
 	var lc net.ListenConfig
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
-		return errorx.Decorate(err, "listen")
+		return nil, errorx.Decorate(err, "listen")
 	}
-	srv := &http.Server{
+	srv := httpjson.NewDraining(&http.Server{
 		Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * minimumIdle, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(n.cfg.Logger.Handler(), slog.LevelError),
-	}
-	n.servers = append(n.servers, srv)
+	}, l)
 	n.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(); err != nil {
 			n.cfg.Logger.Error("server ended", "address", address, "error", err)
 		}
 	})
-	return nil
+	return srv, nil
 }
 
 // ready reports whether clients should be led here.
@@ -285,7 +289,7 @@
 // process.
 func (n *Node) Kill() {
 	n.cancel()
-	for _, srv := range n.servers {
+	for _, srv := range append(n.servers, n.clients) {
 		if err := srv.Close(); err != nil {
 			n.cfg.Logger.Warn("server not closed", "error", err)
 		}
@@ -293,24 +297,40 @@
 	n.wg.Wait()
 }
 
-// Stop hands the lead over, waits until clients are led elsewhere and ends.
+// Stop hands the lead over, waits until clients are led elsewhere and ends. Calls of
+// clients are finished beside the hand-over, which may take all of the time.
 func (n *Node) Stop() {
 	begun := time.Now()
 	n.stopping.Store(true)
 	end := begun.Add(n.cfg.Settings.Bounds.Grace - exitMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	n.member.HandOver(ctx)
+	n.wg.Go(func() { n.handOver(ctx) })
 	time.Sleep(min(leaveAfter, time.Until(end)))
+	n.shutDown(ctx, n.clients)
 	for n.leader.Leading() && time.Until(end) > 0 {
 		time.Sleep(leaderPause) // the next one still loads
 	}
 	for _, srv := range n.servers {
-		if err := srv.Shutdown(ctx); err != nil {
-			n.cfg.Logger.Warn("connections were open at the end", "error", err)
-			break
-		}
+		n.shutDown(ctx, srv)
 	}
 	n.cancel()
 	n.cfg.Logger.Info("stopped", "took_ms", time.Since(begun).Milliseconds())
 }
+
+// handOver gives the lead away, and tries again until it is gone or ctx ends.
+func (n *Node) handOver(ctx context.Context) {
+	for {
+		n.member.HandOver(ctx)
+		if !n.leader.Leading() || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(leaderPause)
+	}
+}
+
+func (n *Node) shutDown(ctx context.Context, srv *httpjson.Draining) {
+	if err := srv.Drain(ctx); err != nil {
+		n.cfg.Logger.Warn("connections were open at the end", "error", err)
+	}
+}
