A leader that stops asks the next standby if the first one is gone

Cause: a planned stop asked one standby to take the lead, the first of those heard within 4 s. That one had just stopped itself. Class: a choice by old news, tried once.

Ruled out: a shorter time for which standbys count (those of later ranks ping once a second).

Change: HandOver asks one standby after the other while it leads; each may take a second to win.

Conclusion: fixed.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -64,6 +64,9 @@
 	storePause = 150 * time.Millisecond
 	// logEvery thins out lines about a store that stays away.
 	logEvery = 16
+	// takeTime is how long a standby that was asked may take to win: two calls to a store
+	// that is slow.
+	takeTime = time.Second
 	// peerLife is how long a standby counts after its last ping.
 	peerLife = 4 * time.Second
 )
@@ -502,14 +505,15 @@
 	}
 }
 
-// handTo asks a standby to take the lead.
-func (m *Member) handTo(ctx context.Context, to standby, epoch int64) {
+// handTo asks a standby to take the lead, and reports whether it campaigns.
+func (m *Member) handTo(ctx context.Context, to standby, epoch int64) bool {
 	m.cfg.Work.Pause(ctx)
 	in := Ping{VM: m.cfg.VM, Epoch: epoch}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := httpjson.Post[Ping, Pong](call, m.cfg.Client, "http://"+to.address+"/take", &in, nil)
-	m.cfg.Logger.Info("lead is handed over", "to", to.name, "cores", to.cores, "own_cores", m.cfg.Cores, "epoch", epoch, "error", err)
+	pong, err := httpjson.Post[Ping, Pong](call, m.cfg.Client, "http://"+to.address+"/take", &in, nil)
+	m.cfg.Logger.Info("lead is handed over", "to", to.name, "taken", pong.Leading, "cores", to.cores, "own_cores", m.cfg.Cores, "epoch", epoch, "error", err)
+	return err == nil && pong.Leading
 }
 
 // Pinged answers a standby.
@@ -585,18 +589,39 @@
 	return Pong{HeardMS: time.Since(m.heard).Milliseconds()}
 }
 
-// HandOver asks the first standby to take the lead, and takes no part from now
-// on.
+// HandOver takes no part from now on. A leader asks its standbys one after the other to
+// take the lead, until it no longer leads: one that was heard lately may have gone, or not
+// reach the store.
 func (m *Member) HandOver(ctx context.Context) {
 	m.mu.Lock()
 	m.stopping = true
-	leading := m.leading
-	epoch := m.current.Epoch
-	first, ok := m.firstStandby(time.Now())
+	leading, epoch := m.leading, m.current.Epoch
+	standbys := m.liveStandbys(time.Now())
 	m.mu.Unlock()
-	if leading && ok {
-		m.handTo(ctx, first, epoch)
+	if !leading {
+		return
 	}
+	for _, s := range standbys {
+		if m.handTo(ctx, s, epoch) {
+			m.await(ctx, takeTime)
+		}
+		if !m.isLeading() || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// await waits until this VM no longer leads, at most for a time.
+func (m *Member) await(ctx context.Context, most time.Duration) {
+	for end := time.Now().Add(most); m.isLeading() && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(storePause / 5)
+	}
+}
+
+func (m *Member) isLeading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leading
 }
 
 // Take campaigns at once, on the request of the leader of an epoch.
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -310,6 +310,28 @@
 	})
 }
 
+// A planned stop asks the next standby if the first one has just gone: a leader once asked
+// the one that had stopped before it, and led until its process was ended.
+func TestHandOverAsksTheNextStandby(t *testing.T) {
+	run(t, 5, func(p *pool) {
+		old, _ := p.await(nil)
+		time.Sleep(3 * time.Second)
+		gone := 0
+		for _, m := range p.all { // the first standbys are those with the first names
+			if m != old && gone < 2 {
+				p.kill(m)
+				gone++
+			}
+		}
+		go old.HandOver(context.Background())
+		_, took := p.await(old)
+		assert.Assert(t, took < 300*time.Millisecond, "took %s", took)
+		old.mu.Lock()
+		old.end()
+		old.mu.Unlock()
+	})
+}
+
 func TestAllRestartWhileTheStoreNamesALeaderOfBefore(t *testing.T) {
 	run(t, 4, func(p *pool) {
 		old, _ := p.await(nil)
