--- a/internal/cmd/join/soak_test.go
+++ b/internal/cmd/join/soak_test.go
@@ -315,6 +315,19 @@
 	}
 	time.Sleep(away)
 	v.start(t)
+	v.awaitStarted()
+}
+
+// awaitStarted waits until the process answers, and so handles signals.
+func (v *soakVM) awaitStarted() {
+	for range 200 {
+		c, err := net.Dial("tcp", v.ready)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
 }
 
 // pause freezes the process for a time.
--- a/internal/httpjson/drain.go
+++ b/internal/httpjson/drain.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// acceptTime is how long a listener that is being closed takes the connections that
-	// wait for it: some rounds of a small VM's processor.
-	acceptTime = 50 * time.Millisecond
 	// callSoon is how long a new connection counts as used before it brings a call.
 	callSoon = time.Second
 	// drainPoll spaces looks at the connections in use.
@@ -81,14 +78,11 @@
 func (d *Draining) Close() error { return d.server.Close() }
 
 // Drain takes no more connections, and returns when the calls under way are answered, or
-// ctx ends.
+// ctx ends. The kernel resets connections that haven't been accepted by then.
 func (d *Draining) Drain(ctx context.Context) error {
 	d.mu.Lock()
 	d.stopped = true
 	d.mu.Unlock()
-	if l, ok := d.listener.(interface{ SetDeadline(t time.Time) error }); ok && l.SetDeadline(time.Now().Add(acceptTime)) == nil {
-		time.Sleep(acceptTime)
-	}
 	err := d.listener.Close()
 	for d.inUse() && ctx.Err() == nil {
 		time.Sleep(drainPoll)
