--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -35,9 +35,7 @@
 	d.tell()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(farewell))
 	defer cancel()
-	if err := d.server.Drain(ctx); err != nil {
-		d.logger.Warn("connections were open at the end", "error", err)
-	}
+	_ = d.server.Shutdown(ctx)
 	d.cancel()
 	d.done.Wait()
 	d.logger.Info("stopped", "cut", cut)
