Test processes draw ports from blocks of their own

Cause: with 24 copies of TestRollingRestart at once one published to another's VM ("another change came first"), and another waited 120 s for a VM that had ended with the first. Each process drew ports from a random start on; two runs of ports could overlap, and a port is free until its VM listens.

Ruled out: a change told as lost though it was accepted, in this run: the append was answered, so that the publisher's own reading had to find it.

Change: a process claims blocks of ports by listening on the first port of each.

TestProcessesShareNoPorts draws from 20 claimants.

Conclusion: a fault of the tests, not of the product.

--- a/internal/site/edge_test.go
+++ b/internal/site/edge_test.go
@@ -35,6 +35,26 @@
 	}
 }
 
+// TestProcessesShareNoPorts guards against two test processes whose VMs meet at one
+// address: each has drawn it while the other's VM did not listen yet.
+func TestProcessesShareNoPorts(t *testing.T) {
+	var processes [20]ports
+	seen := map[int]bool{}
+	for range 60 {
+		for i := range processes {
+			port, err := processes[i].draw()
+			assert.NilError(t, err)
+			assert.Assert(t, !seen[port], port)
+			seen[port] = true
+		}
+	}
+	for i := range processes {
+		for _, l := range processes[i].claims {
+			assert.NilError(t, l.Close())
+		}
+	}
+}
+
 // TestLimits sends what is over a limit, or unknown, and checks the refusals.
 func TestLimits(t *testing.T) { synctest.Test(t, testLimits) }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -9,11 +9,9 @@
 	"io/fs"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -191,42 +189,6 @@
 	return nil
 }
 
-// The ports from which FreeAddress draws. They lie below those that systems give to
-// outgoing connections.
-const (
-	firstPort = 15_000
-	lastPort  = 32_000
-	maxDraws  = 100
-)
-
-// drawn counts the ports that this process has drawn, from one of its own on.
-var (
-	drawn  atomic.Int64
-	origin = rand.Int64N(lastPort - firstPort)
-)
-
-// FreeAddress finds an address of the loopback interface to listen on later.
-func FreeAddress() (string, error) {
-	port, err := FreePort()
-	return fmt.Sprint("127.0.0.1:", port), err
-}
-
-// FreePort finds a port of the loopback interface to listen on later. No outgoing
-// connection can take it meanwhile, and this process gets it only once: who still
-// knows a VM that has gone must not reach one of another site there.
-func FreePort() (int, error) {
-	var err error
-	for range maxDraws {
-		port := int(firstPort + (origin+drawn.Add(1))%(lastPort-firstPort))
-		var listener net.Listener
-		listener, err = httpjson.TCP{}.Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", port))
-		if err == nil {
-			return port, listener.Close()
-		}
-	}
-	return 0, errorx.Decorate(err, "listen")
-}
-
 // Settings are those of an entry VM at the address that finds its platform at url.
 func Settings(zone, name, address, url string, deadlines settings.Deadlines) settings.Settings {
 	set := settings.Default()
