A change is not told as lost while another reader takes it in

A publisher whose append had no answer looks whether its change is accepted, then which version is in force. If another reader of the log takes the change in between, the second look finds a version other than the parent, its own, and the change is told as lost.

Ruled out: a case where the append was answered; the publisher's reading finds it then.

Change: both are read under one lock.

Conclusion: mended by design, without a test that failed before.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -217,9 +217,16 @@
 
 // Accepted reports whether the change with that id has been accepted.
 func (s *Store) Accepted(id string) bool {
+	_, ok := s.seen(id)
+	return ok
+}
+
+// seen returns the version last accepted, and whether the change with that id has been
+// accepted up to it.
+func (s *Store) seen(id string) (Version, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.recent[id]
+	return s.version, s.recent[id]
 }
 
 // Publish appends the change and says whether it won: nil only after it was
@@ -244,11 +251,11 @@
 	deadline := time.Now().Add(settleTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		err := s.Sync(ctx)
-		if s.Accepted(c.ID) {
+		v, accepted := s.seen(c.ID)
+		if accepted {
 			s.poke()
 			return nil
 		}
-		v := s.Version()
 		if err == nil && v.ID != c.Parent {
 			return ErrLost
 		}
