`serve` drains its connections when it stops

Ruled out: that the drain makes the stop slower than its deadline; it ends with the same context.

Conclusion: one way to stop a server in both programs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -77,7 +76,7 @@
 	sender  *minion.Client
 	workers *http.Client
 
-	server   *http.Server
+	server   *httpjson.Draining
 	listener net.Listener
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -210,14 +209,14 @@
 	d.queueCtx = ctx
 	d.booted = time.Now()
 	d.listener = listener
-	d.server = &http.Server{
+	d.server = httpjson.NewDraining(&http.Server{
 		Handler: d.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+	}, httpjson.CountListener(listener, "served"))
 	for _, duty := range []func(ctx context.Context){d.members.Run, d.store.Run, d.claims.Run, d.journal.Run, d.placer.Run, d.followList, d.followPeers, d.keepLead} {
 		d.done.Go(func() { duty(ctx) })
 	}
 	d.done.Go(func() {
-		if err := d.server.Serve(httpjson.CountListener(listener, "served")); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(); err != nil {
 			d.logger.Error("listener failed", "error", err)
 		}
 	})
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -35,7 +35,9 @@
 	d.tell()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(farewell))
 	defer cancel()
-	_ = d.server.Shutdown(ctx)
+	if err := d.server.Drain(ctx); err != nil {
+		d.logger.Warn("connections were open at the end", "error", err)
+	}
 	d.cancel()
 	d.done.Wait()
 	d.logger.Info("stopped", "cut", cut)
