Preemption counts a gang once, and uses all that its end frees

Cause: if a run is stopped for urgent work its gang ends as a whole, but the plan for the urgent tasks knew of that run only. It weighed the other members again at the full loss of the gang, and stopped a second gang where the first had just freed enough.

Change: what is weighed on a worker is a gang with all its members there, at one loss; once it is chosen, its members everywhere count as stopped, and their workers are weighed anew.

Figures: TestUrgentGangStopsWholeGangsOnce fails before (both gangs are stopped).

--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -71,58 +71,95 @@
 	loss    float64
 }
 
-// option is a worker with the runs to stop there for one more task.
+// option is a worker with the runs to stop there for one more task. It has no worker once
+// nothing more fits there.
 type option struct {
 	w     *worker
 	stops []*run
 	cost  float64
 }
 
+// offers are the workers where urgent tasks of a step could run.
+type offers struct {
+	step  *step
+	all   []option
+	at    map[*worker]int // in all
+	taken map[*run]bool   // runs that are stopped for tasks of the step
+}
+
+// offersOn weighs a task of the step on the workers of a rack, or of any if that is nil.
+func (c *Core) offersOn(now time.Time, s *step, r *rack) *offers {
+	sh := c.shapeOf(s)
+	o := &offers{step: s, at: map[*worker]int{}, taken: map[*run]bool{}}
+	for _, w := range c.in(r) {
+		if sh.reach[w.at] == 0 {
+			continue
+		}
+		if one, ok := c.weigh(now, s, w, o.taken); ok {
+			o.at[w] = len(o.all)
+			o.all = append(o.all, one)
+		}
+	}
+	return o
+}
+
+// best is the option that loses least, or false if no worker is left.
+func (o *offers) best() (option, bool) {
+	best := -1
+	for i := range o.all {
+		if o.all[i].w != nil && (best < 0 || o.all[i].cost < o.all[best].cost) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return option{}, false
+	}
+	return o.all[best], true
+}
+
+// take stops what an option needs to be stopped. Gangs end as a whole, which frees
+// capacity on other workers; these are weighed anew.
+func (o *offers) take(c *Core, now time.Time, chosen option) {
+	changed := map[*worker]bool{chosen.w: true}
+	for _, v := range chosen.stops {
+		for _, m := range v.gang() {
+			o.taken[m] = true
+			changed[m.worker] = true
+		}
+	}
+	for w := range changed {
+		if i, ok := o.at[w]; ok {
+			again, fits := c.weigh(now, o.step, w, o.taken)
+			if !fits {
+				again = option{}
+				delete(o.at, w)
+			}
+			o.all[i] = again
+		}
+	}
+}
+
 // planOn weighs the tasks on the workers of a rack, or of any if that is nil. It returns
 // nil if they don't fit there.
 func (c *Core) planOn(now time.Time, tasks []*task, r *rack) *proposal {
 	s := tasks[0].step
-	sh := c.shapeOf(s)
-	if sh.in(r).reach < int64(len(tasks)) {
+	if c.shapeOf(s).in(r).reach < int64(len(tasks)) {
 		return nil
 	}
-	taken := map[*run]bool{}
-	var options []option
-	for _, w := range c.in(r) {
-		if sh.reach[w.at] > 0 {
-			if o, ok := c.weigh(now, s, w, taken); ok {
-				options = append(options, o)
-			}
-		}
-	}
+	defer dropPlans(tasks)
+	o := c.offersOn(now, s, r)
 	p := &proposal{}
 	for _, t := range tasks {
-		best := -1
-		for i := range options {
-			if best < 0 || options[i].cost < options[best].cost {
-				best = i
-			}
-		}
-		if best < 0 {
-			p = nil
-			break
-		}
-		o := options[best]
-		p.workers = append(p.workers, o.w)
-		p.loss += o.cost
-		for _, victim := range o.stops {
-			taken[victim] = true
-			p.victims = append(p.victims, victim)
-		}
-		t.setPlan(o.w, now.Add(planLife))
-		// Only this worker's capacity has changed.
-		if again, ok := c.weigh(now, s, o.w, taken); ok {
-			options[best] = again
-		} else {
-			options = slices.Delete(options, best, best+1)
+		best, ok := o.best()
+		if !ok {
+			return nil
 		}
+		p.workers = append(p.workers, best.w)
+		p.victims = append(p.victims, best.stops...)
+		p.loss += best.cost
+		t.setPlan(best.w, now.Add(planLife))
+		o.take(c, now, best)
 	}
-	dropPlans(tasks)
 	return p
 }
 
@@ -169,67 +206,86 @@
 	}
 }
 
-// preempt stops a run, and with it its gang, for a more important task.
-func (c *Core) preempt(now time.Time, r *run, by *task) {
-	runs := []*run{r}
-	if r.task != nil && r.task.step.spec.Gang {
-		runs = runs[:0]
-		for _, m := range r.task.step.tasks {
-			if m.live != nil {
-				runs = append(runs, m.live)
-			}
+// gang lists the runs that end if the run is stopped.
+func (r *run) gang() []*run {
+	if r.task == nil || !r.task.step.spec.Gang {
+		return []*run{r}
+	}
+	var runs []*run
+	for _, m := range r.task.step.tasks {
+		if m.live != nil {
+			runs = append(runs, m.live)
 		}
 	}
-	for _, r := range runs {
-		if r.stopping.IsZero() {
-			c.stop(now, r, "preempted by "+by.step.occ.job.spec.ID)
+	return runs
+}
+
+// preempt stops a run, and with it its gang, for a more important task.
+func (c *Core) preempt(now time.Time, r *run, by *task) {
+	for _, m := range r.gang() {
+		if m.stopping.IsZero() {
+			c.stop(now, m, "preempted by "+by.step.occ.job.spec.ID)
 		}
 	}
 }
 
+// victim is what ends on a worker if a run there is stopped: the run, or those of its
+// gang.
+type victim struct {
+	r      *run
+	demand Resources
+	loss   float64
+}
+
 // victimsOn picks runs of less important work to stop so that need fits on the worker.
-func (c *Core) victimsOn(now time.Time, w *worker, need Resources, level int, victims map[*run]bool) ([]*run, float64, bool) {
+// Runs in taken are stopped anyway.
+func (c *Core) victimsOn(now time.Time, w *worker, need Resources, level int, taken map[*run]bool) ([]*run, float64, bool) {
 	free := w.free(level)
-	type choice struct {
-		r    *run
-		loss float64
-	}
-	var choices []choice
+	var choices []victim
+	gangs := map[*step]int{} // in choices
 	for _, r := range w.sortedRuns() {
-		if !r.stopping.IsZero() || victims[r] {
+		if !r.stopping.IsZero() || taken[r] {
 			free = free.plus(r.demand)
 			continue
 		}
 		if !r.yieldsTo(level) {
 			continue
 		}
-		choices = append(choices, choice{r, c.loss(now, r)})
+		if s := r.task.step; s.spec.Gang {
+			if i, ok := gangs[s]; ok {
+				choices[i].demand = choices[i].demand.plus(r.demand)
+				continue
+			}
+			gangs[s] = len(choices)
+		}
+		choices = append(choices, victim{r, r.demand, c.loss(now, r)})
 	}
 	if free.Fits(need) {
 		return nil, 0, true
 	}
 	sort.SliceStable(choices, func(i, k int) bool { return choices[i].loss < choices[k].loss })
-	var stops []*run
-	cost := 0.0
-	for _, ch := range choices {
-		free = free.plus(ch.r.demand)
-		stops = append(stops, ch.r)
-		cost += ch.loss
-		if free.Fits(need) {
-			break
-		}
+	n := 0
+	for n < len(choices) && !free.Fits(need) {
+		free = free.plus(choices[n].demand)
+		n++
 	}
 	if !free.Fits(need) {
 		return nil, 0, false
 	}
+	choices = choices[:n]
 	// A large run may have made earlier, smaller choices needless.
-	for i := len(stops) - 2; i >= 0; i-- {
-		if rest := free.minus(stops[i].demand); rest.Fits(need) {
+	for i := len(choices) - 2; i >= 0; i-- {
+		if rest := free.minus(choices[i].demand); rest.Fits(need) {
 			free = rest
-			cost -= c.loss(now, stops[i])
-			stops = append(stops[:i], stops[i+1:]...)
+			choices = slices.Delete(choices, i, i+1)
 		}
 	}
+	var stops []*run
+	cost := 0.0
+	for _, v := range choices {
+		stops = append(stops, v.r)
+		cost += v.loss
+	}
 	return stops, cost, true
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -216,6 +216,26 @@
 	assert.Equal(t, len(p.on("old")), 4, "the younger work is stopped")
 }
 
+// Load: urgent gangs among other gangs. A gang whose member is stopped ends as a whole, so
+// its other members' capacity costs nothing more; two gangs were stopped where one would do.
+func TestUrgentGangStopsWholeGangsOnce(t *testing.T) {
+	p := newPool(t, 4)
+	for i := range 4 {
+		p.addWorker(i, []string{"even", "odd"}[i%2])
+	}
+	for _, kind := range []string{"even", "odd"} {
+		s := gang(2, 8)
+		s.Label = kind
+		p.submit(kind, 1, "o", s)
+	}
+	p.settle(4)
+	assert.Equal(t, len(p.runs), 4)
+	p.submit("urgent", 0, "c", gang(2, 8))
+	p.settle(4)
+	assert.Equal(t, len(p.on("urgent")), 2)
+	assert.Equal(t, len(p.on("even"))+len(p.on("odd")), 2, "one gang goes on")
+}
+
 // Load: a wide gang waits among many small tasks that never leave whole workers.
 func TestCapacityIsKeptForAWideGang(t *testing.T) {
 	p := newPool(t, 4)
