Capacity left to urgent work is counted where urgent tasks fit

Cause: the headroom for urgent work was a sum of free accelerators. Urgent tasks take up to a whole worker, and the sum was met by single accelerators here and there, while small tasks took each whole worker that became free. The next urgent task had to stop some of them.

Change: the arrival of urgent work is kept by accelerators a task, and the free capacity by how many accelerators are free on a worker. Where less is free on workers with so many or more than such tasks need, other work leaves these workers and uses the rest.

Figures: TestWholeWorkersAreLeftToUrgentWork fails before (eight small tasks on a whole worker).

--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -13,7 +13,11 @@
 	rooms := map[string]room{}
 	for _, w := range c.order {
 		sum, own := rooms[w.info.Service], roomOf(w)
-		rooms[w.info.Service] = room{sum.capacity.plus(own.capacity), sum.free.plus(own.free)}
+		sum.capacity, sum.free = sum.capacity.plus(own.capacity), sum.free.plus(own.free)
+		for i := range sum.bySize {
+			sum.bySize[i] += own.bySize[i]
+		}
+		rooms[w.info.Service] = sum
 	}
 	for service, sum := range rooms {
 		if c.index.rooms[service] != sum {
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -15,14 +15,21 @@
 )
 
 // room sums over the workers of a service that may be given work.
-type room struct{ capacity, free Resources }
+type room struct {
+	capacity, free Resources
+	// bySize has the free accelerators of workers with so many free; the last entry is
+	// for maxRest and more.
+	bySize [maxRest + 1]int64
+}
 
 // roomOf is what a worker adds to the room of its service.
 func roomOf(w *worker) room {
 	if !w.open {
 		return room{}
 	}
-	return room{w.info.Capacity, w.free(math.MaxInt).floor()}
+	r := room{capacity: w.info.Capacity, free: w.free(math.MaxInt).floor()}
+	r.bySize[min(r.free.Accelerators, maxRest)] = r.free.Accelerators
+	return r
 }
 
 // floor is the resources with nothing below zero.
@@ -39,21 +46,28 @@
 	sum := ix.rooms[w.info.Service]
 	sum.capacity = sum.capacity.plus(now.capacity).minus(w.room.capacity)
 	sum.free = sum.free.plus(now.free).minus(w.room.free)
+	for i := range sum.bySize {
+		sum.bySize[i] += now.bySize[i] - w.room.bySize[i]
+	}
 	ix.rooms[w.info.Service], w.room = sum, now
 }
 
 // demandRate is an average of the resources that arriving work asks for, in resources a
 // second. It decays by e in each rateWindow.
 type demandRate struct {
-	cpu, memory, accelerators float64
-	at                        time.Time
+	cpu, memory float64
+	// accelerators by how many a task takes; the last entry is for maxRest and more.
+	accelerators [maxRest + 1]float64
+	at           time.Time
 }
 
 func (d *demandRate) decay(now time.Time) {
 	factor := math.Exp(-max(now.Sub(d.at), 0).Seconds() / rateWindow.Seconds())
 	d.cpu *= factor
 	d.memory *= factor
-	d.accelerators *= factor
+	for i := range d.accelerators {
+		d.accelerators[i] *= factor
+	}
 	d.at = now
 }
 
@@ -61,7 +75,7 @@
 	times /= rateWindow.Seconds()
 	d.cpu += times * float64(r.CPU)
 	d.memory += times * float64(r.Memory)
-	d.accelerators += times * float64(r.Accelerators)
+	d.accelerators[min(r.Accelerators, maxRest)] += times * float64(r.Accelerators)
 }
 
 // arrived notes the arrival of an urgent job. One that was accepted a while ago, under
@@ -82,37 +96,63 @@
 
 // headroom is what a service's workers keep free for urgent work to come: as much as
 // arrives while a stop lasts. In a full pool all urgent work has to wait for stops
-// otherwise, and what was just started is thrown away.
-func (c *Core) headroom(service string) Resources {
+// otherwise, and what was just started is thrown away. Accelerators that are free on
+// workers with fewer than urgent tasks take don't count for these: below is the least
+// number of free accelerators by which a worker is left to urgent work, or 0 if none is.
+func (c *Core) headroom(service string) (keep Resources, below int64) {
 	d := c.urgent[service]
 	if d == nil {
-		return Resources{}
+		return Resources{}, 0
 	}
-	most, seconds := c.index.rooms[service].capacity, c.cfg.StopTime.Seconds()
+	r, seconds := c.index.rooms[service], c.cfg.StopTime.Seconds()
 	bound := func(rate float64, capacity int64) int64 {
 		return int64(min(rate*seconds, maxHeadroom*float64(capacity)))
 	}
-	return Resources{
-		CPU: bound(d.cpu, most.CPU), Memory: bound(d.memory, most.Memory), Accelerators: bound(d.accelerators, most.Accelerators),
+	free, rate := int64(0), 0.0
+	for size := maxRest; size > 0; size-- {
+		free += r.bySize[size]
+		rate += d.accelerators[size]
+		keep.Accelerators = bound(rate, r.capacity.Accelerators)
+		if free < keep.Accelerators {
+			below = int64(size)
+		}
 	}
+	keep.CPU, keep.Memory = bound(d.cpu, r.capacity.CPU), bound(d.memory, r.capacity.Memory)
+	return keep, below
 }
 
-// yields reports whether the step has to leave what is free to urgent work to come. A
-// gang that has capacity kept for it may use that.
+// yields reports whether the step has to leave all that is free to urgent work to come,
+// and notes which workers it has to leave. A gang that has capacity kept for it may use
+// that.
 func (c *Core) yields(s *step) bool {
+	s.below = 0
 	if s.occ.job.level < levelOther || s.tasks[0].plan != nil {
 		return false
 	}
 	c.refresh()
 	service := s.occ.job.queue.Service
-	free, keep := c.index.rooms[service].free, c.headroom(service)
-	if free.Fits(keep) {
+	free := c.index.rooms[service].free
+	keep, below := c.headroom(service)
+	s.below = below
+	if below == 0 && free.Fits(keep) {
 		return false
 	}
 	if !s.yielded {
 		s.yielded = true
-		c.cfg.Logger.Info("step waits, since urgent work arrives", "job", s.occ.job.spec.ID, "step", s.index,
-			"free", free.Accelerators, "kept", keep.Accelerators, "free_cpu", free.CPU, "kept_cpu", keep.CPU)
+		c.cfg.Logger.Info("capacity is left to urgent work", "job", s.occ.job.spec.ID, "step", s.index,
+			"free", free.Accelerators, "kept", keep.Accelerators, "below", below, "free_cpu", free.CPU, "kept_cpu", keep.CPU)
+	}
+	return below == 1 || free.CPU < keep.CPU || free.Memory < keep.Memory
+}
+
+// leaves reports whether the step leaves a worker with so many free accelerators to
+// urgent work.
+func (s *step) leaves(free int64) bool { return s.below > 0 && free >= s.below }
+
+// setsFor lists the sets of workers that the step doesn't leave to urgent work.
+func (sh *shape) setsFor(s *step) []bitset {
+	if s.below == 0 {
+		return sh.rest[:]
 	}
-	return true
+	return sh.rest[:min(max(s.below-sh.need.Accelerators, 0), int64(len(sh.rest)))]
 }
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -337,42 +337,49 @@
 // many accelerators free; they differ in little else.
 const chooseLooks = 16
 
+// pick is the best worker found for a task so far.
+type pick struct {
+	w    *worker
+	cost float64
+}
+
+// consider weighs a worker, and reports whether the task may start there.
+func (p *pick) consider(c *Core, t *task, sh *shape, w *worker) bool {
+	c.looks++
+	// The index preselects; what a worker can take is for the worker to say.
+	s, free := t.step, w.free(sh.level)
+	if !free.Fits(sh.need) || s.leaves(free.Accelerators) || !s.spreadAllows(w) {
+		return false
+	}
+	if cost := c.placeCost(t, w, sh.need); p.w == nil || cost < p.cost {
+		p.w, p.cost = w, cost
+	}
+	return true
+}
+
 // choose picks the worker for a task on a rack, or anywhere if that is nil: the one with
 // the least capacity left afterwards, so that whole workers stay free for large tasks.
 func (c *Core) choose(t *task, r *rack) *worker {
-	s := t.step
-	sh := c.shapeOf(s)
+	sh := c.shapeOf(t.step)
 	if sh.in(r).fit == 0 {
 		return nil
 	}
-	var best *worker
-	var bestCost float64
-	weigh := func(w *worker) bool {
-		c.looks++
-		// The index preselects; what a worker can take is for the worker to say.
-		if !s.spreadAllows(w) || !w.free(sh.level).Fits(sh.need) {
-			return false
-		}
-		if cost := c.placeCost(t, w, sh.need); best == nil || cost < bestCost {
-			best, bestCost = w, cost
-		}
-		return true
-	}
+	var best pick
 	if r != nil {
 		for _, w := range r.workers {
 			if sh.fit[w.at] > 0 {
-				weigh(w)
+				best.consider(c, t, sh, w)
 			}
 		}
-		return best
+		return best.w
 	}
-	for rest, set := range sh.rest {
-		if best != nil && bestCost <= float64(rest) {
+	for rest, set := range sh.setsFor(t.step) {
+		if best.w != nil && best.cost <= float64(rest) {
 			break // no cost is below the accelerators left
 		}
 		looks := 0
 		for at := range set.all {
-			if weigh(c.order[at]) {
+			if best.consider(c, t, sh, c.order[at]) {
 				looks++
 			}
 			if looks == chooseLooks {
@@ -380,7 +387,7 @@
 			}
 		}
 	}
-	return best
+	return best.w
 }
 
 // Weights of placeCost, in accelerators left over.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -25,12 +25,15 @@
 	ends   int64
 }
 
-func newPool(t *testing.T, workers int) *pool {
+func newPool(t *testing.T, workers int) *pool { return newPoolWith(t, workers, 0) }
+
+// newPoolWith returns a pool that is told how long a stop takes.
+func newPoolWith(t *testing.T, workers int, stop time.Duration) *pool {
 	t.Helper()
 	p := &pool{t: t, length: 8, now: time.Unix(1_800_000_000, 0), runs: map[string]scheduler.Start{}, from: map[string]time.Time{}, gone: map[string][]scheduler.EndedTask{}}
 	p.core = scheduler.New(scheduler.Config{
 		Logger: slog.New(slog.DiscardHandler), MaxLease: 10 * time.Second, Penalty: 3, KeepEnded: time.Hour, Silence: time.Hour,
-		Restore: 250 * time.Millisecond, SaveEvery: 500 * time.Millisecond,
+		Restore: 250 * time.Millisecond, SaveEvery: 500 * time.Millisecond, StopTime: stop,
 	})
 	for i := range workers {
 		p.addWorker(i, "a")
@@ -187,6 +190,18 @@
 	assert.Equal(t, len(p.on("small")), 1, "guaranteed work is not stopped")
 }
 
+// racks lists the racks where a job runs.
+func (p *pool) racks(job string) map[int]bool {
+	racks := map[int]bool{}
+	for w := range p.on(job) {
+		var n int
+		_, err := fmt.Sscanf(w, "w%d", &n)
+		assert.NilError(p.t, err)
+		racks[n/4] = true
+	}
+	return racks
+}
+
 // Load: urgent tight gangs between work of many ages. It loses least to stop the
 // youngest in one rack, and a gang over two racks would take three times as long.
 func TestUrgentTightGangStopsWhatLosesLeastInOneRack(t *testing.T) {
@@ -204,15 +219,8 @@
 	s.Tight = true
 	p.submit("urgent", 0, "c", s)
 	p.settle(8)
-	racks := map[int]bool{}
-	for w := range p.on("urgent") {
-		var n int
-		_, err := fmt.Sscanf(w, "w%d", &n)
-		assert.NilError(t, err)
-		racks[n/4] = true
-	}
 	assert.Equal(t, len(p.on("urgent")), 3)
-	assert.Equal(t, len(racks), 1)
+	assert.Equal(t, len(p.racks("urgent")), 1)
 	assert.Equal(t, len(p.on("old")), 4, "the younger work is stopped")
 }
 
@@ -236,6 +244,37 @@
 	assert.Equal(t, len(p.on("even"))+len(p.on("odd")), 2, "one gang goes on")
 }
 
+// Load: many small tasks of low priority while urgent tasks that take whole workers arrive.
+// The small ones use what urgent tasks can't; they took whole workers as long as as much
+// was free elsewhere, in parts, and were stopped for the next urgent task.
+func TestWholeWorkersAreLeftToUrgentWork(t *testing.T) {
+	p := newPoolWith(t, 8, 900*time.Millisecond)
+	p.submit("parts", 1, "o", tasks(3, 6))
+	p.settle(8)
+	for i := range 4 {
+		p.submit(fmt.Sprint("urgent-", i), 0, "c", tasks(1, 8))
+	}
+	p.step(50 * time.Millisecond)
+	p.submit("small", 2, "o", tasks(20, 1))
+	p.step(50 * time.Millisecond)
+	started := 0
+	for _, n := range p.on("small") {
+		started += n
+		assert.Assert(t, n <= 2, "%d on one worker", n)
+	}
+	assert.Equal(t, started, 6)
+	stops := p.submitUrgent("next", 8)
+	assert.Equal(t, stops, 0)
+}
+
+// submitUrgent submits an urgent task and returns how many runs are stopped for it.
+func (p *pool) submitUrgent(id string, accelerators int64) int {
+	p.submit(id, 0, "c", tasks(1, accelerators))
+	out := p.step(50 * time.Millisecond)
+	assert.Equal(p.t, len(p.on(id)), 1)
+	return len(out.Stops)
+}
+
 // Load: a wide gang waits among many small tasks that never leave whole workers.
 func TestCapacityIsKeptForAWideGang(t *testing.T) {
 	p := newPool(t, 4)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -67,6 +67,7 @@
 	since  time.Time // when its turn came
 	// yielded: it has left free capacity to urgent work, and was logged.
 	yielded bool
+	below   int64 // workers with so many free accelerators are left to urgent work, if not 0
 }
 
 type occurrence struct {
