A gang that starts again waits anew for its rack

Cause: how long a gang waits for a rack was counted from its first turn. A gang that had run for longer than that went across racks at once, also while a rack was about to be free.

Change: the time begins anew when the gang goes back to the queue.

Figures: TestGangThatStartsAgainWaitsForItsRack fails before.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -244,6 +244,38 @@
 	assert.Equal(t, len(p.on("even"))+len(p.on("odd")), 2, "one gang goes on")
 }
 
+// Load: workers leave, and tight gangs start again elsewhere. A gang waits anew for a rack
+// as it did at first; it went across racks at once, where it takes three times as long,
+// since the time of its first run counted as waiting.
+func TestGangThatStartsAgainWaitsForItsRack(t *testing.T) {
+	p := newPool(t, 12)
+	s := gang(4, 8)
+	s.Tight = true
+	p.submit("urgent", 0, "c", s)
+	for _, rack := range []string{"r1", "r2"} {
+		other := tasks(1, 8)
+		other.Rack = rack
+		p.submit("on-"+rack, 0, "b", other)
+	}
+	p.settle(12)
+	p.step(3 * time.Second)
+	assert.DeepEqual(t, p.racks("urgent"), map[int]bool{0: true})
+	p.core.SeeWorker(p.now, scheduler.Worker{
+		ID: workerID(0), Address: "x:1", Service: "s", Rack: "r0", Labels: []string{"a", "r0"}, Draining: true, Remaining: time.Second,
+		Capacity: scheduler.Resources{CPU: 64000, Memory: 64000, Accelerators: 8},
+	})
+	for range 10 {
+		p.step(50 * time.Millisecond)
+		for i := range 12 {
+			p.report(i)
+		}
+	}
+	p.finish("on-r1.0.0.0", scheduler.Done)
+	p.settle(12)
+	assert.Equal(t, len(p.on("urgent")), 4)
+	assert.DeepEqual(t, p.racks("urgent"), map[int]bool{1: true})
+}
+
 // Load: many small tasks of low priority while urgent tasks that take whole workers arrive.
 // The small ones use what urgent tasks can't; they took whole workers as long as as much
 // was free elsewhere, in parts, and were stopped for the next urgent task.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -464,6 +464,7 @@
 		c.record(m)
 	}
 	j := s.occ.job
+	s.since = time.Time{} // it waits anew
 	if t.fails >= j.queue.Attempts && !s.spec.Lasting {
 		c.end(now, j, Failed, "a gang has used up its attempts")
 	}
