--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -164,7 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := &network{vms: map[string]*Members{}, dead: map[string]bool{}, calls: map[string]int{}}
-		names := []string{"caller", "heir", "leaver"}
+		names := []string{"caller", "successor", "leaver"}
 		for i := range maxGossip {
 			names = append(names, fmt.Sprint("busy", i))
 		}
@@ -177,7 +177,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		leaver, heir, caller := n.vms["leaver"], n.vms["heir"], n.vms["caller"]
+		leaver, successor, caller := n.vms["leaver"], n.vms["successor"], n.vms["caller"]
 		own := func(owners ...string) func(self *rpc.Member) {
 			return func(self *rpc.Member) { self.Owners = append(self.Owners, owners...) }
 		}
@@ -189,13 +189,13 @@
 		_, ok := caller.Serving("leaver~3")
 		assert.Assert(t, ok)
 
-		heir.Change(own("leaver~3"))
-		leaver.Ask(ctx, Peer{Info: heir.Self()})
+		successor.Change(own("leaver~3"))
+		leaver.Ask(ctx, Peer{Info: successor.Self()})
 		leaver.Change(func(self *rpc.Member) { self.State, self.Owners = Gone, nil })
 		leaver.Tell(ctx)
 		p, ok := caller.Serving("leaver~3")
 		assert.Assert(t, ok, "nobody answers for the keys")
-		assert.Equal(t, p.Info.GetName(), "heir")
+		assert.Equal(t, p.Info.GetName(), "successor")
 		cancel()
 		time.Sleep(5 * time.Second)
 	})
