--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -45,21 +45,11 @@
 	return nil
 }
 
-// tell sends this VM's state to every peer at once.
+// tell sends this VM's state, and what it has heard lately, to every peer at once.
 func (d *Daemon) tell() {
 	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
-	done := make(chan struct{})
-	all := d.members.All()
-	for _, p := range all {
-		go func() {
-			_, _ = p.Client.Probe(ctx, &rpc.Gossip{Self: d.members.Self()})
-			done <- struct{}{}
-		}()
-	}
-	for range all {
-		<-done
-	}
+	d.members.Tell(ctx)
 }
 
 // handLead gives the zone's leadership up and passes on its open jobs. Those in the
@@ -115,7 +105,9 @@
 }
 
 // handOwner asks one successor until it confirms: once it may have taken the keys, no
-// other VM may be given them. Only a VM that was never reached is passed over.
+// other VM may be given them. Only a VM that was never reached is passed over. The
+// successor's new state is asked for, so that this VM's last message can tell others who
+// answers for the keys.
 func (d *Daemon) handOwner(h *owner, deadline time.Time) {
 	in := handover(h)
 	successor, ok := d.successor()
@@ -124,6 +116,7 @@
 		_, err := successor.Client.Adopt(ctx, in)
 		cancel()
 		if err == nil {
+			d.members.Ask(context.Background(), successor)
 			return
 		}
 		metric.Retry("adopt")
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -240,8 +241,30 @@
 	m.Hear(reply)
 }
 
-// gossip is this VM's state and what it learned lately, less what the receiver
-// knows already.
+// Tell exchanges gossip with every VM known, side by side.
+func (m *Members) Tell(ctx context.Context) {
+	m.mu.Lock()
+	all := slices.Collect(maps.Values(m.all))
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, v := range all {
+		wg.Go(func() { m.probe(ctx, v) })
+	}
+	wg.Wait()
+}
+
+// Ask exchanges gossip with one VM.
+func (m *Members) Ask(ctx context.Context, p Peer) {
+	m.mu.Lock()
+	v := m.all[p.Info.GetName()]
+	m.mu.Unlock()
+	if v != nil {
+		m.probe(ctx, v)
+	}
+}
+
+// gossip is this VM's state and what it learned lately, the latest first, less what the
+// receiver knows already.
 func (m *Members) gossip(to *member) *rpc.Gossip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -250,7 +273,9 @@
 	if to.acked == m.self.GetRevision() {
 		out.Self = m.brief()
 	}
-	for _, name := range m.names() {
+	names := m.names()
+	slices.SortStableFunc(names, func(a, b string) int { return m.all[b].changed.Compare(m.all[a].changed) })
+	for _, name := range names {
 		v := m.all[name]
 		if v != to && len(out.Members) < maxGossip && now.Sub(v.changed) < gossipFor && v.info.GetIncarnation() != 0 {
 			out.Members = append(out.Members, v.info)
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -158,6 +158,49 @@
 	assert.Assert(t, !ok)
 }
 
+// TestLeaverNamesWhoTookItsKeys guards against outcomes told as unknown: a VM that heard
+// of a leaver's end knew nobody that answered for its keys until the next gossip.
+func TestLeaverNamesWhoTookItsKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := &network{vms: map[string]*Members{}, dead: map[string]bool{}, calls: map[string]int{}}
+		names := []string{"caller", "heir", "leaver"}
+		for i := range maxGossip {
+			names = append(names, fmt.Sprint("busy", i))
+		}
+		for i, name := range names {
+			n.boot(ctx, name, "a", int64(i+1))
+		}
+		for _, m := range n.vms {
+			for _, name := range names {
+				m.Seed(name, name, "a")
+			}
+		}
+		time.Sleep(time.Second)
+		leaver, heir, caller := n.vms["leaver"], n.vms["heir"], n.vms["caller"]
+		own := func(owners ...string) func(self *rpc.Member) {
+			return func(self *rpc.Member) { self.Owners = append(self.Owners, owners...) }
+		}
+		leaver.Change(own("leaver~3"))
+		for _, name := range names[3:] {
+			n.vms[name].Change(own(name))
+		}
+		leaver.Tell(ctx)
+		_, ok := caller.Serving("leaver~3")
+		assert.Assert(t, ok)
+
+		heir.Change(own("leaver~3"))
+		leaver.Ask(ctx, Peer{Info: heir.Self()})
+		leaver.Change(func(self *rpc.Member) { self.State, self.Owners = Gone, nil })
+		leaver.Tell(ctx)
+		p, ok := caller.Serving("leaver~3")
+		assert.Assert(t, ok, "nobody answers for the keys")
+		assert.Equal(t, p.Info.GetName(), "heir")
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // newsy is a peer of which news arrives while a probe of it fails.
 type newsy struct {
 	rpc.Peer
