election: Keep the campaign delays while calls fail

Cause: the delays by which large VMs campaign before small ones ended at each call of Suspect, which every failed call to the leader makes. With a hundred VMs some call fails within a millisecond of the leader's death, so that a VM of 0.192 cores could win and then load the state for 2 to 3 s.

Change: these delays, and those after a failed read of the leader's record or while other standbys hear the leader, end only when another VM leads. Only the wait between two pings is still cut short by Suspect. A campaign that is won at the leader's request still ends the delay at once.

Conclusion: signals about a failed leader start a check and nothing else.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -248,7 +248,7 @@
 				m.replaceLeader(ctx, leader, result)
 				continue
 			}
-			m.wait(ctx, m.pingDelay(missed))
+			m.waitForCheck(ctx, m.pingDelay(missed))
 		}
 	}
 }
@@ -274,7 +274,8 @@
 	return min(pingInterval+time.Duration(max(m.rank, 0))*pingIntervalPerRank, maxPingInterval)
 }
 
-func (m *Member) wait(ctx context.Context, d time.Duration) {
+// waitForCheck waits until the next check of the leader is due. Suspect ends the wait early.
+func (m *Member) waitForCheck(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-m.checkNow:
@@ -282,6 +283,23 @@
 	}
 }
 
+// waitUnlessReplaced waits for d, or until the failed leader has been replaced. Suspect does not
+// end the wait: calls that fail while there is no leader would cancel the delays by which large
+// VMs campaign first.
+func (m *Member) waitUnlessReplaced(ctx context.Context, failed LeaderRecord, d time.Duration) {
+	m.mu.Lock()
+	replaced, changed := m.current.Epoch != failed.Epoch, m.changed
+	m.mu.Unlock()
+	if replaced {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-time.After(d):
+	}
+}
+
 // pingResult is what a ping showed about the leader. The results above noAnswer show that it
 // does not lead, as far as this VM can tell.
 type pingResult int
@@ -345,9 +363,9 @@
 	if !m.refreshLeader(ctx, failed) {
 		return
 	}
-	m.wait(ctx, m.campaignDelay())
+	m.waitUnlessReplaced(ctx, failed, m.campaignDelay())
 	if (result == noAnswer || result == connRefused) && m.peersHearLeader(ctx, result == connRefused) {
-		m.wait(ctx, pingInterval)
+		m.waitUnlessReplaced(ctx, failed, pingInterval)
 		return
 	}
 	if !m.refreshLeader(ctx, failed) || ctx.Err() != nil || m.isStopping() {
@@ -388,7 +406,7 @@
 		if n := m.readFailures.Add(1); n%logInterval == 1 {
 			m.cfg.Logger.Warn("who leads can't be read", "failures", n, "error", err)
 		}
-		m.wait(ctx, storeRetryDelay)
+		m.waitUnlessReplaced(ctx, failed, storeRetryDelay)
 		return false
 	}
 	m.readFailures.Store(0)
--- a/internal/election/share_test.go
+++ b/internal/election/share_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -44,6 +45,42 @@
 	})
 }
 
+// A small VM must not win because calls fail while there is no leader. Each failed call once cut
+// the delay short by which large VMs campaign first.
+func TestFailedCallsDoNotMakeSmallVMsLead(t *testing.T) {
+	run(t, 0, func(p *pool) {
+		p.addMixed(87, 16)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, m := range p.all {
+			go m.forwardCalls(ctx)
+		}
+		for range 8 {
+			time.Sleep(5 * time.Second)
+			old, _ := p.awaitLeader(nil)
+			p.kill(old)
+			next, took := p.awaitLeader(old)
+			assert.Assert(t, isLarge(next), "%s leads after the loss of %s", next.name, old.name)
+			assert.Assert(t, took < takeoverTarget, "took %s", took)
+		}
+	})
+}
+
+// forwardCalls reports failed calls while the leader is gone, as a VM does that forwards calls.
+func (m *member) forwardCalls(ctx context.Context) {
+	const callInterval = 7 * time.Millisecond
+	for ctx.Err() == nil {
+		time.Sleep(callInterval)
+		address, _ := m.Leader()
+		m.net.mu.Lock()
+		_, alive := m.net.members[address]
+		m.net.mu.Unlock()
+		if !alive {
+			m.Suspect(address)
+		}
+	}
+}
+
 // Small VMs must replace a leader without extra delay if no large VM is left.
 func TestSmallVMsTakeOverWithoutDelay(t *testing.T) {
 	run(t, 0, func(p *pool) {
