scheduler: Count a gang's failed run after a change of leader

The run that was counted last was not stored. A new leader took it from any member that waited and had failures, which holds as well for a member of run 4 that had been listed as broken off while the failures were those of run 1. The failed member of run 4, listed to the new leader, then did not count.

Change: the number of the last run that counted is part of the task's record.

Measured: TestFailedRunOfAGangCountsAcrossLeaders replays that order of events and failed before ("running != failed"), passes after.

Conclusion: the budget of a gang holds across leaders.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -525,6 +525,58 @@
 	assert.Equal(t, next.state("job"), scheduler.Completed)
 }
 
+// Guards against a gang that runs more often than its attempts allow: a new leader once took the
+// failures of earlier runs for those of the newest run, if one of its members had been listed
+// first with another cause, and did not count the failed run that was listed later.
+func TestFailedRunOfAGangCountsAcrossLeaders(t *testing.T) {
+	p := newPool(t, 2)
+	stored := map[string][]byte{}
+	store := func(e scheduler.Effects) {
+		for _, r := range e.Records {
+			if stored[r.Key] = r.Value; r.Value == nil {
+				delete(stored, r.Key)
+			}
+		}
+	}
+	spec := scheduler.Job{
+		ID: "job", Accepted: p.now.UnixMilli(), Queue: scheduler.Queue{Name: "q", Service: "s", Priority: 1, Attempts: 2},
+		Steps: []scheduler.Step{gang(2, 8)},
+	}
+	reportAll := func(p *pool) {
+		p.report(0)
+		p.report(1)
+	}
+	p.core.AddJob(p.now, spec)
+	store(p.step(0))
+	// Run 1: one member fails, the other is broken off.
+	p.finish("job.0.0.0", scheduler.Fault)
+	reportAll(p)
+	store(p.step(0))
+	reportAll(p)
+	store(p.step(0))
+	reportAll(p)
+	store(p.step(0))
+	assert.Equal(t, p.runs["job.0.0.0"].Run, 2)
+	// Run 2: the end of the other member is listed and stored before the leader is lost.
+	p.finish("job.0.0.1", scheduler.GangAborted)
+	reportAll(p)
+	store(p.core.TakeEffects())
+
+	next := newPool(t, 0)
+	next.now, next.runs, next.began = p.now.Add(time.Second), p.runs, p.began
+	for key, value := range stored {
+		assert.NilError(t, next.core.Restore(next.now, key, value))
+	}
+	next.core.AddJob(next.now, spec)
+	next.addWorker(0, "a")
+	next.addWorker(1, "a")
+	next.finish("job.0.0.0", scheduler.Fault)
+	reportAll(next)
+	next.settle(2)
+	assert.Equal(t, next.state("job"), scheduler.Failed)
+	assert.Equal(t, len(next.runs), 0, "no third run")
+}
+
 func TestJobsAreUnknownToOtherCustomers(t *testing.T) {
 	p := newPool(t, 1)
 	p.submit("job", 1, "c", tasks(1, 1))
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -151,6 +151,8 @@
 	Worker     string `json:"worker,omitempty"`
 	Checkpoint string `json:"saved,omitempty"`
 	Done       bool   `json:"done,omitempty"`
+	// LastFailed is the last run of the task's gang that Failures counts.
+	LastFailed int `json:"failed,omitempty"`
 }
 
 // jobRecord is the stored outcome of a job.
@@ -285,6 +287,7 @@
 	j.started = true
 	j.state = Running
 	t.step.occ.started = true
+	t.step.lastFailedRun = max(t.step.lastFailedRun, st.value.LastFailed)
 	switch {
 	case st.value.Done:
 		c.markDone(t)
@@ -293,8 +296,6 @@
 		t.phase = placed
 		t.activeRun = &run{task: t, name: t.name, number: t.run, worker: w, demand: t.step.spec.demand(), confirmedAt: now, progressAt: now}
 		w.addRun(t.activeRun)
-	case t.failures > 0:
-		t.step.lastFailedRun = max(t.step.lastFailedRun, t.run)
 	}
 }
 
@@ -427,7 +428,7 @@
 
 // storeTask adds a record of the task's state to the effects.
 func (c *Core) storeTask(t *task) {
-	rec := taskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.phase == done}
+	rec := taskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.phase == done, LastFailed: t.step.lastFailedRun}
 	if t.phase == placed && t.activeRun != nil {
 		rec.Worker = t.activeRun.worker.id
 	}
