platform: Bound and check what other writers leave

Deep nesting is rejected by the JSON decoder. A port out of range was taken and dialled again and again. A start (`born`) in the far future was taken as the worker's incarnation, after which all true entries and reports of that worker counted as outdated. An enormous capacity made sums over all workers overflow. An odd entry under the key of a true worker hid its good entry on the same page, and made the worker count as gone when the whole list was read again. Looking at all decoders showed more of the kind: - a job whose number of tasks or repetitions overflows the check was accepted; the leader then panicked or ran out of memory, and so did each leader after it; - a malformed configuration counted as an outage of the store, so that the VM was not ready and refused jobs until a newer version came; - numbers of a worker's lists were converted without a check of range; - times and factors of the configuration, the settings and the deadline header overflowed.

Entries are decoded into a worker or an error; the newest readable record of a key is used, what was known of a worker with an unusable entry stays in force, and the entry is counted and logged once for each worker, at most 64 in a term. A malformed configuration is passed over, logged and counted.

Conclusion: no entry of another writer ends a process or a term here.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,11 +12,13 @@
 	"rhubarbshore/internal/scheduler"
 )
 
-// Reasons for rejecting a call. Callers test for them with errors.Is.
+// Errors of a call and of a configuration. Callers test for them with errors.Is.
 var (
 	namespace = errorx.NewNamespace("catalog")
 	// ErrRoute is returned if no route matches the call.
 	ErrRoute = errorx.NewType(namespace, "route").New("no route matches the host and path")
+	// ErrMalformed is returned for a configuration that cannot be decoded.
+	ErrMalformed = errorx.NewType(namespace, "malformed").New("the configuration is malformed")
 	// ErrKey is returned if the route requires a customer's key and the call has no known
 	// one.
 	ErrKey = errorx.NewType(namespace, "key").New("the key belongs to no customer")
--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -20,6 +20,7 @@
 	"rhubarbshore/internal/cmd/root"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/site"
+	"rhubarbshore/internal/store"
 	"rhubarbshore/platform/platformtest"
 )
 
@@ -217,3 +218,44 @@
 		t.Errorf("the planned stop cut a call: %v", *err)
 	}
 }
+
+// Guards against entries of other writers that end the processes of VMs again and again or make
+// them stop following the list of workers: none may end, and work goes on with the true workers
+// and with one that registers later.
+func TestOddEntriesOfOtherWritersStopNothing(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	p, err := platformtest.New(platformtest.Config{Workers: 1, TaskTime: func(string) time.Duration { return 300 * time.Millisecond }})
+	assert.NilError(t, err)
+	defer p.Close()
+	p.Publish(1)
+	registry := store.Stream{Topic: "servers"}
+	nested := strings.Repeat("[", 60_000) + strings.Repeat("]", 60_000)
+	putOdd := func() {
+		for i, value := range []string{
+			nested, `{"service":"robes","capacity":` + nested + `}`, "\xff\xfe", "[]", "7",
+			`{"service":"robes","address":"127.0.0.1:70000","state":"ready","capacity":{"cpu":1000,"gpus":8}}`,
+			`{"service":"robes","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":9223372036854775807,"gpus":9223372036854775807}}`,
+			`{"service":"robes","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":1e400}}`,
+			`{"service":"robes","address":"127.0.0.1:9","state":"ready","capacity":{"cpu":1000},"born":9223372036854775807}`,
+		} {
+			p.Log.Put(registry, store.Record{Key: fmt.Sprint("odd-", i), Value: []byte(value)})
+			p.Log.Put(registry, store.Record{Key: "i-0000", Value: []byte(value)}) // the key of a true worker
+		}
+	}
+	putOdd()
+	d := startDaemon(t, p, "vm-0")
+	d.awaitReady(t)
+	assert.NilError(t, submitAndAwait(ctx, p, []string{d.clients}, 0))
+	putOdd()
+	p.Log.Put(store.Stream{Topic: "op"}, store.Record{Key: "config", Value: []byte(nested)})
+	assert.NilError(t, submitAndAwait(ctx, p, []string{d.clients}, 1))
+	d.awaitReady(t)
+	data, err := os.ReadFile(d.log)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(data), `"msg":"leading"`), 1, "the leader never ended")
+	assert.Equal(t, strings.Count(string(data), `"panic"`), 0)
+	assert.Assert(t, strings.Contains(string(data), `"msg":"registry entry rejected"`))
+	d.stop(syscall.SIGTERM)
+	assert.Equal(t, d.cmd.ProcessState.ExitCode(), 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,4 +71,13 @@
 	Gone     []string
 	Next     int64
 	Complete bool // the read is complete: workers that are not listed have gone
+	// Rejected lists the workers whose newest entry cannot be used. What was known of them stays
+	// in force.
+	Rejected []Rejected
+}
+
+// Rejected is a worker whose newest registry entry cannot be used, and the reason.
+type Rejected struct {
+	ID  string
+	Err error
 }
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -99,6 +99,9 @@
 		for _, w := range e.reg.Workers {
 			listed[w.ID] = true
 		}
+		for _, r := range e.reg.Rejected {
+			listed[r.ID] = true
+		}
 		for id := range t.links {
 			if !listed[id] {
 				t.core.RemoveWorker(id)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -164,6 +164,7 @@
 	droppable        []string // jobs whose outcome is stored but whose description is not dropped yet
 	droppedAt        time.Time
 	unstoredOutcomes map[string]bool // jobs whose outcome is not stored yet
+	rejected         map[string]bool // workers of which a rejected registry entry was logged
 
 	// The fields below are shared with other goroutines.
 	statusCache   statusCache
@@ -230,7 +231,7 @@
 	defer cancel()
 	t := &term{
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, inboxSize), endTerm: cancel, ctx: ctx, startedAt: l.cfg.Now(),
-		links: map[string]*link{}, pending: batch{ackable: map[string]endAck{}}, unstoredOutcomes: map[string]bool{},
+		links: map[string]*link{}, pending: batch{ackable: map[string]endAck{}}, unstoredOutcomes: map[string]bool{}, rejected: map[string]bool{},
 		statusCache: statusCache{jobs: map[string]jobStatus{}, watchers: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), startSlots: semaphore.NewWeighted(maxConcurrentStarts),
 	}
 	defer t.recoverPanic()
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -130,7 +130,10 @@
 func (t *term) updateWorkers(now time.Time, reg fleet.Registry) {
 	for _, w := range reg.Workers {
 		t.core.UpdateWorker(now, w)
-		l := t.link(w.ID, w.Address)
+		l := t.link(w.ID, "")
+		if w.Incarnation == 0 || w.Incarnation >= l.incarnation {
+			l.address = w.Address
+		}
 		if w.Incarnation > l.incarnation {
 			l.setIncarnation(w.Incarnation)
 		}
@@ -138,8 +141,29 @@
 	for _, id := range reg.Gone {
 		t.core.RemoveWorker(id)
 	}
+	for _, r := range reg.Rejected {
+		t.logRejected(r)
+	}
+}
+
+// maxLoggedRejections limits the workers of which a rejected registry entry is logged in a term.
+const maxLoggedRejections = 64
+
+// logRejected logs and counts a registry entry that cannot be used. An entry that is repeated
+// with each heartbeat is logged once.
+func (t *term) logRejected(r fleet.Rejected) {
+	metric.Count("registry_entries_rejected_total")
+	if t.rejected[r.ID] || len(t.rejected) >= maxLoggedRejections {
+		return
+	}
+	t.rejected[r.ID] = true
+	id := r.ID[:min(len(r.ID), maxLoggedIDBytes)]
+	t.cfg.Logger.Warn("registry entry rejected", "worker", id, "known", t.core.Knows(r.ID), "workers_logged", len(t.rejected), "most", maxLoggedRejections, "error", r.Err)
 }
 
+// maxLoggedIDBytes limits the length of an ID of another writer in the log.
+const maxLoggedIDBytes = 64
+
 // setIncarnation notes that the worker has restarted: its clock and the numbers of its ended
 // runs start again.
 func (l *link) setIncarnation(incarnation int64) {
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -11,6 +11,7 @@
 	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/store"
 )
 
@@ -141,8 +142,12 @@
 			continue
 		}
 		j, err := decodeStoredJob(r.Value)
+		if err == nil && j.ID == r.Key {
+			err = j.Check()
+		}
 		if err != nil || j.ID != r.Key {
-			t.cfg.Logger.Error("stored job not readable", "job", r.Key, "error", err)
+			metric.Count("stored_jobs_rejected_total")
+			t.cfg.Logger.Error("stored job not readable", "key", r.Key, "job", j.ID, "error", err)
 			continue
 		}
 		t.core.AddJob(now, j)
--- /dev/null
+++ b/internal/leader/odd_test.go
@@ -0,0 +1,104 @@
+package leader_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/leader"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
+)
+
+// oddRegistry hides the true entry of a worker behind one that cannot be used, and has dropped
+// its history, so that the leader reads the whole list.
+type oddRegistry struct {
+	leader.Registry
+	worker string
+}
+
+// WorkerChanges implements leader.Registry.
+func (oddRegistry) WorkerChanges(context.Context, int64) (fleet.Registry, error) {
+	return fleet.Registry{}, store.ErrGone
+}
+
+// Workers implements leader.Registry.
+func (r oddRegistry) Workers(ctx context.Context) (fleet.Registry, error) {
+	reg, err := r.Registry.Workers(ctx)
+	reg.Rejected = append(reg.Rejected, fleet.Rejected{ID: "odd", Err: errors.New("no such state")})
+	for i, w := range reg.Workers {
+		if w.ID == r.worker {
+			reg.Workers = append(reg.Workers[:i:i], reg.Workers[i+1:]...)
+			reg.Rejected = append(reg.Rejected, fleet.Rejected{ID: w.ID, Err: errors.New("port out of range")})
+			break
+		}
+	}
+	return reg, err
+}
+
+// switchedRegistry reads from one registry until another is set.
+type switchedRegistry struct {
+	current *leader.Registry
+}
+
+// WorkerChanges implements leader.Registry.
+func (s switchedRegistry) WorkerChanges(ctx context.Context, from int64) (fleet.Registry, error) {
+	return (*s.current).WorkerChanges(ctx, from)
+}
+
+// Workers implements leader.Registry.
+func (s switchedRegistry) Workers(ctx context.Context) (fleet.Registry, error) {
+	return (*s.current).Workers(ctx)
+}
+
+// Guards against a worker that counts as gone because another writer overwrote its entry: when
+// the whole list was read again, a worker without a usable entry got no more work.
+func TestWorkerBehindAnOddEntryIsStillServed(t *testing.T) {
+	violations := run(t, 1, func(p *pool) {
+		var current leader.Registry
+		p.wrap = func(c leader.Config) leader.Config {
+			current = c.Registry
+			c.Registry = switchedRegistry{&current}
+			return c
+		}
+		p.elect()
+		p.submit(job(1, 1, step(4, 2)))
+		time.Sleep(2 * time.Second)
+		current = oddRegistry{current, "w00"}
+		time.Sleep(2 * time.Second)
+		p.submit(job(2, 1, step(4, 2)))
+		if open := p.waitForJobs(20 * time.Second); len(open) > 0 {
+			t.Errorf("not finished: %v", open)
+		}
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
+
+// Guards against a stored job that ends the processes of all leaders, one after the other: a job
+// with too many tasks was created before anything checked it.
+func TestStoredJobBeyondTheLimitsIsPassedOver(t *testing.T) {
+	violations := run(t, 2, func(p *pool) {
+		for i, odd := range []scheduler.Job{
+			{Steps: []scheduler.Step{{Count: 1}, {Count: 1 << 60}}},
+			{Repeat: 1 << 60, Steps: []scheduler.Step{{Count: 4}}},
+			{Steps: []scheduler.Step{{Count: 1, After: []int{-1}}}},
+		} {
+			odd.ID = job(100+i, 1).ID
+			value, err := json.Marshal(odd)
+			assert.NilError(t, err)
+			p.log.Put(intake.Stream(intake.PartOf(odd.ID)), store.Record{Key: odd.ID, Value: value})
+		}
+		p.elect()
+		p.submit(job(1, 1, step(4, 2)))
+		if open := p.waitForJobs(20 * time.Second); len(open) > 0 {
+			t.Errorf("not finished: %v", open)
+		}
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,6 +244,12 @@
 			snap, next, err = n.platformStore.NextConfig(callCtx, from, wait)
 			cancel()
 		}
+		if errors.Is(err, catalog.ErrMalformed) {
+			// Another read would return the same bytes, and the store is not at fault.
+			metric.Count("configurations_rejected_total")
+			n.cfg.Logger.Error("configuration passed over", "from", from, "next", next, "error", err)
+			err = nil
+		}
 		n.log.Note(err)
 		if errors.Is(err, store.ErrGone) {
 			from = -1
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -126,7 +126,7 @@
 	if observed < minObservation || gained <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(observed)*(100-r.percent)/gained) - now.Sub(r.reportedAt), true
+	return time.Duration(min(float64(observed)*(100-r.percent)/gained, float64(maxObjective))) - now.Sub(r.reportedAt), true
 }
 
 // slowedByPlacement reports whether a run may be slow because of the rack that it runs on.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -223,7 +223,7 @@
 	for i := range spec.Steps {
 		j.work += float64(spec.Steps[i].Count) * spec.Steps[i].Need.coreEquivalents() * spec.Steps[i].Estimate.Seconds()
 	}
-	j.deadline = j.accepted.Add(time.Duration(j.queue.Stretch*float64(j.estimate)) + j.queue.Target)
+	j.deadline = j.accepted.Add(time.Duration(min(j.queue.Stretch*float64(j.estimate), float64(maxObjective))) + j.queue.Target)
 	c.jobs[spec.ID] = j
 	c.active = append(c.active, j)
 	for _, t := range c.restored[spec.ID] {
