scheduler: Accept the result of a run that counted as lost

Cause: 2,000 drawn histories (`go test ./internal/leader -run TestNoHistoryBreaksARule -rapid.checks=2000`) broke TWICE at the 475th, on the untouched code as well. The trace: a task ends as done on a worker that cannot be reached; its leases expire, the task is started again elsewhere; that start gets no answer; the leader changes; the worker is reached again and lists the end, which is ignored since the run is not known any more; the task is started a third and a fourth time.

Change: an end as done of an earlier run of an open task completes it, and with it its gang. Runs that replace it are stopped. Ends of runs that were never started, of ended jobs and of long-running steps change nothing.

Measured: the failing history passes; TestLateResultOfALostRunCounts (a task, a gang) failed before ("running != completed").

Ruled out: waiting longer before the task is started again; the lease had expired, and the worker might never have come back.

Conclusion: work that is known to be done is not started again.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -577,6 +577,44 @@
 	assert.Equal(t, len(next.runs), 0, "no third run")
 }
 
+// Guards against work that is run again although it is done: a run ended as done on a worker that
+// could not be reached until its leases had expired, and its end was ignored once it was listed.
+func TestLateResultOfALostRunCounts(t *testing.T) {
+	for name, spec := range map[string]scheduler.Step{"task": tasks(1, 1), "gang": gang(2, 8)} {
+		p := newPool(t, 4)
+		p.submit("job", 1, "c", spec)
+		p.settle(4)
+		for task, s := range p.runs {
+			p.finish(task, scheduler.Done)
+			p.core.ExpireLeases(p.now, s.Worker)
+		}
+		for range 4 {
+			p.step(50 * time.Millisecond)
+			for i := range 4 {
+				if p.unreported[workerID(i)] == nil {
+					p.report(i)
+				}
+			}
+		}
+		assert.Equal(t, p.runs["job.0.0.0"].Run, 2, "%s: started again on another worker", name)
+		p.settle(4)
+		assert.Equal(t, p.state("job"), scheduler.Completed, name)
+		assert.Equal(t, len(p.runs), 0, "%s: the second run is stopped", name)
+	}
+}
+
+// Guards against a late end of a run that the scheduler never started, or of a job that is over.
+func TestLateResultOfAnUnknownRunIsIgnored(t *testing.T) {
+	p := newPool(t, 1)
+	p.submit("job", 1, "c", tasks(1, 1))
+	p.settle(1)
+	p.core.Report(p.now, scheduler.Report{Worker: workerID(0), Sent: p.now, Ended: []scheduler.EndedTask{
+		{Number: 7, Task: "job.0.0.0", Run: 9, Cause: scheduler.Done}, {Number: 8, Task: "other.0.0.0", Run: 1, Cause: scheduler.Done},
+	}})
+	p.settle(1)
+	assert.Equal(t, p.state("job"), scheduler.Running)
+}
+
 func TestJobsAreUnknownToOtherCustomers(t *testing.T) {
 	p := newPool(t, 1)
 	p.submit("job", 1, "c", tasks(1, 1))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -242,6 +242,8 @@
 		listed[key] = true
 		if r := w.runs[key]; r != nil {
 			c.runEnded(now, r, e.Cause, e.Checkpoint)
+		} else if e.Cause == Done {
+			c.acceptLateResult(now, w, e)
 		}
 	}
 	for _, entry := range rep.Running {
@@ -261,6 +263,28 @@
 	return true
 }
 
+// acceptLateResult completes a task by a run that counted as lost before its worker listed it as
+// done. Runs that replace it are stopped, so that the work is not done again.
+func (c *Core) acceptLateResult(now time.Time, w *worker, e EndedTask) {
+	t := c.findTask(e.Task)
+	if t == nil || t.phase == done || e.Run > t.run || t.step.spec.LongRunning || t.step.occ.job.state.Final() {
+		return
+	}
+	c.changed = true
+	c.cfg.Logger.Info("run that counted as lost is done", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		m.dropReservation()
+		if m.activeRun != nil && m.activeRun.stopOrderedAt.IsZero() {
+			c.stopRun(now, m.activeRun, "an earlier run is done")
+		}
+	}
+	c.completeTask(t)
+}
+
 // recordProgress applies an entry of a worker's list of running tasks. A run that isn't
 // known is counted on the worker and stopped.
 func (c *Core) recordProgress(now time.Time, w *worker, key runKey, entry RunningTask) {
