leader, node: End permissions that ran out during a suspension

Cause: while a machine is suspended the steady clock stands still, and with it time.Since. A leader that wakes takes its last write, and with it the time for which it may renew leases, as recent, though the next leader may wait no longer for these leases; and it takes its reading of the job streams as recent and tells callers that a job is unknown which another VM accepted meanwhile. A VM that was paused or suspended accepts its first jobs under the configuration of before, with a key that may have been withdrawn.

A leader checks before each round, order, renewal and answer and ends its term.

Ruled out: a start whose lease has run out is refused by the worker, since its deadline is on the worker's clock; a read of the boot time for each check costs a system call, the time of day none.

Conclusion: no permission counts longer than it lasts.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -83,6 +83,9 @@
 	FailingFor func() time.Duration
 	// Catalog returns the configuration in force, or nil.
 	Catalog func() *catalog.Snapshot
+	// CatalogConfirmed reports whether the store has confirmed recently that no newer
+	// configuration is in force.
+	CatalogConfirmed func() bool
 }
 
 const (
@@ -170,6 +173,10 @@
 		reason := fmt.Sprintf("the store has not answered this VM for %d ms", in.cfg.FailingFor().Milliseconds())
 		return &BusyError{Reason: reason, RetryAfter: in.retryAfter()}
 	}
+	if !in.cfg.CatalogConfirmed() {
+		// A VM that was paused may have missed that the route or the key was withdrawn.
+		return &BusyError{Reason: "the configuration was not confirmed recently", RetryAfter: minRetryAfter}
+	}
 	value, err := json.Marshal(j)
 	if err != nil {
 		return errorx.Decorate(err, "encode job %s", j.ID)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -89,7 +89,9 @@
 	tracker *tracker
 	leaders *leaders
 	client  *http.Client
-	wg      sync.WaitGroup // goroutines that end with ctx
+	// unconfirmed is set while the VM cannot know whether its configuration is in force.
+	unconfirmed bool
+	wg          sync.WaitGroup // goroutines that end with ctx
 }
 
 func run(t *testing.T, f func(s *site)) {
@@ -103,7 +105,7 @@
 		s.intake = intake.New(intake.Config{
 			Log: watched, LeaderTracker: s.tracker, Client: s.client, Logger: slog.New(slog.DiscardHandler),
 			LocalScheduler: func() intake.LocalScheduler { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-			Catalog: func() *catalog.Snapshot { return catalogAllowing("k") },
+			Catalog: func() *catalog.Snapshot { return catalogAllowing("k") }, CatalogConfirmed: func() bool { return !s.unconfirmed },
 		})
 		s.wg.Go(func() { s.intake.Run(ctx) })
 		defer func() {
--- a/internal/intake/relay_test.go
+++ b/internal/intake/relay_test.go
@@ -53,7 +53,7 @@
 	o := &schedulingVM{intake: intake.New(intake.Config{
 		Log: watched, LeaderTracker: &tracker{changed: make(chan struct{})}, Logger: slog.New(slog.DiscardHandler),
 		LocalScheduler: func() intake.LocalScheduler { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-		Catalog: func() *catalog.Snapshot { return catalogAllowing(key) },
+		Catalog: func() *catalog.Snapshot { return catalogAllowing(key) }, CatalogConfirmed: func() bool { return true },
 	})}
 	s.wg.Go(func() { o.intake.Run(s.ctx) })
 	s.client.Transport = o
@@ -89,6 +89,27 @@
 	})
 }
 
+// Guards against a VM that was paused and accepts a job with a key that was withdrawn meanwhile:
+// until its configuration is confirmed, another VM must decide.
+func TestPausedVMDoesNotAcceptOnAWithdrawnKey(t *testing.T) {
+	for name, key := range map[string]string{"withdrawn": "another", "still allowed": "k"} {
+		run(t, func(s *site) {
+			addSchedulingVM(s, key)
+			s.log.SetVMFault("vm", nil)
+			s.unconfirmed = true
+			_, err := s.submit(1)
+			if key == "k" {
+				assert.NilError(t, err, name)
+				assert.Assert(t, s.stored(t, 1), name)
+				return
+			}
+			var busy *intake.BusyError
+			assert.Assert(t, errors.As(err, &busy), "%s: %v", name, err)
+			assert.Assert(t, !s.stored(t, 1), name)
+		})
+	}
+}
+
 // After a relay, a job may only be refused if the other VM cannot have stored it.
 func TestRefusalsAfterARelayAreTrue(t *testing.T) {
 	run(t, func(s *site) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
+	"rhubarbshore/internal/suspend"
 )
 
 // Stream holds the scheduler's state: one record for each started task and one for each finished
@@ -73,6 +74,8 @@
 	MaxBatch int
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// Clocks show suspensions of the machine; nil means its own clocks.
+	Clocks suspend.Clocks
 }
 
 const (
@@ -170,6 +173,7 @@
 	statusCache   statusCache
 	loopStats     loopStats
 	pausedUntil   atomicTime   // starts are held back until then
+	suspension    *suspend.Detector
 	pendingStarts atomic.Int64 // starts that were decided but not answered yet
 	lastWrite     atomicTime   // when the last successful write was sent
 	writesFailing atomic.Bool
@@ -233,6 +237,7 @@
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, inboxSize), endTerm: cancel, ctx: ctx, startedAt: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{ackable: map[string]endAck{}}, unstoredOutcomes: map[string]bool{}, rejected: map[string]bool{},
 		statusCache: statusCache{jobs: map[string]jobStatus{}, watchers: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), startSlots: semaphore.NewWeighted(maxConcurrentStarts),
+		suspension: suspend.New(suspend.Config{Clocks: l.cfg.Clocks}),
 	}
 	defer t.recoverPanic()
 	t.lastWrite.set(time.Now())
@@ -286,10 +291,16 @@
 		case <-ctx.Done():
 			return
 		case ev := <-t.inbox:
+			if !t.active() {
+				return
+			}
 			start = t.cfg.Now()
 			t.apply(ev, start)
 			t.applyQueued()
 		case <-ticker.C:
+			if !t.active() {
+				return
+			}
 			now := t.cfg.Now()
 			start = now
 			if snap := t.cfg.Catalog(); snap != nil && snap.Offset() > t.policyOffset {
@@ -318,6 +329,22 @@
 	}
 }
 
+// active reports whether this VM may still act as the leader. It ends the term if the machine was
+// suspended: another VM may lead since, and the times that limit what this one may do did not
+// pass meanwhile.
+func (t *term) active() bool {
+	suspended, err := t.suspension.Check()
+	if err != nil {
+		t.cfg.Logger.Error("boot time not read", "epoch", t.epoch, "error", err)
+	}
+	if suspended > 0 {
+		metric.Count("suspensions_total")
+		t.cfg.Logger.Warn("machine was suspended; no longer leading", "epoch", t.epoch, "suspended_ms", suspended.Milliseconds())
+		t.endTerm()
+	}
+	return t.ctx.Err() == nil
+}
+
 // apply applies an event and counts it.
 func (t *term) apply(ev event, now time.Time) {
 	ev.apply(t, now)
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -228,6 +228,9 @@
 }
 
 func (t *term) sendRenewal(ctx context.Context, id, address string, r fleet.Renewal) {
+	if !t.active() {
+		return
+	}
 	timeout := shortRenewalTimeout
 	if r.Wait > 0 {
 		timeout = r.Wait + renewalMargin
@@ -336,7 +339,7 @@
 	lastVerdict := fleet.Malformed
 	var lastErr error
 	for range orderAttempts {
-		if ctx.Err() != nil {
+		if !t.active() {
 			return // a restarted worker would obey a deposed leader
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -395,7 +398,7 @@
 // stop sends a stop to its worker and posts its confirmation.
 func (t *term) stop(ctx context.Context, s scheduler.Stop) {
 	for range orderAttempts {
-		if ctx.Err() != nil {
+		if !t.active() {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -125,7 +125,7 @@
 // soon as its last task has ended.
 func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
-	if t == nil || t.ctx.Err() != nil {
+	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
 	v, err := t.statusCache.state(t.cfg.Now(), id, customer)
@@ -135,6 +135,9 @@
 	if err == nil && v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, outcomeWait)
 	}
+	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
+		return "", ErrDeposed // the age of the job streams says nothing after a suspension
+	}
 	return v.state, err
 }
 
@@ -160,7 +163,7 @@
 // Waiting returns the number of jobs in a queue of which no task has started.
 func (l *Leader) Waiting(_ context.Context, queue string) (int, error) {
 	t := l.current.Load()
-	if t == nil || t.ctx.Err() != nil {
+	if t == nil || !t.active() {
 		return 0, ErrDeposed
 	}
 	t.statusCache.mu.Lock()
@@ -174,7 +177,7 @@
 // Cancel cancels a job and returns once its end is stored.
 func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
-	if t == nil {
+	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
 	c := cancelEvent{id, customer, make(chan cancelResult, 1)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	log             *store.HealthTracker
 	platformStore   *platform.Store
 	catalog         atomic.Pointer[catalog.Snapshot]
+	confirmation    *confirmation
 	member          *election.Member
 	leader          *leader.Leader
 	intake          *intake.Intake
@@ -98,6 +99,7 @@
 	}
 	n := &Node{cfg: cfg, failed: make(chan error, 1), platformStore: platform.NewStore(platform.NewHTTPClient(maxStoreConns, dialTimeout), settings.Store)}
 	n.log = store.NewHealthTracker(n.platformStore)
+	n.confirmation = newConfirmation(cfg.Logger, nil)
 	n.leader = leader.New(leader.Config{
 		Log: n.log, Registry: n.platformStore, Workers: platform.NewWorkers(platform.NewHTTPClient(maxWorkerConns, dialTimeout)),
 		Catalog: n.catalog.Load, Logger: cfg.Logger, MaxBatch: settings.MaxBatch,
@@ -113,7 +115,7 @@
 	})
 	n.intake = intake.New(intake.Config{
 		Log: n.log, LeaderTracker: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
-		LocalScheduler: n.localScheduler, Catalog: n.catalog.Load,
+		LocalScheduler: n.localScheduler, Catalog: n.catalog.Load, CatalogConfirmed: n.confirmation.recent,
 	})
 	return n
 }
@@ -232,6 +234,7 @@
 		var next int64
 		var err error
 		wait := configPollWait
+		askedAt := time.Now()
 		if !n.log.Healthy() {
 			wait = 0 // an immediate answer shows when the store is back
 		}
@@ -268,6 +271,7 @@
 		}
 		from = next
 		n.setCatalog(snap)
+		n.confirmation.confirm(askedAt)
 		if wait == 0 || (snap == nil && n.catalog.Load() == nil) {
 			n.waitRetry(ctx)
 		}
