--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -172,7 +172,7 @@
 	// The fields below are shared with other goroutines.
 	statusCache   statusCache
 	loopStats     loopStats
-	pausedUntil   atomicTime   // starts are held back until then
+	pausedUntil   atomicTime // starts are held back until then
 	suspension    *suspend.Detector
 	pendingStarts atomic.Int64 // starts that were decided but not answered yet
 	lastWrite     atomicTime   // when the last successful write was sent
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -29,17 +29,14 @@
 
 // Check returns an error that wraps ErrInvalidJob if the job cannot be scheduled safely.
 func (j *Job) Check() error {
-	switch {
-	case j.ID == "":
+	if j.ID == "" {
 		return fmt.Errorf("%w: no ID", ErrInvalidJob)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+	}
+	if err := j.checkTimes(); err != nil {
+		return err
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return fmt.Errorf("%w: %d steps, at most %d are allowed", ErrInvalidJob, len(j.Steps), maxSteps)
-	case j.Repeat < 0 || j.Repeat > maxTasks:
-		return fmt.Errorf("%w: %d occurrences, at most %d are allowed", ErrInvalidJob, j.Repeat, maxTasks)
-	case j.First < 0 || j.First > maxUnixMS || j.Interval < 0 || j.Interval > maxInterval:
-		return fmt.Errorf("%w: occurrences start at %d Unix ms, every %s", ErrInvalidJob, j.First, j.Interval)
-	case !(j.Queue.Stretch >= 0 && j.Queue.Stretch <= maxFactor) || j.Queue.Target < 0 || j.Queue.Target > maxQueueLatency:
-		return fmt.Errorf("%w: queue %s has stretch %g and target %s", ErrInvalidJob, j.Queue.Name, j.Queue.Stretch, j.Queue.Target)
 	}
 	tasks := 0
 	for i := range j.Steps {
@@ -55,6 +52,19 @@
 	return nil
 }
 
+// checkTimes checks the occurrences and the objective.
+func (j *Job) checkTimes() error {
+	switch {
+	case j.Repeat < 0 || j.Repeat > maxTasks:
+		return fmt.Errorf("%w: %d occurrences, at most %d are allowed", ErrInvalidJob, j.Repeat, maxTasks)
+	case j.First < 0 || j.First > maxUnixMS || j.Interval < 0 || j.Interval > maxInterval:
+		return fmt.Errorf("%w: occurrences start at %d Unix ms, every %s", ErrInvalidJob, j.First, j.Interval)
+	case !(j.Queue.Stretch >= 0 && j.Queue.Stretch <= maxFactor) || j.Queue.Target < 0 || j.Queue.Target > maxQueueLatency:
+		return fmt.Errorf("%w: queue %s has stretch %g and target %s", ErrInvalidJob, j.Queue.Name, j.Queue.Stretch, j.Queue.Target)
+	}
+	return nil
+}
+
 func (s *Step) check(i int) error {
 	switch {
 	case s.Count <= 0 || s.Count > maxTasks:
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -236,6 +236,21 @@
 		c.cfg.Logger.Info("worker reports to this leader", "worker", w.id, "running", len(rep.Running), "ended", len(rep.Ended))
 	}
 	w.synced, w.lastHeard = true, now
+	listed := c.applyLists(now, w, rep)
+	if !rep.Full {
+		return true
+	}
+	for _, r := range w.sortedRuns() {
+		if !listed[runKey{r.name, r.number}] && !r.confirmedAt.IsZero() && !rep.Sent.Before(r.confirmedAt) &&
+			(r.runningSince.IsZero() || now.Sub(r.confirmedAt) > missingRunGrace) {
+			c.runEnded(now, r, Vanished, r.checkpoint)
+		}
+	}
+	return true
+}
+
+// applyLists applies the ended and running runs of a report and returns which runs it lists.
+func (c *Core) applyLists(now time.Time, w *worker, rep Report) map[runKey]bool {
 	listed := make(map[runKey]bool, len(rep.Running)+len(rep.Ended))
 	for _, e := range rep.Ended {
 		key := runKey{e.Task, e.Run}
@@ -251,16 +266,7 @@
 		listed[key] = true
 		c.recordProgress(now, w, key, entry)
 	}
-	if !rep.Full {
-		return true
-	}
-	for _, r := range w.sortedRuns() {
-		if !listed[runKey{r.name, r.number}] && !r.confirmedAt.IsZero() && !rep.Sent.Before(r.confirmedAt) &&
-			(r.runningSince.IsZero() || now.Sub(r.confirmedAt) > missingRunGrace) {
-			c.runEnded(now, r, Vanished, r.checkpoint)
-		}
-	}
-	return true
+	return listed
 }
 
 // acceptLateResult completes a task by a run that counted as lost before its worker listed it as
