httpjson: Serve connections that are accepted as a drain begins

The server learns of a connection a little after it is accepted; the drain found none in use meanwhile and shut the server down, which closes a new connection without reading it.

Change: connections are tracked from the moment when they are accepted, and a drain waits until the listener accepts no more before it looks.

Conclusion: a planned stop answers all calls on accepted connections.

--- a/internal/httpjson/drain.go
+++ b/internal/httpjson/drain.go
@@ -18,12 +18,15 @@
 )
 
 // DrainingServer is a server that can be stopped without cutting off calls.
-// http.Server.Shutdown alone drops calls that the server reads as the shutdown begins.
+// http.Server.Shutdown alone drops calls that the server reads as the shutdown begins, and
+// connections that were accepted just before.
 type DrainingServer struct {
 	server   *http.Server
 	listener net.Listener
+	accepted chan struct{} // closed when no more connections are accepted
 
 	mu        sync.Mutex
+	serving   bool
 	stopped   bool
 	connState map[net.Conn]connState
 }
@@ -37,11 +40,27 @@
 // NewDrainingServer returns a server that accepts connections from l. Its handlers should ask
 // clients to close their connections once the process is leaving.
 func NewDrainingServer(srv *http.Server, l net.Listener) *DrainingServer {
-	d := &DrainingServer{server: srv, listener: l, connState: map[net.Conn]connState{}}
+	d := &DrainingServer{server: srv, listener: l, accepted: make(chan struct{}), connState: map[net.Conn]connState{}}
 	srv.ConnState = d.trackConn
 	return d
 }
 
+// trackingListener tracks connections from the moment when they are accepted. The server reports
+// their state a little later, when it may already have found that none is in use.
+type trackingListener struct {
+	net.Listener
+	server *DrainingServer
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.server.trackConn(c, http.StateNew)
+	}
+	return c, err
+}
+
 func (d *DrainingServer) trackConn(c net.Conn, state http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -65,9 +84,13 @@
 	return false
 }
 
-// Serve serves calls until the server is stopped.
+// Serve serves calls until the server is stopped. It is called once.
 func (d *DrainingServer) Serve() error {
-	err := d.server.Serve(d.listener)
+	d.mu.Lock()
+	d.serving = true
+	d.mu.Unlock()
+	err := d.server.Serve(trackingListener{d.listener, d})
+	close(d.accepted)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stopped || errors.Is(err, http.ErrServerClosed) {
@@ -84,8 +107,15 @@
 func (d *DrainingServer) Drain(ctx context.Context) error {
 	d.mu.Lock()
 	d.stopped = true
+	serving := d.serving
 	d.mu.Unlock()
 	err := d.listener.Close()
+	if serving {
+		select {
+		case <-d.accepted:
+		case <-ctx.Done():
+		}
+	}
 	for d.inUse() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
