join: Tell cut calls from connections that nobody accepted

Cause: TestPlannedStopWithoutASuccessorCutsNoCall passed over every reset of a connection, and failed on a broken pipe or an end of file, though the kernel's reset of a connection that the process has not accepted shows up at the client as any of the three.

Change: the daemon logs accepted connections at level debug. The test notes the client's address and when it began to connect; a failed call counts as cut if the process accepted its connection or had used it before, whatever the error. A trace showed the case: an end of file at 13.661 s with the last connection accepted at 13.653 s and the listener closed at 13.658 s. The check is stricter than before: a reset on an accepted connection counts.

--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -1,16 +1,18 @@
 package join_test
 
 import (
+	"bytes"
 	"context"
-	"errors"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,12 +27,12 @@
 )
 
 // childVariable is the environment variable that makes the test binary run as the
-// rhubarbshore command.
+// rhubarbshore command, with its value as the log level.
 const childVariable = "RHUBARBSHORE_CHILD"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(childVariable) != "" {
-		os.Exit(root.Main([]string{"join"}, os.Stdin, os.Stdout, os.Stderr))
+	if level := os.Getenv(childVariable); level != "" {
+		os.Exit(root.Main([]string{"join", "--level", level}, os.Stdin, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
@@ -39,6 +41,7 @@
 // file paths, clients and ready the addresses for client calls and readiness probes.
 type daemon struct {
 	settings, clients, ready, log string
+	level                         string // of the log
 	cmd                           *exec.Cmd
 }
 
@@ -61,7 +64,7 @@
 	clients, ready, internal := freePort(t), freePort(t), freePort(t)
 	d := &daemon{
 		settings: filepath.Join(dir, "settings.toml"), log: filepath.Join(dir, "log"),
-		clients: fmt.Sprintf("127.0.0.1:%d", clients), ready: fmt.Sprintf("127.0.0.1:%d", ready),
+		clients: fmt.Sprintf("127.0.0.1:%d", clients), ready: fmt.Sprintf("127.0.0.1:%d", ready), level: "debug",
 	}
 	assert.NilError(t, os.WriteFile(d.settings, []byte(settings(vm, clients, ready, internal)), 0o600))
 	d.start(t)
@@ -73,7 +76,7 @@
 	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(t, err)
 	d.cmd = exec.Command(os.Args[0])
-	d.cmd.Env = append(os.Environ(), childVariable+"=1", "RHUBARBSHORE_NODE_FILE="+d.settings)
+	d.cmd.Env = append(os.Environ(), childVariable+"="+d.level, "RHUBARBSHORE_NODE_FILE="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	assert.NilError(t, d.cmd.Start())
 	t.Cleanup(func() { d.stop(syscall.SIGKILL) })
@@ -193,18 +196,24 @@
 	d.awaitReady(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	var cutErr atomic.Pointer[error]
-	for i := range 8 {
+	failed := make([]failedCall, 8)
+	for i := range failed {
 		wg.Go(func() {
 			c := platformtest.NewClient(p, []string{d.clients})
 			for n := 0; ctx.Err() == nil; n++ {
+				var call failedCall
+				traced := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+					ConnectStart: func(string, string) { call.dialed = time.Now() },
+					GotConn:      func(info httptrace.GotConnInfo) { call.local = info.Conn.LocalAddr().String() },
+				})
 				id := fmt.Sprintf("%08x%08x", i, n)
-				_, err := c.SubmitOnce(context.Background(), id, 0, []scheduler.Step{{Count: 1, Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, Estimate: time.Second}})
-				if refusedConnection(err) || errors.Is(err, syscall.ECONNRESET) {
-					return // the process had not accepted the connection
+				_, err := c.SubmitOnce(traced, id, 0, []scheduler.Step{{Count: 1, Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}, Estimate: time.Second}})
+				if err != nil && !refusedConnection(err) {
+					call.err = err
+					failed[i] = call
 				}
 				if err != nil {
-					cutErr.Store(&err)
+					return
 				}
 			}
 		})
@@ -214,8 +223,66 @@
 	cancel()
 	wg.Wait()
 	assert.Equal(t, d.cmd.ProcessState.ExitCode(), 0)
-	if err := cutErr.Load(); err != nil {
-		t.Errorf("the planned stop cut a call: %v", *err)
+	accepted := d.acceptedConns(t)
+	assert.Assert(t, len(accepted) > 0)
+	for _, call := range failed {
+		if call.err != nil && call.cut(accepted) {
+			t.Errorf("the planned stop cut a call on an accepted connection: %v", call.err)
+		}
+	}
+}
+
+// failedCall is a call that ended with an error.
+type failedCall struct {
+	local  string    // address of the connection's end at the client
+	dialed time.Time // zero if the connection was used before
+	err    error
+}
+
+// cut reports whether the process had accepted the call's connection. If not, the kernel reset the
+// connection as the listener was closed; the client sees that as a reset, a broken pipe or an end
+// of file, depending on which of its calls takes the error. Ports are used again.
+func (c failedCall) cut(accepted map[string][]time.Time) bool {
+	if c.local == "" || c.dialed.IsZero() {
+		return true
+	}
+	return slices.ContainsFunc(accepted[c.local], func(at time.Time) bool { return !at.Before(c.dialed) })
+}
+
+// acceptedConns returns when the daemon accepted connections, by the address of the other end.
+func (d *daemon) acceptedConns(t *testing.T) map[string][]time.Time {
+	t.Helper()
+	data, err := os.ReadFile(d.log)
+	assert.NilError(t, err)
+	out := map[string][]time.Time{}
+	for line := range bytes.Lines(data) {
+		var entry struct {
+			Time        time.Time
+			Msg, Remote string
+		}
+		assert.NilError(t, json.Unmarshal(line, &entry))
+		if entry.Msg == "connection accepted" {
+			out[entry.Remote] = append(out[entry.Remote], entry.Time)
+		}
+	}
+	return out
+}
+
+// Guards against an accepted connection that is taken for one that was not.
+func TestCallsOnAcceptedConnectionsCountAsCut(t *testing.T) {
+	dialed := time.Now()
+	accepted := map[string][]time.Time{"a": {dialed.Add(-time.Second)}, "b": {dialed.Add(-time.Second), dialed.Add(time.Millisecond)}}
+	for name, c := range map[string]struct {
+		call failedCall
+		cut  bool
+	}{
+		"not accepted":            {failedCall{local: "c", dialed: dialed}, false},
+		"port accepted before":    {failedCall{local: "a", dialed: dialed}, false},
+		"accepted":                {failedCall{local: "b", dialed: dialed}, true},
+		"used before":             {failedCall{local: "c"}, true},
+		"connection is not known": {failedCall{dialed: dialed}, true},
+	} {
+		assert.Equal(t, c.call.cut(accepted), c.cut, name)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,6 +184,10 @@
 	srv := httpjson.NewDrainingServer(&http.Server{
 		Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * minIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.cfg.Logger.Handler(), slog.LevelError),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			n.cfg.Logger.Debug("connection accepted", "address", address, "remote", c.RemoteAddr().String())
+			return ctx
+		},
 	}, l)
 	n.wg.Go(func() {
 		if err := srv.Serve(); err != nil {
