election: Let VMs smaller than the last leader wait after a restart

Cause: after all VMs were killed no ranks are known, and a VM that restarts a little sooner wins over larger ones: the delay by size is at most 0.3 s, and VMs of one restart differ by as much.

Change: the leader's record tells its share of a processor. While ranks are unknown, a VM with less than the last leader campaigns 0.5 s later.

Measured: TestLargeVMLeadsAfterAllWereKilled (36 VMs of 0.192 cores, 4 of 0.8 that start last, four times) failed before ("small00 leads after all were killed") and passes; TestSmallVMLeadsIfNoLargeOneReturns stays below the target of 1.5 s. On sites whose VMs are all alike nothing changes.

Ruled out: a longer delay by size alone, since it delays every restart of the sites whose VMs have 0.4 cores.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -46,6 +46,9 @@
 	// unrankedCampaignDelay is how much later VMs with almost no processor campaign than those
 	// with a whole core while ranks are unknown.
 	unrankedCampaignDelay = 300 * time.Millisecond
+	// smallerCampaignDelay is how much later VMs campaign, while ranks are unknown, that are
+	// smaller than the last leader. VMs that restart at the same time differ by less.
+	smallerCampaignDelay = 500 * time.Millisecond
 	// largerFactor is how many times the leader's processor a standby must have to be given the
 	// leadership, since a takeover costs a quarter of a second without starts.
 	largerFactor = 1.5
@@ -84,7 +87,9 @@
 	VM          string `json:"vm"`
 	Address     string `json:"address"`
 	Incarnation string `json:"life"` // one run of the VM's process
-	Epoch       int64  `json:"-"`
+	// Cores is the VM's share of a processor, 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
+	Epoch int64   `json:"-"`
 }
 
 // Ping is the request of calls between VMs: from a standby to the leader, from one standby to
@@ -363,7 +368,7 @@
 	if !m.refreshLeader(ctx, failed) {
 		return
 	}
-	m.waitUnlessReplaced(ctx, failed, m.campaignDelay())
+	m.waitUnlessReplaced(ctx, failed, m.campaignDelay(failed))
 	if (result == noAnswer || result == connRefused) && m.peersHearLeader(ctx, result == connRefused) {
 		m.waitUnlessReplaced(ctx, failed, pingInterval)
 		return
@@ -380,14 +385,17 @@
 	return m.stopping
 }
 
-// campaignDelay returns how long this VM waits before it campaigns. VMs with more processor
-// campaign sooner.
-func (m *Member) campaignDelay() time.Duration {
+// campaignDelay returns how long this VM waits before it campaigns to replace a leader. VMs with
+// more processor campaign sooner.
+func (m *Member) campaignDelay(failed LeaderRecord) time.Duration {
 	m.mu.Lock()
 	rank, largerStandby := m.rank, m.largerStandby
 	m.mu.Unlock()
 	delay := time.Duration(rand.Int64N(int64(campaignDelayPerRank) / 2))
 	if rank < 0 {
+		if m.cfg.Cores < failed.Cores {
+			delay += smallerCampaignDelay
+		}
 		return delay + time.Duration(float64(unrankedCampaignDelay)*(1-min(m.cfg.Cores, 1)))
 	}
 	if largerStandby {
@@ -469,7 +477,7 @@
 	m.mu.Lock()
 	at, previous := m.streamEnd, m.current
 	m.mu.Unlock()
-	value, err := json.Marshal(LeaderRecord{VM: m.cfg.VM, Address: m.cfg.Address, Incarnation: m.incarnation})
+	value, err := json.Marshal(LeaderRecord{VM: m.cfg.VM, Address: m.cfg.Address, Incarnation: m.incarnation, Cores: m.cfg.Cores})
 	if err != nil {
 		m.cfg.Logger.Error("leader record not encoded", "error", err)
 		return
@@ -484,7 +492,7 @@
 	m.cfg.Logger.Info("campaign won", "epoch", offset+1, "before", previous.VM, "before_epoch", previous.Epoch)
 	metric.Count("elections_total")
 	m.mu.Lock()
-	m.setLeader(LeaderRecord{VM: m.cfg.VM, Address: m.cfg.Address, Incarnation: m.incarnation, Epoch: offset + 1})
+	m.setLeader(LeaderRecord{VM: m.cfg.VM, Address: m.cfg.Address, Incarnation: m.incarnation, Cores: m.cfg.Cores, Epoch: offset + 1})
 	m.mu.Unlock()
 	select { // wakes Run, which begins to lead
 	case m.checkNow <- struct{}{}:
--- a/internal/election/share_test.go
+++ b/internal/election/share_test.go
@@ -66,6 +66,55 @@
 	})
 }
 
+// restartAll kills all members and starts them again over a while, in the order of their names, so
+// that the large ones come last.
+func (p *pool) restartAll(spread time.Duration) {
+	old := p.all
+	for _, m := range old {
+		p.kill(m)
+	}
+	time.Sleep(time.Second)
+	for _, m := range old {
+		cores := smallCores
+		if isLarge(m) {
+			cores = largeCores
+		}
+		p.addWith(m.name, cores)
+		time.Sleep(spread / time.Duration(len(old)))
+	}
+}
+
+// A small VM must not lead after all VMs were killed because it restarted a little sooner than the
+// large ones. It then took 0.7 s to load, and handed the leadership over 2.4 s later.
+func TestLargeVMLeadsAfterAllWereKilled(t *testing.T) {
+	run(t, 0, func(p *pool) {
+		p.addMixed(36, 4)
+		time.Sleep(5 * time.Second)
+		old, _ := p.awaitLeader(nil)
+		assert.Assert(t, isLarge(old), "%s leads at first", old.name)
+		for range 4 {
+			p.restartAll(300 * time.Millisecond)
+			next, took := p.awaitLeader(nil)
+			assert.Assert(t, isLarge(next), "%s leads after all were killed", next.name)
+			assert.Assert(t, took < takeoverTarget, "took %s", took)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// Small VMs must lead soon after all VMs were killed if the large ones do not come back.
+func TestSmallVMLeadsIfNoLargeOneReturns(t *testing.T) {
+	run(t, 0, func(p *pool) {
+		p.addMixed(36, 1)
+		time.Sleep(5 * time.Second)
+		p.kill(p.all[36])
+		p.all = p.all[:36]
+		p.restartAll(300 * time.Millisecond)
+		_, took := p.awaitLeader(nil)
+		assert.Assert(t, took < takeoverTarget, "took %s", took)
+	})
+}
+
 // forwardCalls reports failed calls while the leader is gone, as a VM does that forwards calls.
 func (m *member) forwardCalls(ctx context.Context) {
 	const callInterval = 7 * time.Millisecond
