election: Hand over when the store turns the leader away

While the store is down for all, such a standby does not win a campaign, and the leader stays. Checks whether another VM should lead come every 0.2 s.

Measured: TestLeaderThatTheStoreTurnsAwayHandsOver (within 0.5 s, four times) failed before (never, as nothing counts as stuck in it); TestOutageOfTheStoreChangesNoLeader.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -55,9 +55,9 @@
 	// handOverMinAge is how long a leader must have led, and a standby have sent pings, before
 	// the leadership is handed over to a larger VM.
 	handOverMinAge = 2 * time.Second
-	// handOverCheckInterval is the time between checks for such a standby, and
-	// handOverRetryDelay the delay before the next attempt if one fails.
-	handOverCheckInterval = 500 * time.Millisecond
+	// handOverCheckInterval is the time between checks whether another VM should lead, and
+	// handOverRetryDelay the delay before the next attempt if a larger VM does not take over.
+	handOverCheckInterval = 200 * time.Millisecond
 	handOverRetryDelay    = 10 * time.Second
 	// leaderHeardWindow is how recently another standby must have got an answer from the leader
 	// for this one to keep waiting.
@@ -508,7 +508,7 @@
 	m.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { m.handOverToLarger(ctx, epoch) })
+	wg.Go(func() { m.handOverIfNeeded(ctx, epoch) })
 	m.cfg.Leader.Lead(ctx, epoch)
 	cancel()
 	wg.Wait()
@@ -518,8 +518,9 @@
 	m.cfg.Logger.Info("no longer leading", "epoch", epoch)
 }
 
-// handOverToLarger hands the leadership over to a much larger VM once there is one.
-func (m *Member) handOverToLarger(ctx context.Context, epoch int64) {
+// handOverIfNeeded hands the leadership over once the store answers a standby but not this VM, or
+// once there is a much larger VM.
+func (m *Member) handOverIfNeeded(ctx context.Context, epoch int64) {
 	next := time.Now().Add(handOverMinAge)
 	for {
 		select {
@@ -527,13 +528,17 @@
 			return
 		case <-time.After(handOverCheckInterval):
 		}
-		if time.Now().Before(next) {
-			continue
-		}
 		m.mu.Lock()
 		first, ok := m.firstStandby(time.Now())
 		m.mu.Unlock()
-		if ok && !first.storeDown && first.cores > m.cfg.Cores && first.cores >= largerFactor*m.cfg.Cores && time.Since(first.first) >= handOverMinAge {
+		switch {
+		case !ok || first.storeDown:
+		case !m.cfg.StoreHealthy():
+			// Nothing can start until a VM leads that reaches the store, so there is nothing
+			// to pause. If the store is down for all, the standby does not campaign.
+			m.requestTakeover(ctx, first, epoch)
+		case time.Now().After(next) && first.cores >= largerFactor*m.cfg.Cores && first.cores > m.cfg.Cores && time.Since(first.first) >= handOverMinAge:
+			m.cfg.Leader.Pause(ctx)
 			m.requestTakeover(ctx, first, epoch)
 			next = time.Now().Add(handOverRetryDelay)
 		}
@@ -542,7 +547,6 @@
 
 // requestTakeover asks a standby to take over the leadership and reports whether it campaigns.
 func (m *Member) requestTakeover(ctx context.Context, to standby, epoch int64) bool {
-	m.cfg.Leader.Pause(ctx)
 	in := Ping{VM: m.cfg.VM, Epoch: epoch}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -637,6 +641,7 @@
 		return
 	}
 	for _, s := range standbys {
+		m.cfg.Leader.Pause(ctx)
 		if m.requestTakeover(ctx, s, epoch) {
 			m.awaitStepDown(ctx, takeoverTimeout)
 		}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -296,6 +296,52 @@
 	})
 }
 
+// Guards against a leader that the store turns away and that leads on until it counts as stuck:
+// for two seconds nothing started, though other VMs reached the store.
+func TestLeaderThatTheStoreTurnsAwayHandsOver(t *testing.T) {
+	run(t, 8, func(p *pool) {
+		for range 4 {
+			old, _ := p.awaitLeader(nil)
+			time.Sleep(3 * time.Second)
+			p.log.SetVMFault(old.name, &standin.LogFault{Refuse: true})
+			old.mu.Lock()
+			old.storeDown = true
+			old.mu.Unlock()
+			next, took := p.awaitLeader(old)
+			assert.Assert(t, next != nil && took < takeoverTarget/3, "took %s", took)
+			old.mu.Lock()
+			old.end() // a worker fences it
+			old.storeDown = false
+			old.mu.Unlock()
+			p.log.SetVMFault(old.name, nil)
+		}
+	})
+}
+
+// Guards against changes of leader while the store is down for all VMs.
+func TestOutageOfTheStoreChangesNoLeader(t *testing.T) {
+	run(t, 8, func(p *pool) {
+		old, _ := p.awaitLeader(nil)
+		time.Sleep(3 * time.Second)
+		p.log.SetFault(standin.LogFault{Refuse: true})
+		for _, m := range p.all {
+			m.mu.Lock()
+			m.storeDown = true
+			m.mu.Unlock()
+		}
+		time.Sleep(5 * time.Second)
+		p.log.SetFault(standin.LogFault{})
+		for _, m := range p.all {
+			m.mu.Lock()
+			m.storeDown = false
+			m.mu.Unlock()
+		}
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, old.leads())
+		assert.Equal(t, len(old.epochs), 1)
+	})
+}
+
 func TestLeadIsHandedOver(t *testing.T) {
 	run(t, 5, func(p *pool) {
 		old, _ := p.awaitLeader(nil)
