leader: Restart work lost at a takeover within the time clients wait

A new leader waits for leases of earlier ones for a lease and 5 s more: 15.7 s on sites with leases of 10 s, longer than the 14 s after which clients ask for their jobs. The wait was counted from the start of the term, though earlier leaders can write until the fence is stored.

Change: leases may last 11 s after a leader's last write, or a lease and 1 s where that is more, instead of a lease and 5 s; the next leader waits that long from its fence on. Sites with leases of 6 s keep their 11 s. While VMs of both versions run, an old leader that the store turns away may renew for 4 s longer than a new one waits.

The count from the fence has no test of its own.

Ruled out: taking a worker's missing entry as the end of its runs, since silent workers lose theirs too.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -521,7 +521,7 @@
 // handOverIfNeeded hands the leadership over once the store answers a standby but not this VM, or
 // once there is a much larger VM.
 func (m *Member) handOverIfNeeded(ctx context.Context, epoch int64) {
-	next := time.Now().Add(handOverMinAge)
+	next, nextUnhealthy := time.Now().Add(handOverMinAge), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -536,7 +536,10 @@
 		case !m.cfg.StoreHealthy():
 			// Nothing can start until a VM leads that reaches the store, so there is nothing
 			// to pause. If the store is down for all, the standby does not campaign.
-			m.requestTakeover(ctx, first, epoch)
+			if time.Now().After(nextUnhealthy) {
+				m.requestTakeover(ctx, first, epoch)
+				nextUnhealthy = time.Now().Add(takeoverTimeout)
+			}
 		case time.Now().After(next) && first.cores >= largerFactor*m.cfg.Cores && first.cores > m.cfg.Cores && time.Since(first.first) >= handOverMinAge:
 			m.cfg.Leader.Pause(ctx)
 			m.requestTakeover(ctx, first, epoch)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -101,9 +101,12 @@
 	// append.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 250 * time.Millisecond
-	// storeOutageGrace is how long, beyond one lease, leases are renewed after the last
-	// successful write. It is about the longest store outage on the sites.
-	storeOutageGrace = 5 * time.Second
+	// storeOutage is the store outage that leases outlast, above the longest one on the sites of
+	// 7 s. minStoreGrace is how long, at least, leases may last beyond one lease after the last
+	// write. Work that is lost with its worker at a change of leader starts again after that
+	// time, and must do so within the 14 s after which clients ask for their jobs.
+	storeOutage   = 11 * time.Second
+	minStoreGrace = time.Second
 	// writeStallTimeout is how long writes may fail, and loopStallTimeout how long a round of
 	// the loop may take, before the leader counts as stuck. Gangs whose start was interrupted
 	// must be complete, and tasks of cancelled jobs gone, within three to four seconds.
@@ -153,6 +156,7 @@
 	endTerm   context.CancelFunc
 	ctx       context.Context //nolint:containedctx // the term's lifetime: orders in progress end with it
 	startedAt time.Time
+	fencedAt  time.Time // from then on earlier leaders could not write
 	// startSlots limits concurrent starts and admits them in the order in which they were
 	// decided.
 	startSlots *semaphore.Weighted
@@ -202,6 +206,12 @@
 	eventKind() eventKind
 }
 
+// leaseLimit returns how long after the last write of a leader the leases that it grants may
+// end. The next leader waits that long for them.
+func leaseLimit(maxLease time.Duration) time.Duration {
+	return max(maxLease+minStoreGrace, storeOutage)
+}
+
 // Stuck reports whether this VM leads without making progress: its writes fail, or its loop is
 // blocked. Another VM should lead then.
 func (l *Leader) Stuck() bool {
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -118,7 +118,7 @@
 	l := t.links[id]
 	if l == nil {
 		l = &link{id: id}
-		l.recordGrant(t.startedAt, t.cfg.Scheduler.MaxLease+storeOutageGrace)
+		l.recordGrant(t.fencedAt, leaseLimit(t.cfg.Scheduler.MaxLease))
 		t.links[id] = l
 	}
 	if address != "" {
@@ -176,7 +176,7 @@
 // sendRenewals sends the due renewals to the marked workers.
 func (t *term) sendRenewals(ctx context.Context, now time.Time) {
 	// Leases must not be renewed for longer than the next leader waits for them to expire.
-	limit := t.lastWrite.get().Add(t.cfg.Scheduler.MaxLease + storeOutageGrace)
+	limit := t.lastWrite.get().Add(leaseLimit(t.cfg.Scheduler.MaxLease))
 	t.loopStats.checks.Add(int64(len(t.marked)))
 	for _, l := range t.marked {
 		l.marked = false
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -23,6 +23,7 @@
 		_, err := t.cfg.Log.Append(callCtx, Stream, []store.Record{t.epochRecord()}, store.AppendOptions{Producer: producerName, Epoch: t.epoch, Sequence: 0})
 		cancel()
 		if err == nil {
+			t.fencedAt = t.cfg.Now()
 			t.lastWrite.set(time.Now())
 			return nil
 		}
--- a/internal/leader/reports_test.go
+++ b/internal/leader/reports_test.go
@@ -83,3 +83,31 @@
 	})
 	assert.DeepEqual(t, violations, []string(nil))
 }
+
+// Guards against work that waits too long after a change of leader: a run was lost with a worker
+// that left, and the next leader waited for its lease beyond the time at which clients ask for
+// their jobs.
+func TestWorkLostAtATakeoverStartsAgainInTime(t *testing.T) {
+	const (
+		longestLease = 10 * time.Second // of the sites
+		finishTime   = 14 * time.Second
+	)
+	violations := run(t, 2, func(p *pool) {
+		p.wrap = func(c leader.Config) leader.Config {
+			c.Scheduler.MaxLease = longestLease
+			return c
+		}
+		first := p.elect()
+		p.submit(job(1, 1, step(8, 2)))
+		time.Sleep(300 * time.Millisecond)
+		p.fleet.Crash("w00", false)
+		first.cancel()
+		p.elect()
+		time.Sleep(finishTime - 500*time.Millisecond)
+		assert.Assert(t, p.fleet.Starts() > 8, "the lost work has not been started again")
+		if open := p.waitForJobs(20 * time.Second); len(open) > 0 {
+			t.Errorf("not finished: %v", open)
+		}
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
