--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -521,7 +521,7 @@
 // handOverIfNeeded hands the leadership over once the store answers a standby but not this VM, or
 // once there is a much larger VM.
 func (m *Member) handOverIfNeeded(ctx context.Context, epoch int64) {
-	next, nextUnhealthy := time.Now().Add(handOverMinAge), time.Now()
+	nextToLarger, nextUnhealthy := time.Now().Add(handOverMinAge), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -540,10 +540,10 @@
 				m.requestTakeover(ctx, first, epoch)
 				nextUnhealthy = time.Now().Add(takeoverTimeout)
 			}
-		case time.Now().After(next) && first.cores >= largerFactor*m.cfg.Cores && first.cores > m.cfg.Cores && time.Since(first.first) >= handOverMinAge:
+		case time.Now().After(nextToLarger) && first.cores >= largerFactor*m.cfg.Cores && first.cores > m.cfg.Cores && time.Since(first.first) >= handOverMinAge:
 			m.cfg.Leader.Pause(ctx)
 			m.requestTakeover(ctx, first, epoch)
-			next = time.Now().Add(handOverRetryDelay)
+			nextToLarger = time.Now().Add(handOverRetryDelay)
 		}
 	}
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -101,10 +101,9 @@
 	// append.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 250 * time.Millisecond
-	// storeOutage is the store outage that leases outlast, above the longest one on the sites of
-	// 7 s. minStoreGrace is how long, at least, leases may last beyond one lease after the last
-	// write. Work that is lost with its worker at a change of leader starts again after that
-	// time, and must do so within the 14 s after which clients ask for their jobs.
+	// storeOutage is the length of a store outage that leases outlast, and minStoreGrace how
+	// long, at least, leases may last beyond one lease after the last write. Longer ones delay
+	// work that was lost with its worker at a change of leader.
 	storeOutage   = 11 * time.Second
 	minStoreGrace = time.Second
 	// writeStallTimeout is how long writes may fail, and loopStallTimeout how long a round of
@@ -176,10 +175,10 @@
 	// The fields below are shared with other goroutines.
 	statusCache   statusCache
 	loopStats     loopStats
-	pausedUntil   atomicTime // starts are held back until then
-	suspension    *suspend.Detector
-	pendingStarts atomic.Int64 // starts that were decided but not answered yet
-	lastWrite     atomicTime   // when the last successful write was sent
+	pausedUntil   atomicTime        // starts are held back until then
+	suspension    *suspend.Detector // reports suspensions since the term began
+	pendingStarts atomic.Int64      // starts that were decided but not answered yet
+	lastWrite     atomicTime        // when the last successful write was sent
 	writesFailing atomic.Bool
 }
 
