scheduler: A late result completes a gang only with all its members

Change: a late result of a member is noted; the gang is complete when all members of one run have been listed as done.

Measured: TestLateResultOfOneMemberCompletesNoGang failed before ("completed != running").

Ruled out: an odd check; the stand-in counts each member's end.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -603,6 +603,22 @@
 	}
 }
 
+// Guards against a job that is reported as completed while a task of it has not ended: a member
+// of a gang was lost with its worker, and the result of another one completed the whole gang.
+func TestLateResultOfOneMemberCompletesNoGang(t *testing.T) {
+	p := newPool(t, 4)
+	p.submit("job", 1, "c", gang(2, 8))
+	p.settle(4)
+	lost, late := p.runs["job.0.0.0"], p.runs["job.0.0.1"]
+	p.core.ExpireLeases(p.now, lost.Worker)
+	p.core.ExpireLeases(p.now, late.Worker)
+	delete(p.runs, lost.Task)
+	p.finish(late.Task, scheduler.Done)
+	p.settle(4)
+	assert.Equal(t, p.state("job"), scheduler.Running)
+	assert.Equal(t, p.runs[lost.Task].Run, 2)
+}
+
 // Guards against a late end of a run that the scheduler never started, or of a job that is over.
 func TestLateResultOfAnUnknownRunIsIgnored(t *testing.T) {
 	p := newPool(t, 1)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -34,6 +34,7 @@
 	// avoidWorker is the worker where the last run failed, was lost or made no progress.
 	avoidWorker  string
 	waitingSince time.Time // when it was last requeued
+	lateDoneRun  int       // run that was listed as done after it had counted as lost, 0 if none
 }
 
 // run is one start of a task. It counts against its worker's capacity until it has
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -270,18 +270,25 @@
 }
 
 // acceptLateResult completes a task by a run that counted as lost before its worker listed it as
-// done. Runs that replace it are stopped, so that the work is not done again.
+// done. A gang needs the results of all members of one run, since a member may have been lost
+// while others ended. Runs that replace it are stopped, so that the work is not done again.
 func (c *Core) acceptLateResult(now time.Time, w *worker, e EndedTask) {
 	t := c.findTask(e.Task)
 	if t == nil || t.phase == done || e.Run > t.run || t.step.spec.LongRunning || t.step.occ.job.state.Final() {
 		return
 	}
-	c.changed = true
-	c.cfg.Logger.Info("run that counted as lost is done", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
 	members := []*task{t}
 	if t.step.spec.Gang {
 		members = t.step.tasks
 	}
+	t.lateDoneRun = e.Run
+	for _, m := range members {
+		if m.lateDoneRun != e.Run {
+			return
+		}
+	}
+	c.changed = true
+	c.cfg.Logger.Info("run that counted as lost is done", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
 	for _, m := range members {
 		m.dropReservation()
 		if m.activeRun != nil && m.activeRun.stopOrderedAt.IsZero() {
