--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,33 +45,35 @@
 
 // switchedRegistry reads from one registry until another is set.
 type switchedRegistry struct {
-	current *leader.Registry
+	current *atomic.Pointer[leader.Registry]
 }
 
 // WorkerChanges implements leader.Registry.
 func (s switchedRegistry) WorkerChanges(ctx context.Context, from int64) (fleet.Registry, error) {
-	return (*s.current).WorkerChanges(ctx, from)
+	return (*s.current.Load()).WorkerChanges(ctx, from)
 }
 
 // Workers implements leader.Registry.
 func (s switchedRegistry) Workers(ctx context.Context) (fleet.Registry, error) {
-	return (*s.current).Workers(ctx)
+	return (*s.current.Load()).Workers(ctx)
 }
 
 // Guards against a worker that counts as gone because another writer overwrote its entry: when
 // the whole list was read again, a worker without a usable entry got no more work.
 func TestWorkerBehindAnOddEntryIsStillServed(t *testing.T) {
 	violations := run(t, 1, func(p *pool) {
-		var current leader.Registry
+		var current atomic.Pointer[leader.Registry]
 		p.wrap = func(c leader.Config) leader.Config {
-			current = c.Registry
+			registry := c.Registry
+			current.Store(&registry)
 			c.Registry = switchedRegistry{&current}
 			return c
 		}
 		p.elect()
 		p.submit(job(1, 1, step(4, 2)))
 		time.Sleep(2 * time.Second)
-		current = oddRegistry{current, "w00"}
+		var odd leader.Registry = oddRegistry{*current.Load(), "w00"}
+		current.Store(&odd)
 		time.Sleep(2 * time.Second)
 		p.submit(job(2, 1, step(4, 2)))
 		if open := p.waitForJobs(20 * time.Second); len(open) > 0 {
