--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -16,8 +16,8 @@
 // figures from overflowing.
 const (
 	maxSteps        = 256
-	maxTasks        = 20_000 // over all steps and occurrences
-	maxAmount       = int64(1) << 40
+	maxTasks        = 20_000         // over all steps and occurrences
+	maxAmount       = int64(1) << 40 // thousandths of a core, MB or accelerators
 	maxEstimate     = 30 * 24 * time.Hour
 	maxInterval     = 365 * 24 * time.Hour
 	maxUnixMS       = int64(1) << 43 // in the year 2248
