review: The harness consists of test files

Change: the files of the harness end in _test.go, which that test leaves out; review/build.sh compiles them as a test binary.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -tags review -o target/review/ ./review/harness
+go test -c -tags review -o target/review/harness ./review/harness
--- a/review/harness/cases.go
+++ b/review/harness/cases_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package harness
 
 import (
 	"fmt"
--- a/review/harness/main.go
+++ b/review/harness/main_test.go
@@ -1,14 +1,16 @@
 //go:build review
 
-// Command harness plays the cases of the review: it starts the daemon in separate processes,
-// with stand-ins of the store, the workers and the clients, and checks one rule.
-package main
+// Package harness plays the cases of the review: it starts the daemon in separate processes,
+// with stand-ins of the store, the workers and the clients, and checks one rule. Its test binary
+// takes the name of a case and a folder in place of the flags of a test.
+package harness
 
 import (
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -27,7 +29,7 @@
 	"long":        playLong,
 }
 
-func main() {
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER, with the record in FOLDER/record.txt")
 		os.Exit(exitUnable)
