leader: Keep an outcome until the job's description is dropped

Cause: the call that drops the description of an ended job was made once. If it failed, the description stayed, as the next leader would drop it. But the leader deleted the outcome after its retention whether the description was gone or not, and the next one took the description for a new job.

Change: the scheduler keeps an outcome until all drops of the description are confirmed, and its retention begins then. The leader repeats failed drops every 5 s, and splits them at the limit of an append: a call that is too large would fail each time.

Ruled out: an incomplete load (the outcome is there with a longer retention), a late append of the description (the record of the case holds one).

Conclusion: without a gap in time, since a description and no outcome can't be in the store together, other than by a drop that was confirmed and never took effect.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -128,7 +128,7 @@
 	// recordOverhead is the size of a record beyond its key and value, in bytes.
 	recordOverhead = 8
 	// jobDropInterval is the minimum time between calls that drop the descriptions of finished
-	// jobs.
+	// jobs. Drops that failed are repeated at this interval.
 	jobDropInterval = 5 * time.Second
 )
 
@@ -543,7 +543,7 @@
 	if len(t.droppable) > 0 && time.Since(t.droppedAt) > jobDropInterval {
 		t.droppedAt = time.Now()
 		ids := t.droppable
-		t.spawn(func() { t.dropJobs(ids) })
+		t.spawn(func() { t.dropJobs(t.ctx, ids) })
 		t.droppable = nil
 	}
 }
@@ -555,25 +555,64 @@
 	return b
 }
 
-// dropJobs drops the descriptions of jobs whose outcome is stored. A failed call only wastes
-// space, since the next leader drops them.
-func (t *term) dropJobs(ids []string) {
-	var byPart [intake.Parts][]store.Record
+// dropJobs drops the descriptions of jobs whose outcome is stored, and posts which drops
+// succeeded.
+func (t *term) dropJobs(ctx context.Context, ids []string) {
+	var byPart [intake.Parts][]string
 	for _, id := range ids {
 		part := intake.PartOf(id)
-		byPart[part] = append(byPart[part], store.Record{Key: id})
+		byPart[part] = append(byPart[part], id)
 	}
-	for part, records := range byPart {
-		if len(records) > 0 {
-			t.dropJobsInPart(part, records)
+	for part, ids := range byPart {
+		for len(ids) > 0 {
+			n := t.dropBatch(ids)
+			t.dropJobsInPart(ctx, part, ids[:n])
+			ids = ids[n:]
 		}
 	}
 }
 
-func (t *term) dropJobsInPart(part int, records []store.Record) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+// dropBatch returns how many of the jobs can be dropped in one append, at least one.
+func (t *term) dropBatch(ids []string) int {
+	size := 0
+	for i, id := range ids {
+		size += len(id) + recordOverhead
+		if i > 0 && t.cfg.MaxBatch > 0 && size > t.cfg.MaxBatch {
+			return i
+		}
+	}
+	return len(ids)
+}
+
+func (t *term) dropJobsInPart(ctx context.Context, part int, ids []string) {
+	records := make([]store.Record, len(ids))
+	for i, id := range ids {
+		records[i].Key = id
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := t.cfg.Log.Append(ctx, intake.Stream(part), records, store.AppendOptions{}); err != nil {
-		t.cfg.Logger.Info("descriptions of ended jobs not dropped", "jobs", len(records), "error", err)
+	_, err := t.cfg.Log.Append(callCtx, intake.Stream(part), records, store.AppendOptions{})
+	if err != nil {
+		metric.Count("job_drop_failures_total")
+		t.cfg.Logger.Warn("descriptions of ended jobs not dropped; trying again", "part", part, "jobs", len(ids), "error", err)
+	}
+	t.post(ctx, droppedEvent{ids: ids, err: err})
+}
+
+// droppedEvent reports whether the descriptions of ended jobs were dropped.
+type droppedEvent struct {
+	ids []string
+	err error
+}
+
+func (droppedEvent) eventKind() eventKind { return kindStored }
+
+func (e droppedEvent) apply(t *term, now time.Time) {
+	if e.err != nil {
+		t.droppable = append(t.droppable, e.ids...)
+		return
+	}
+	for _, id := range e.ids {
+		t.core.DescriptionDropped(now, id)
 	}
 }
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -195,7 +195,8 @@
 	Records []Record
 	Starts  []Start
 	Stops   []Stop
-	// Forget lists jobs whose description is no longer needed.
+	// Forget lists jobs whose description is no longer needed once Records are stored. Each
+	// entry must be answered by a call to DescriptionDropped after the description was dropped.
 	Forget []string
 	// Changed lists jobs whose state has changed or that were deleted.
 	Changed []string
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -92,11 +92,15 @@
 	restored bool      // read from a stored outcome
 	deadline time.Time // end of its objective; the job earns its full worth until then
 	accepted time.Time
-	ended    time.Time
-	work     float64       // declared core-seconds
-	estimate time.Duration // declared run time of the longest chain of steps
-	rank     int           // latenessRank in the last round
-	level    int
+	// pendingDrops counts the drops of the job's description that aren't confirmed yet. The
+	// outcome is kept at least as long: without it, the next leader would take the description
+	// for a new job.
+	pendingDrops int
+	expiresAt    time.Time     // when the outcome may be deleted if no drop is pending
+	work         float64       // declared core-seconds
+	estimate     time.Duration // declared run time of the longest chain of steps
+	rank         int           // latenessRank in the last round
+	level        int
 }
 
 // Config holds the settings of a Core.
@@ -106,7 +110,8 @@
 	MaxLease time.Duration
 	// RemotePenalty is the factor by which a task takes longer away from its rack.
 	RemotePenalty float64
-	// KeepEnded is how long the outcome of an ended job is kept.
+	// KeepEnded is how long the outcome of an ended job is kept after its description was
+	// dropped.
 	KeepEnded time.Duration
 	// ReportTimeout is how long a worker may go without a report before it gets no new work.
 	ReportTimeout time.Duration
@@ -179,7 +184,7 @@
 		if err := json.Unmarshal(value, &rec); err != nil {
 			return errorx.Decorate(err, "stored job %s", key)
 		}
-		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, ended: now, restored: true}
+		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, expiresAt: now.Add(c.cfg.KeepEnded), restored: true}
 		c.effects.Changed = append(c.effects.Changed, key)
 		return nil
 	}
@@ -203,11 +208,12 @@
 	}
 }
 
-// AddJob adds an accepted job. A job that is already known is left as it is.
+// AddJob adds an accepted job, whose description is in the store. A job that is already known is
+// left as it is.
 func (c *Core) AddJob(now time.Time, spec Job) {
 	if j, known := c.jobs[spec.ID]; known {
 		if j.state.Final() {
-			c.effects.Forget = append(c.effects.Forget, spec.ID)
+			c.dropDescription(j)
 		}
 		return
 	}
@@ -373,6 +379,20 @@
 	return j.state, nil
 }
 
+// dropDescription has the caller drop the job's description from the store.
+func (c *Core) dropDescription(j *job) {
+	j.pendingDrops++
+	c.effects.Forget = append(c.effects.Forget, j.spec.ID)
+}
+
+// DescriptionDropped records that the description of a job in Effects.Forget was dropped.
+func (c *Core) DescriptionDropped(now time.Time, id string) {
+	if j := c.jobs[id]; j != nil && j.pendingDrops > 0 {
+		j.pendingDrops--
+		j.expiresAt = now.Add(c.cfg.KeepEnded)
+	}
+}
+
 // Owner returns a job's state and customer, and whether the job is known.
 func (c *Core) Owner(id string) (State, string, bool) {
 	j := c.jobs[id]
@@ -396,7 +416,7 @@
 // endJob moves a job to its final state, and stops its remaining runs.
 func (c *Core) endJob(now time.Time, j *job, state State, reason string) {
 	c.changed = true
-	j.state, j.ended = state, now
+	j.state = state
 	c.storeRecord(j.spec.ID, jobRecord{State: state, Ended: now.UnixMilli(), Customer: j.spec.Customer})
 	for _, o := range j.occs {
 		for _, s := range o.steps {
@@ -411,7 +431,7 @@
 			}
 		}
 	}
-	c.effects.Forget = append(c.effects.Forget, j.spec.ID)
+	c.dropDescription(j)
 	c.effects.Changed = append(c.effects.Changed, j.spec.ID)
 	c.cfg.Logger.Info("job ended", "job", j.spec.ID, "state", string(state), "why", reason,
 		"age_ms", now.Sub(j.accepted).Milliseconds(), "objective_ms", j.deadline.Sub(j.accepted).Milliseconds())
@@ -481,7 +501,7 @@
 		c.checkWorker(now, w)
 	}
 	for id, j := range c.jobs {
-		if j.state.Final() && now.Sub(j.ended) > c.cfg.KeepEnded {
+		if j.state.Final() && j.pendingDrops == 0 && now.After(j.expiresAt) {
 			delete(c.jobs, id)
 			c.effects.Changed = append(c.effects.Changed, id)
 			c.effects.Records = append(c.effects.Records, Record{Key: id})
