scheduler: Blame failures on the work if it fails on several workers

Cause: each failed run was held against its worker, from the second in a row on with a pause that doubles up to a minute. Eight tasks of such a job that share a worker made eight failures; nothing took into account that the job failed on all other workers too, and nothing limited how many workers were left out. A run that was too slow put its worker out of use for 6 s in the same way.

The work is to blame if the task went wrong on a second worker, or its step on several workers with fewer tasks that do well. Otherwise the worker has a strike for each attempt at a step, or for each failure if other tasks of the step do well; two strikes quarantine it. A quarantine ends once later evidence exonerates the worker, and half of the workers of a service and of each label stay in use in any case: work that there is room for twice over fits there.

Evidence: on the code before, TestJobsThatAlwaysFailPutNoSoundWorkerOutOfUse (jobs queued; the log names 48 of 48 workers with pauses of 6 to 60 s), TestSingleTasksThatAlwaysFailExonerateTheirWorkers (one worker of 3 in use), TestSlowWorkPutsNoSoundWorkerOutOfUse (8 of 16 workers out of use) and TestHalfOfTheWorkersStayInUse failed; they pass now. TestWorkersThatFailEverythingAreQuarantined passed before and passes: workers that are at fault are still left out. Ruled out: retries that occupy the pool (0 % in use), headroom, reservations.

Conclusion: what remains is a start that each worker rejects, which pauses the worker and not the task; next.

--- /dev/null
+++ b/internal/scheduler/blame_test.go
@@ -0,0 +1,154 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/scheduler"
+)
+
+// playRuns takes steps of 50 ms with reports in between. A run ends once outcome says so for its
+// task, worker and age.
+func (p *pool) playRuns(d time.Duration, workers int, outcome func(task, worker string, age time.Duration) scheduler.Cause) {
+	for end := p.now.Add(d); p.now.Before(end); {
+		p.step(50 * time.Millisecond)
+		for task, s := range p.runs {
+			if cause := outcome(task, s.Worker, p.now.Sub(p.began[task])); cause != "" {
+				p.finish(task, cause)
+			}
+		}
+		for i := range workers {
+			p.report(i)
+		}
+	}
+}
+
+// poisoned returns an outcome for playRuns: runs of jobs whose ID begins with "poison" fail
+// after a second wherever they run, and all others are done after goodAge.
+func poisoned(goodAge time.Duration) func(task, worker string, age time.Duration) scheduler.Cause {
+	return func(task, _ string, age time.Duration) scheduler.Cause {
+		switch fails := task[:6] == "poison"; {
+		case fails && age >= time.Second:
+			return scheduler.Fault
+		case !fails && age >= goodAge:
+			return scheduler.Done
+		}
+		return ""
+	}
+}
+
+// Guards against jobs that can't be done and that put sound workers out of use: two wide jobs
+// whose runs all fail once left no worker for a minute.
+func TestJobsThatAlwaysFailPutNoSoundWorkerOutOfUse(t *testing.T) {
+	const workers = 48
+	for _, poison := range []int{2, 6} {
+		t.Run(fmt.Sprint(poison, " jobs"), func(t *testing.T) {
+			p := newPool(t, workers)
+			for i := range poison {
+				p.submit(fmt.Sprint("poison", i), 1, "c", tasks(94, 1))
+			}
+			p.playRuns(2500*time.Millisecond, workers, poisoned(2500*time.Millisecond))
+			for i := range 32 {
+				p.submit(fmt.Sprint("sound", i), 1, "c", tasks(2, 1))
+			}
+			p.playRuns(6*time.Second, workers, poisoned(2500*time.Millisecond))
+			for i := range 32 {
+				assert.Equal(t, p.state(fmt.Sprint("sound", i)), scheduler.Completed)
+			}
+			for i := range poison {
+				assert.Equal(t, p.state(fmt.Sprint("poison", i)), scheduler.Failed)
+			}
+		})
+	}
+}
+
+// Guards against jobs with one task that fails everywhere: two of them on the same worker must
+// not put it out of use for longer than it takes them to fail elsewhere.
+func TestSingleTasksThatAlwaysFailExonerateTheirWorkers(t *testing.T) {
+	p := newPool(t, 3)
+	for i := range 4 {
+		p.submit(fmt.Sprint("poison", i), 1, "c", tasks(1, 1))
+	}
+	p.playRuns(4*time.Second, 3, poisoned(time.Second))
+	p.submit("sound", 1, "c", tasks(24, 1))
+	p.playRuns(500*time.Millisecond, 3, poisoned(time.Second))
+	assert.Equal(t, len(p.runsByWorker("sound")), 3, "all workers are in use")
+}
+
+// Guards against work that is slow wherever it runs and that puts sound workers out of use.
+func TestSlowWorkPutsNoSoundWorkerOutOfUse(t *testing.T) {
+	const workers = 16
+	p := newPool(t, workers)
+	p.runSeconds = 2
+	p.autoFinish = true
+	for i := range 3 { // the run times of the queue are known from these
+		p.submit(fmt.Sprint("usual", i), 1, "c", declared(tasks(8, 1), 2*time.Second))
+	}
+	p.playRuns(5*time.Second, workers, func(string, string, time.Duration) scheduler.Cause { return "" })
+	p.runSeconds = 60
+	p.submit("slow", 1, "c", declared(tasks(64, 1), 2*time.Second))
+	for range 300 {
+		p.playRuns(50*time.Millisecond, workers, func(string, string, time.Duration) scheduler.Cause { return "" })
+		assert.Assert(t, p.core.Quarantined(p.now) <= 1, "%d workers", p.core.Quarantined(p.now))
+	}
+}
+
+func declared(s scheduler.Step, d time.Duration) scheduler.Step {
+	s.Estimate = d
+	return s
+}
+
+// Guards against workers that fail whatever they are given and stay in use, because the work is
+// blamed for their failures.
+func TestWorkersThatFailEverythingAreQuarantined(t *testing.T) {
+	const workers, failing = 24, 6
+	p := newPool(t, workers)
+	p.submitMixed("early", 40)
+	outcome := func(_, worker string, age time.Duration) scheduler.Cause {
+		switch {
+		case worker < workerID(failing) && age >= 500*time.Millisecond:
+			return scheduler.Fault
+		case age >= 2*time.Second:
+			return scheduler.Done
+		}
+		return ""
+	}
+	p.playRuns(6*time.Second, workers, outcome)
+	p.submitMixed("later", 40)
+	p.step(50 * time.Millisecond)
+	onFailing := 0
+	for _, s := range p.runs {
+		if s.Worker < workerID(failing) {
+			onFailing++
+		}
+	}
+	assert.Equal(t, onFailing, 0, "of %d runs", len(p.runs))
+	p.playRuns(10*time.Second, workers, outcome)
+	for i := range 40 {
+		assert.Equal(t, p.state(fmt.Sprint("later", i)), scheduler.Completed)
+	}
+}
+
+// submitMixed submits jobs of three tasks each.
+func (p *pool) submitMixed(prefix string, jobs int) {
+	for i := range jobs {
+		p.submit(fmt.Sprint(prefix, i), 1, "c", tasks(3, 1))
+	}
+}
+
+// Guards against a pool that is quarantined as a whole: half of the workers with each label must
+// be left, whatever they fail.
+func TestHalfOfTheWorkersStayInUse(t *testing.T) {
+	const workers = 8
+	p := newPool(t, workers)
+	for i := range 60 {
+		p.submit(fmt.Sprint("job", i), 1, "c", tasks(1, 1))
+		p.playRuns(200*time.Millisecond, workers, func(string, string, time.Duration) scheduler.Cause { return scheduler.Fault })
+	}
+	p.submit("probe", 1, "c", tasks(64, 1))
+	p.step(50 * time.Millisecond)
+	assert.Assert(t, len(p.runsByWorker("probe")) >= workers/2)
+}
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -55,3 +55,14 @@
 
 // Evaluations returns how many workers have been evaluated so far to place tasks.
 func (c *Core) Evaluations() int64 { return c.evaluations }
+
+// Quarantined returns how many workers get no new work because runs went wrong there.
+func (c *Core) Quarantined(now time.Time) int {
+	n := 0
+	for _, w := range c.sortedWorkers {
+		if now.Before(w.quarantinedUntil) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -89,13 +89,14 @@
 	racksByName map[string]*rack
 	fitTables   map[fitKey]*fitTable
 	totals      map[string]usableCapacity // by service
+	groupSizes  map[workerGroup]int       // registered workers by group
 	dirty       []*worker                 // workers to recount
 	stale       bool                      // workers were added or removed, or differ in what fits on them; needs a rebuild
 	round       int64
 }
 
 func newIndex() *index {
-	return &index{racksByName: map[string]*rack{}, fitTables: map[fitKey]*fitTable{}, totals: map[string]usableCapacity{}}
+	return &index{racksByName: map[string]*rack{}, fitTables: map[fitKey]*fitTable{}, totals: map[string]usableCapacity{}, groupSizes: map[workerGroup]int{}}
 }
 
 // markDirty marks the worker for recounting, as the tasks that fit there may have changed.
@@ -148,12 +149,16 @@
 	ix.racks = ix.racks[:0]
 	clear(ix.racksByName)
 	clear(ix.totals)
+	clear(ix.groupSizes)
 	for pos, w := range c.sortedWorkers {
 		w.pos, w.rack, w.usableCapacity = pos, nil, usableCapacity{}
 		ix.updateTotals(w)
 		if !w.listed {
 			continue
 		}
+		for _, g := range w.groups() {
+			ix.groupSizes[g]++
+		}
 		r := ix.racksByName[w.info.Rack]
 		if r == nil {
 			r = &rack{name: w.info.Rack}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -30,17 +30,11 @@
 
 // recordRunOutcome updates the failures of a run's worker and the run times of its queue.
 func (c *Core) recordRunOutcome(now time.Time, r *run, cause Cause) {
-	w := r.worker
 	switch cause {
 	case Fault:
-		w.failStreak++
-		if w.failStreak >= quarantineThreshold {
-			pause := min(minQuarantine<<min(w.failStreak-quarantineThreshold, 4), maxQuarantine)
-			w.suspendedUntil = now.Add(pause)
-			c.cfg.Logger.Warn("worker is left out", "worker", w.id, "failed_runs", w.failStreak, "for_ms", pause.Milliseconds())
-		}
+		c.recordBadRun(now, r, false)
 	case Done:
-		w.failStreak = 0
+		r.worker.recordGoodRun()
 	default:
 	}
 	if cause != Done || r.runningSince.IsZero() || r.initialPercent > 0 || r.task.checkpoint != "" || r.task.step.spec.LongRunning {
@@ -91,10 +85,9 @@
 	}
 }
 
-// moveSlowRun stops a slow run so that it restarts elsewhere, and gives its worker no new
-// work for a while.
+// moveSlowRun stops a slow run so that it restarts elsewhere.
 func (c *Core) moveSlowRun(now time.Time, r *run) {
-	r.worker.suspendedUntil = now.Add(minQuarantine)
+	c.recordBadRun(now, r, true)
 	c.stopRun(now, r, reasonNoProgress)
 }
 
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -124,6 +124,7 @@
 	c.setLevels()
 	c.sortActive(now)
 	c.index.round++
+	c.updateQuarantines(now)
 	c.updateSchedulable(now)
 	c.refresh()
 	for _, d := range c.urgentDemand {
@@ -398,7 +399,7 @@
 // Costs added by placementCost, in accelerators left over.
 const (
 	avoidCost = 1000 // the task's last run went badly on the worker
-	failCost  = 30   // for each consecutive failed run on the worker
+	failCost  = 30   // for each strike against the worker
 )
 
 func (c *Core) placementCost(t *task, w *worker, need Resources) float64 {
@@ -407,7 +408,7 @@
 	if t.avoidWorker == w.id {
 		cost += avoidCost
 	}
-	return cost + failCost*float64(w.failStreak)
+	return cost + failCost*float64(w.strikes)
 }
 
 // startRun orders a run of a task on a worker.
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -33,6 +33,7 @@
 	reservation *reservation
 	// avoidWorker is the worker where the last run failed, was lost or made no progress.
 	avoidWorker  string
+	badWorkers   []string  // workers where its runs failed or were too slow
 	waitingSince time.Time // when it was last requeued
 	lateDoneRun  int       // run that was listed as done after it had counted as lost, 0 if none
 }
@@ -62,11 +63,14 @@
 	spec             *Step
 	index            int
 	tasks            []*task
-	done             int       // tasks that are done
-	chosenRack       string    // rack that a tightly coupled step was placed on
-	lastFailedRun    int       // last run of a gang that was counted as failed
-	firstConfirmedAt time.Time // when the first member of a gang's newest run was confirmed
-	readySince       time.Time // start of its waiting time
+	done             int           // tasks that are done
+	chosenRack       string        // rack that a tightly coupled step was placed on
+	lastFailedRun    int           // last run of a gang that was counted as failed
+	firstConfirmedAt time.Time     // when the first member of a gang's newest run was confirmed
+	readySince       time.Time     // start of its waiting time
+	badWorkers       []string      // workers where runs of its tasks failed or were too slow
+	badRunAge        time.Duration // longest time that one of these runs lasted
+	soundRunning     [2]soundCount // running tasks that run well: compared with failed runs, and with slow ones
 	// headroomLogged is set once it has been logged that the step leaves capacity to
 	// urgent work.
 	headroomLogged bool
@@ -140,6 +144,7 @@
 	runTimes      map[string]*runTimeStats // by queue
 	index         *index
 	urgentDemand  map[string]*demandRate // demand of arriving work of priority 0, by service
+	suspects      map[*worker]bool       // workers with bad runs
 	evaluations   int64                  // workers evaluated to place tasks
 	changed       bool                   // something has changed since the last scheduling round
 }
@@ -172,7 +177,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
-		guaranteed: map[string]int64{}, index: newIndex(), urgentDemand: map[string]*demandRate{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
+		guaranteed: map[string]int64{}, index: newIndex(), urgentDemand: map[string]*demandRate{}, suspects: map[*worker]bool{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -17,13 +17,6 @@
 	// failedStartPause is how long a worker gets no new work after it rejected a start or
 	// did not answer.
 	failedStartPause = 2 * time.Second
-	// quarantineThreshold is the number of consecutive failed runs on a worker after which
-	// it is quarantined. A single failure is usually caused by the task itself.
-	quarantineThreshold = 2
-	// minQuarantine is how long a failing worker gets no new work. The time doubles with
-	// each further failure, up to maxQuarantine.
-	minQuarantine = 6 * time.Second
-	maxQuarantine = time.Minute
 )
 
 type runKey struct {
@@ -43,9 +36,12 @@
 	used          Resources
 	unknownDemand int            // number of runs whose demand is unknown
 	reservations  []*reservation // capacity reserved for waiting tasks
-	// failStreak counts the consecutive failed runs on the worker.
-	failStreak     int
-	suspendedUntil time.Time // no new work before this time
+	badRuns       []badRun       // runs that failed since one ended as Done, and recent slow runs
+	// strikes counts the failures that the worker is to blame for, as of the last round.
+	strikes          int
+	judgedUntil      time.Time // when its quarantine should end
+	quarantinedUntil time.Time // no new work before this time, as runs went wrong here
+	suspendedUntil   time.Time // no new work before this time, as it didn't answer or rejected a start
 
 	index          *index
 	pos            int            // position in Core.sortedWorkers
@@ -96,7 +92,7 @@
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time, reportTimeout time.Duration) bool {
-	return w.listed && w.synced && w.unknownDemand == 0 && !w.info.Draining && !now.Before(w.suspendedUntil) && now.Sub(w.lastHeard) < reportTimeout
+	return w.listed && w.synced && w.unknownDemand == 0 && !w.info.Draining && !now.Before(w.suspendedUntil) && !now.Before(w.quarantinedUntil) && now.Sub(w.lastHeard) < reportTimeout
 }
 
 // UpdateWorker applies a worker's entry in the registry.
@@ -170,6 +166,7 @@
 
 func (c *Core) forgetWorker(w *worker) {
 	delete(c.workers, w.id)
+	delete(c.suspects, w)
 	w.rack, w.schedulable, w.usableCapacity = nil, false, usableCapacity{} // a reservation may still refer to it
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
 	c.index.stale = true
