scheduler: Withhold idle capacity only for gangs that start soon

What callers saw: a gang of 20 whole workers that waited for 4 in use kept 16 empty workers from all other work of its level.

Cause: a reservation lived 25 s and was renewed without end, whatever the time until the gang could start, and excluded all other work. Several gangs could hold parts of a pool at a time. Tasks that run until they are cancelled counted as if they ended after their declared time. Related paths withheld capacity of an idle pool as well: the wait for the rack of the data, up to 20 s, and headroom.

Capacity is reserved while the gang is expected to start within 25 s, renewed in each round from the progress that runs report. Work that is expected to end before may use it. A job with nothing running for 2 s while under half of its service is in use starts wherever it fits; so does a task that runs until it is cancelled, under any load. One hold a service, for the first gang in the order.

Ruled out: the order of the queue (a step that does not fit stops no other) and, for this case, headroom (no urgent job).

Conclusion: the price of a hold is bounded even if each estimate is wrong.

--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -15,6 +15,7 @@
 	for _, w := range c.sortedWorkers {
 		sum, own := totals[w.info.Service], usableCapacityOf(w)
 		sum.capacity, sum.free = sum.capacity.plus(own.capacity), sum.free.plus(own.free)
+		sum.registered, sum.used = sum.registered.plus(own.registered), sum.used.plus(own.used)
 		for i := range sum.freeBySize {
 			sum.freeBySize[i] += own.freeBySize[i]
 		}
@@ -66,3 +67,18 @@
 	}
 	return n
 }
+
+// Holds returns for how many gangs capacity is reserved until running work ends.
+func (c *Core) Holds() int {
+	n := 0
+	for _, j := range c.active {
+		for _, o := range j.occs {
+			for _, s := range o.steps {
+				if s.spec.Gang && j.level >= levelOther && s.tasks[0].reservation != nil {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -6,17 +6,17 @@
 	"time"
 )
 
-// scheduleGang starts a gang if all of its tasks can start together. It reports whether
-// capacity is reserved for the gang until running work ends.
-func (c *Core) scheduleGang(now time.Time, s *step, mayReserve bool) bool {
+// scheduleGang starts a gang if all of its tasks can start together. Otherwise capacity may be
+// reserved for it.
+func (c *Core) scheduleGang(now time.Time, s *step) {
 	for _, t := range s.tasks {
 		if t.phase != waiting || t.activeRun != nil {
-			return false
+			return
 		}
 	}
 	if s.tasks[0].reservation != nil {
 		if c.startReserved(now, s.tasks) {
-			return false
+			return
 		}
 		if s.tasks[0].reservation != nil && s.occ.job.level <= levelUrgent {
 			c.preemptReserved(now, s.tasks)
@@ -30,22 +30,24 @@
 		for i, t := range s.tasks {
 			c.startRun(now, t, workers[i], number)
 		}
-		return false
+		return
 	}
 	if reservations != nil {
 		for i, t := range s.tasks {
 			t.reserve(reservations[i].worker, reservations[i].expires)
 		}
-		return true
+		if s.occ.job.queue.Priority > 0 {
+			c.keepHold(now, s)
+		}
+		return
 	}
 	if s.occ.job.queue.Priority == 0 {
 		c.reserveByPreemption(now, s.tasks, c.gangRacks(now, s, c.fitsAfterPreemption(s)))
-		return false
+		return
 	}
-	if mayReserve && now.Sub(s.readySince) > gangReservationDelay {
-		return c.reserveForGang(now, s)
+	if now.Sub(s.readySince) > gangReservationDelay {
+		c.holdForGang(now, s)
 	}
-	return false
 }
 
 // fitGang finds workers with free capacity for a whole gang. Of several racks it chooses
@@ -60,7 +62,7 @@
 	freeByRack := make(map[*rack]int64, len(racks))
 	for _, r := range racks {
 		if r != nil {
-			freeByRack[r] = r.free(s.occ.job.level)
+			freeByRack[r] = r.free(s.reservationLevel())
 		}
 	}
 	sortRacks(racks, func(r *rack) int64 { return freeByRack[r] })
@@ -171,7 +173,7 @@
 			add(r)
 		}
 	}
-	if !possible || now.Sub(s.readySince) > c.rackWait(s) {
+	if !possible || s.mustStart || now.Sub(s.readySince) > c.rackWait(s) {
 		add(nil)
 	}
 	return racks
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -18,6 +18,8 @@
 // part of it.
 type usableCapacity struct {
 	capacity, free Resources
+	// registered and used cover all registered workers, schedulable or not.
+	registered, used Resources
 	// freeBySize sums the free accelerators of workers by the number that a worker has
 	// free; the last entry is for maxBucket and more.
 	freeBySize [maxBucket + 1]int64
@@ -25,10 +27,14 @@
 
 // usableCapacityOf returns a worker's part of the usable capacity of its service.
 func usableCapacityOf(w *worker) usableCapacity {
+	var r usableCapacity
+	if w.listed {
+		r.registered, r.used = w.info.Capacity, w.used
+	}
 	if !w.schedulable {
-		return usableCapacity{}
+		return r
 	}
-	r := usableCapacity{capacity: w.info.Capacity, free: w.free(math.MaxInt).clampToZero()}
+	r.capacity, r.free = w.info.Capacity, w.free(math.MaxInt).clampToZero()
 	r.freeBySize[min(r.free.Accelerators, maxBucket)] = r.free.Accelerators
 	return r
 }
@@ -47,6 +53,8 @@
 	sum := ix.totals[w.info.Service]
 	sum.capacity = sum.capacity.plus(current.capacity).minus(w.usableCapacity.capacity)
 	sum.free = sum.free.plus(current.free).minus(w.usableCapacity.free)
+	sum.registered = sum.registered.plus(current.registered).minus(w.usableCapacity.registered)
+	sum.used = sum.used.plus(current.used).minus(w.usableCapacity.used)
 	for i := range sum.freeBySize {
 		sum.freeBySize[i] += current.freeBySize[i] - w.usableCapacity.freeBySize[i]
 	}
@@ -130,7 +138,7 @@
 // restricted.
 func (c *Core) blockedByHeadroom(s *step) bool {
 	s.freeLimit = 0
-	if s.occ.job.level < levelOther || s.tasks[0].reservation != nil {
+	if s.occ.job.level < levelOther || s.mustStart || s.tasks[0].reservation != nil {
 		return false
 	}
 	c.refresh()
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -110,7 +110,7 @@
 // fitTableFor returns the up-to-date fitTable for a step's tasks.
 func (c *Core) fitTableFor(s *step) *fitTable {
 	c.refresh()
-	key := fitKey{s.spec.demand(), s.occ.job.level, s.occ.job.queue.Service, s.spec.Label}
+	key := fitKey{s.spec.demand(), s.reservationLevel(), s.occ.job.queue.Service, s.spec.Label}
 	ft := c.index.fitTables[key]
 	if ft == nil {
 		ft = &fitTable{fitKey: key}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -20,11 +20,6 @@
 	// preemptReservationTTL is how long capacity is reserved for an urgent task before the
 	// task is placed again.
 	preemptReservationTTL = 1500 * time.Millisecond
-	// gangReservationTTL is the same for a gang that waits for running work to end by
-	// itself: twice the longest run on the sites.
-	gangReservationTTL = 25 * time.Second
-	// gangReservationDelay is how long a gang waits before capacity is reserved for it.
-	gangReservationDelay = time.Second
 )
 
 // reservation is capacity on a worker that is kept for a task that waits for it to become
@@ -37,7 +32,7 @@
 }
 
 func (t *task) reserve(w *worker, expires time.Time) {
-	t.reservation = &reservation{worker: w, demand: t.step.spec.demand(), level: t.step.occ.job.level, expires: expires}
+	t.reservation = &reservation{worker: w, demand: t.step.spec.demand(), level: t.step.reservationLevel(), expires: expires}
 	w.reservations = append(w.reservations, t.reservation)
 	w.markDirty()
 }
@@ -130,7 +125,8 @@
 	for _, d := range c.urgentDemand {
 		d.decay(now)
 	}
-	reserved := false
+	c.updateIdleServices(now)
+	c.updateHolds()
 	for _, j := range c.active {
 		for _, o := range j.occs {
 			if now.Before(o.due) && j.spec.Repeat > 0 {
@@ -143,11 +139,13 @@
 				if s.readySince.IsZero() {
 					s.readySince = now
 				}
+				s.mustStart = c.mustStart(now, s)
+				s.usesHold = c.mayUseHold(now, s)
 				if c.blockedByHeadroom(s) {
 					continue
 				}
 				if s.spec.Gang {
-					reserved = c.scheduleGang(now, s, !reserved) || reserved
+					c.scheduleGang(now, s)
 				} else {
 					c.scheduleTasks(now, s)
 				}
@@ -273,7 +271,7 @@
 	switch {
 	case name == "" || r == nil:
 		return []*rack{nil}
-	case now.Sub(s.readySince) > c.rackWait(s):
+	case s.mustStart || now.Sub(s.readySince) > c.rackWait(s):
 		return []*rack{r, nil}
 	}
 	return []*rack{r}
@@ -403,7 +401,7 @@
 )
 
 func (c *Core) placementCost(t *task, w *worker, need Resources) float64 {
-	left := w.free(t.step.occ.job.level).minus(need)
+	left := w.free(t.step.reservationLevel()).minus(need)
 	cost := float64(left.Accelerators) + float64(left.CPU)/math.Max(1, float64(w.info.Capacity.CPU))
 	if t.avoidWorker == w.id {
 		cost += avoidCost
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"log/slog"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +25,7 @@
 	runSeconds float64
 	unreported map[string][]scheduler.EndedTask // ended runs that no report has listed yet, by worker
 	endCount   int64                            // number of the last ended run
+	steps      map[string][]scheduler.Step      // by job
 }
 
 func newPool(t *testing.T, workers int) *pool { return newPoolWith(t, workers, 0) }
@@ -30,7 +33,7 @@
 // newPoolWith returns a pool whose core is configured with a stop time.
 func newPoolWith(t *testing.T, workers int, stop time.Duration) *pool {
 	t.Helper()
-	p := &pool{t: t, runSeconds: 8, now: time.Unix(1_800_000_000, 0), runs: map[string]scheduler.Start{}, began: map[string]time.Time{}, unreported: map[string][]scheduler.EndedTask{}}
+	p := &pool{t: t, runSeconds: 8, now: time.Unix(1_800_000_000, 0), runs: map[string]scheduler.Start{}, began: map[string]time.Time{}, unreported: map[string][]scheduler.EndedTask{}, steps: map[string][]scheduler.Step{}}
 	p.core = scheduler.New(scheduler.Config{
 		Logger: slog.New(slog.DiscardHandler), MaxLease: 10 * time.Second, RemotePenalty: 3, KeepEnded: time.Hour, ReportTimeout: time.Hour,
 		RestoreTime: 250 * time.Millisecond, CheckpointInterval: 500 * time.Millisecond, StopTime: stop,
@@ -41,6 +44,9 @@
 	return p
 }
 
+// testCapacity is the capacity of each worker.
+var testCapacity = scheduler.Resources{CPU: 64000, Memory: 64000, Accelerators: 8}
+
 func workerID(i int) string { return fmt.Sprintf("w%02d", i) }
 
 // addWorker adds a worker with eight accelerators and the label kind. Four workers form a
@@ -48,7 +54,7 @@
 func (p *pool) addWorker(i int, kind string) {
 	p.core.UpdateWorker(p.now, scheduler.Worker{
 		ID: workerID(i), Address: "x:1", Service: "s", Rack: fmt.Sprint("r", i/4), Labels: []string{kind, fmt.Sprint("r", i/4)},
-		Capacity: scheduler.Resources{CPU: 64000, Memory: 64000, Accelerators: 8},
+		Capacity: testCapacity,
 	})
 	p.report(i)
 }
@@ -84,6 +90,7 @@
 		p.began[s.Task] = p.now
 		p.core.StartAnswered(p.now, s.Worker, s.Task, s.Run, scheduler.Accepted)
 	}
+	p.checkCapacity()
 	for _, s := range out.Stops {
 		if p.runs[s.Task].Run == s.Run {
 			p.finish(s.Task, scheduler.Stopped)
@@ -92,6 +99,24 @@
 	return out
 }
 
+// checkCapacity checks that no worker runs more than it has room for.
+func (p *pool) checkCapacity() {
+	used := map[string]scheduler.Resources{}
+	for task, s := range p.runs {
+		parts := strings.Split(task, ".")
+		steps := p.steps[parts[0]]
+		if steps == nil {
+			continue // submitted by the test itself
+		}
+		index, err := strconv.Atoi(parts[2])
+		assert.NilError(p.t, err)
+		need, sum := steps[index].Need, used[s.Worker]
+		sum = scheduler.Resources{CPU: sum.CPU + need.CPU, Memory: sum.Memory + need.Memory, Accelerators: sum.Accelerators + need.Accelerators}
+		assert.Assert(p.t, testCapacity.Fits(sum), "LIMIT: %s runs %+v", s.Worker, sum)
+		used[s.Worker] = sum
+	}
+}
+
 // finish ends a run. Its worker lists the end in its next report.
 func (p *pool) finish(task string, cause scheduler.Cause) {
 	s, ok := p.runs[task]
@@ -115,6 +140,7 @@
 }
 
 func (p *pool) submit(id string, priority int, customer string, steps ...scheduler.Step) string {
+	p.steps[id] = steps
 	p.core.AddJob(p.now, scheduler.Job{
 		ID: id, Customer: customer, Accepted: p.now.UnixMilli(), Steps: steps,
 		Queue: scheduler.Queue{Name: fmt.Sprint("q", priority), Service: "s", Priority: priority, Attempts: 2, Stretch: 2, Target: time.Second},
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -74,6 +74,8 @@
 	// headroomLogged is set once it has been logged that the step leaves capacity to
 	// urgent work.
 	headroomLogged bool
+	mustStart      bool  // in this round: starts wherever it fits
+	usesHold       bool  // in this round: may use capacity that is reserved for a gang
 	freeLimit      int64 // workers with at least this many free accelerators are left to urgent work; 0 means none
 }
 
@@ -145,6 +147,8 @@
 	index         *index
 	urgentDemand  map[string]*demandRate // demand of arriving work of priority 0, by service
 	suspects      map[*worker]bool       // workers with bad runs
+	holds         map[string]*hold       // capacity reserved for waiting gangs, by service
+	idleSince     map[string]time.Time   // since when services have been idle
 	evaluations   int64                  // workers evaluated to place tasks
 	changed       bool                   // something has changed since the last scheduling round
 }
@@ -177,7 +181,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
-		guaranteed: map[string]int64{}, index: newIndex(), urgentDemand: map[string]*demandRate{}, suspects: map[*worker]bool{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
+		guaranteed: map[string]int64{}, index: newIndex(), urgentDemand: map[string]*demandRate{}, suspects: map[*worker]bool{}, holds: map[string]*hold{}, idleSince: map[string]time.Time{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
 
