join: Test an idle pool after a power failure; log why a job waits

Their record is cut short and doesn't say what the leader did.

Cause: likely the wait for the rack of a step's data, up to 20 s, that each new leader begins anew.

Change: TestIdlePoolIsUsedAfterAllVMsLostPower kills three daemons while a gang waits for a full rack and 12 of 16 workers are empty. A log line, job waits in an idle service, tells the hypotheses apart: whether the job fits, and how many workers are usable, quarantined, suspended or not synchronized. The stand-in's workers end a gang when the machine of one member crashes, as PROTOCOL.md has it ("the tasks work only together"); a member alone could end as done before, and completed the gang.

--- a/internal/cmd/join/process_test.go
+++ b/internal/cmd/join/process_test.go
@@ -168,6 +168,67 @@
 	assert.DeepEqual(t, p.Fleet.Violations(), []string(nil))
 }
 
+// TestIdlePoolIsUsedAfterAllVMsLostPower guards against a job that waits for the rack of its data
+// while the rest of the pool is idle. Each new leader once began that wait anew, up to 20 s.
+func TestIdlePoolIsUsedAfterAllVMsLostPower(t *testing.T) {
+	const (
+		// The users' limits: how long VMs may take to catch up after a disruption, and how long
+		// a job may have nothing running in an idle pool.
+		catchUpTime = 4 * time.Second
+		idleLimit   = 3 * time.Second
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	p, err := platformtest.New(platformtest.Config{Workers: 16, TaskTime: func(string) time.Duration { return 30 * time.Second }})
+	assert.NilError(t, err)
+	defer p.Close()
+	p.Publish(1)
+	var daemons []*daemon
+	var addresses []string
+	for i := range 3 {
+		d := startDaemon(t, p, fmt.Sprint("vm-", i))
+		daemons, addresses = append(daemons, d), append(addresses, d.clients)
+	}
+	for _, d := range daemons {
+		d.awaitReady(t)
+	}
+	c := platformtest.NewClient(p, addresses)
+	whole := scheduler.Step{Need: scheduler.Resources{CPU: 1000, Memory: 1024, Accelerators: 8}, Estimate: 10 * time.Second, Rack: "r1-0"}
+	submit := func(id string, count int, gang bool) {
+		step := whole
+		step.Count, step.Gang = count, gang
+		_, err := c.Submit(ctx, id, 1, []scheduler.Step{step})
+		assert.NilError(t, err)
+	}
+	submit("00000000000000f0", 4, false) // fills the rack
+	waitUntil(t, catchUpTime, func() bool { return p.Fleet.Starts() == 4 })
+	submit("00000000000000f1", 2, true)
+	for _, d := range daemons {
+		d.stop(syscall.SIGKILL)
+	}
+	time.Sleep(time.Second)
+	for _, d := range daemons {
+		d.start(t)
+	}
+	for _, d := range daemons {
+		d.awaitReady(t)
+	}
+	waitUntil(t, catchUpTime+idleLimit, func() bool {
+		return p.Fleet.Running("00000000000000f1.0.0.0") && p.Fleet.Running("00000000000000f1.0.0.1")
+	})
+	assert.DeepEqual(t, p.Fleet.Violations(), []string(nil))
+}
+
+// waitUntil waits until a condition holds, and fails the test after a timeout.
+func waitUntil(t *testing.T, timeout time.Duration, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(timeout); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the condition does not hold after %s", timeout)
+		}
+	}
+}
+
 func submitAndAwait(ctx context.Context, p *platformtest.Platform, addresses []string, i int) error {
 	c := platformtest.NewClient(p, addresses)
 	id, priority := fmt.Sprintf("%016x", i+1), i%3
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -17,6 +17,9 @@
 	// service. The users' limit is three seconds.
 	idleShare   = 0.5
 	maxIdleWait = 2 * time.Second
+	// idleLogInterval is the minimum time between two lines about jobs that wait in an idle
+	// service.
+	idleLogInterval = time.Second
 	// neverFree is the expected wait for capacity that no running work will free.
 	neverFree = 365 * 24 * time.Hour
 )
@@ -237,6 +240,25 @@
 	return waitedSince(c.idleSince[s.occ.job.queue.Service]) && !s.occ.job.hasRuns()
 }
 
+// logIfIdle logs at intervals what keeps workers from running a step that must start and has not.
+func (c *Core) logIfIdle(now time.Time, s *step) {
+	if now.Before(c.nextIdleLog) || s.occ.job.hasRuns() {
+		return
+	}
+	c.nextIdleLog = now.Add(idleLogInterval)
+	ft := c.fitTableFor(s)
+	n := map[string]int{}
+	for _, w := range c.sortedWorkers {
+		if w.info.Service == ft.service {
+			n[w.condition(now, c.cfg.ReportTimeout)]++
+		}
+	}
+	c.cfg.Logger.Info("job waits in an idle service", "job", s.occ.job.spec.ID, "step", s.index, "waited_ms", now.Sub(s.readySince).Milliseconds(),
+		"tasks", len(s.tasks)-s.done, "gang", s.spec.Gang, "fits", ft.total.fitFree, "fits_empty", ft.total.fitEmpty, "rack", s.spec.Rack, "label", s.spec.Label,
+		"usable", n[workerUsable], "unlisted", n[workerUnlisted], "unsynced", n[workerUnsynced], "draining", n[workerDraining],
+		"unknown_runs", n[workerUnknownRuns], "suspended", n[workerSuspended], "quarantined", n[workerQuarantined], "silent", n[workerSilent])
+}
+
 // hasRuns reports whether any task of the job has a run.
 func (j *job) hasRuns() bool {
 	for _, o := range j.occs {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -149,6 +149,9 @@
 				} else {
 					c.scheduleTasks(now, s)
 				}
+				if s.mustStart {
+					c.logIfIdle(now, s)
+				}
 			}
 		}
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -149,6 +149,7 @@
 	suspects      map[*worker]bool       // workers with bad runs
 	holds         map[string]*hold       // capacity reserved for waiting gangs, by service
 	idleSince     map[string]time.Time   // since when services have been idle
+	nextIdleLog   time.Time              // when the next line about a job in an idle service may follow
 	evaluations   int64                  // workers evaluated to place tasks
 	changed       bool                   // something has changed since the last scheduling round
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -90,9 +90,42 @@
 	return w.info.Capacity.minus(w.used).minus(w.reserved(level))
 }
 
+// Conditions of a worker, in logs. Only a usable one may be given new work.
+const (
+	workerUsable      = "usable"
+	workerUnlisted    = "unlisted" // not in the registry
+	workerUnsynced    = "unsynced" // has not reported to this leader yet
+	workerUnknownRuns = "unknown runs"
+	workerDraining    = "draining"
+	workerSuspended   = "suspended" // did not answer, or rejected a start
+	workerQuarantined = "quarantined"
+	workerSilent      = "silent" // neither report nor registry entry for too long
+)
+
+// condition returns what keeps the worker from being given new work, if anything does.
+func (w *worker) condition(now time.Time, reportTimeout time.Duration) string {
+	switch {
+	case !w.listed:
+		return workerUnlisted
+	case !w.synced:
+		return workerUnsynced
+	case w.unknownDemand > 0:
+		return workerUnknownRuns
+	case w.info.Draining:
+		return workerDraining
+	case now.Before(w.suspendedUntil):
+		return workerSuspended
+	case now.Before(w.quarantinedUntil):
+		return workerQuarantined
+	case now.Sub(w.lastHeard) >= reportTimeout:
+		return workerSilent
+	}
+	return workerUsable
+}
+
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time, reportTimeout time.Duration) bool {
-	return w.listed && w.synced && w.unknownDemand == 0 && !w.info.Draining && !now.Before(w.suspendedUntil) && !now.Before(w.quarantinedUntil) && now.Sub(w.lastHeard) < reportTimeout
+	return w.condition(now, reportTimeout) == workerUsable
 }
 
 // UpdateWorker applies a worker's entry in the registry.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -121,8 +123,8 @@
 	f.machines[w.ID] = &machine{worker: w, runs: map[string]*execution{}, endedRuns: map[string]int{}, slowdown: 1, clockStart: time.Now()}
 }
 
-// Crash stops a worker and loses its runs. With restart the worker comes back
-// empty under the same ID.
+// Crash stops a worker and loses its runs. The other members of their gangs end, as the tasks of
+// a gang work only together. With restart the worker comes back empty under the same ID.
 func (f *Fleet) Crash(id string, restart bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -130,8 +132,14 @@
 	if m == nil {
 		return
 	}
-	for _, e := range m.runs {
-		f.removeRun(e, time.Now())
+	now := time.Now()
+	f.advance(now)
+	lost := slices.Collect(maps.Values(m.runs))
+	for _, e := range lost {
+		f.removeRun(e, now)
+	}
+	for _, e := range lost {
+		f.breakGang(e, now)
 	}
 	delete(f.machines, id)
 	if !restart {
@@ -488,6 +496,16 @@
 	}
 }
 
+// breakGang ends the other members of a gang that has begun to work.
+func (f *Fleet) breakGang(e *execution, now time.Time) {
+	if e.gang == "" || e.workingSince.IsZero() {
+		return
+	}
+	for _, m := range f.members(e.gang) {
+		f.endRun(m, scheduler.GangAborted, now)
+	}
+}
+
 // removeRun removes a run from its worker.
 func (f *Fleet) removeRun(e *execution, _ time.Time) {
 	delete(e.machine.runs, e.task)
@@ -633,3 +651,51 @@
 
 // FinishedLocked is Finished for the function given to SetStartCheck: it takes no lock.
 func (f *Fleet) FinishedLocked(task string) bool { return f.completed[task] }
+
+// Room is the free capacity of the workers that can be reached, as a task of a step sees it.
+type Room struct {
+	Fits int     // how many such tasks fit
+	Used float64 // largest share in use of any kind of resource, over all workers
+}
+
+// RoomFor returns the room for tasks with a need and a required label; any will do if that is
+// empty.
+func (f *Fleet) RoomFor(need scheduler.Resources, label string) Room {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance(time.Now())
+	var room Room
+	var total, used scheduler.Resources
+	for id, m := range f.machines {
+		free := m.worker.Capacity
+		total = addResources(total, free, 1)
+		for _, e := range m.runs {
+			free = addResources(free, e.step.Need, -1)
+			used = addResources(used, e.step.Need, 1)
+		}
+		if f.unreachable[id] || m.worker.Draining || label != "" && !slices.Contains(m.worker.Labels, label) {
+			continue
+		}
+		for free.Fits(need) && need != (scheduler.Resources{}) {
+			free = addResources(free, need, -1)
+			room.Fits++
+		}
+	}
+	for _, d := range [...][2]int64{{used.CPU, total.CPU}, {used.Memory, total.Memory}, {used.Accelerators, total.Accelerators}} {
+		if d[1] > 0 {
+			room.Used = max(room.Used, float64(d[0])/float64(d[1]))
+		}
+	}
+	return room
+}
+
+func addResources(a, b scheduler.Resources, sign int64) scheduler.Resources {
+	return scheduler.Resources{CPU: a.CPU + sign*b.CPU, Memory: a.Memory + sign*b.Memory, Accelerators: a.Accelerators + sign*b.Accelerators}
+}
+
+// Running reports whether a task has a run on a worker.
+func (f *Fleet) Running(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[task] != nil
+}
