scheduler: A run is not over while its start is in progress

What callers saw: nothing was reported.

Cause: the worker confirmed a stop and restarted. The next report lacked the run, so it counted as over. An attempt of the start, whose first answers were lost, then reached the new process, which knows of no stop.

Change: a run is over only once its start is answered. If the worker restarts before, or the start gets no answer, the stop has to be confirmed anew.

Conclusion: a restart in the 1.6 s after an end that was listed before its start was answered is not covered.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -707,3 +707,30 @@
 	assert.DeepEqual(t, p.runsByWorker("new"), map[string]int{"w01": 1})
 	assert.DeepEqual(t, p.runsByWorker("gang"), map[string]int{"w01": 2})
 }
+
+// Guards against a task that runs twice: its stop was confirmed, the worker restarted, and an attempt
+// of its start reached the new process, which knows of no stop, while the task ran elsewhere.
+func TestRunIsNotOverWhileItsStartIsInProgress(t *testing.T) {
+	p := newPool(t, 2)
+	p.submit("job", 1, "c", tasks(1, 1))
+	first := p.core.Flush(p.now).Starts[0]
+	entry := scheduler.Worker{ID: first.Worker, Address: "x:1", Service: "s", Capacity: testCapacity, Incarnation: 1}
+	p.core.UpdateWorker(p.now, entry)
+	entry.Draining = true
+	p.core.UpdateWorker(p.now, entry) // moves the run
+	flush := func(incarnation int64) scheduler.Effects {
+		p.now = p.now.Add(500 * time.Millisecond)
+		p.core.Report(p.now, scheduler.Report{Worker: first.Worker, Incarnation: incarnation, Sent: p.now, Full: true})
+		return p.core.Flush(p.now)
+	}
+	assert.Equal(t, len(p.core.Flush(p.now).Stops), 1)
+	p.core.StopAnswered(p.now, first.Worker, first.Task, first.Run)
+	assert.Equal(t, len(flush(1).Starts), 0, "an attempt of the start is in progress")
+	restarted := flush(2)
+	assert.Equal(t, len(restarted.Starts), 0)
+	assert.Equal(t, len(restarted.Stops), 1, "the new process must know of the stop")
+	p.core.StartAnswered(p.now, first.Worker, first.Task, first.Run, scheduler.Uncertain)
+	assert.Equal(t, len(flush(2).Starts), 0, "the stop isn't confirmed by the new process")
+	p.core.StopAnswered(p.now, first.Worker, first.Task, first.Run)
+	assert.Equal(t, len(flush(2).Starts), 1)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -46,6 +46,7 @@
 	number         int
 	worker         *worker
 	demand         Resources
+	startAnswered  bool      // no attempt of its start is in progress
 	confirmedAt    time.Time // when the worker first confirmed an order about it
 	runningSince   time.Time // when a report first listed it as running
 	initialPercent float64   // percent at runningSince
@@ -311,7 +312,7 @@
 	case st.value.Worker != "":
 		w := c.worker(st.value.Worker)
 		t.phase = placed
-		t.activeRun = &run{task: t, name: t.name, number: t.run, worker: w, demand: t.step.spec.demand(), confirmedAt: now, progressAt: now}
+		t.activeRun = &run{task: t, name: t.name, number: t.run, worker: w, demand: t.step.spec.demand(), startAnswered: true, confirmedAt: now, progressAt: now}
 		w.addRun(t.activeRun)
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -172,8 +172,9 @@
 		c.cfg.Logger.Warn("worker has restarted", "worker", w.id, "born", incarnation, "runs", len(w.runs))
 		w.synced = false
 		for _, r := range w.sortedRuns() {
-			if r.confirmedAt.IsZero() {
+			if r.confirmedAt.IsZero() || !r.startAnswered {
 				// The start may still arrive, and the new process knows of no earlier stop.
+				r.confirmedAt = time.Time{}
 				c.stopRun(now, r, "its worker restarted before it answered")
 			}
 		}
@@ -271,7 +272,7 @@
 		return true
 	}
 	for _, r := range w.sortedRuns() {
-		if !listed[runKey{r.name, r.number}] && !r.confirmedAt.IsZero() && !rep.Sent.Before(r.confirmedAt) &&
+		if !listed[runKey{r.name, r.number}] && r.startAnswered && !r.confirmedAt.IsZero() && !rep.Sent.Before(r.confirmedAt) &&
 			(r.runningSince.IsZero() || now.Sub(r.confirmedAt) > missingRunGrace) {
 			c.runEnded(now, r, Vanished, r.checkpoint)
 		}
@@ -333,7 +334,7 @@
 func (c *Core) recordProgress(now time.Time, w *worker, key runKey, entry RunningTask) {
 	r := w.runs[key]
 	if r == nil {
-		r = &run{name: entry.Task, number: entry.Run, worker: w, confirmedAt: now}
+		r = &run{name: entry.Task, number: entry.Run, worker: w, startAnswered: true, confirmedAt: now}
 		if t := c.findTask(entry.Task); t != nil {
 			r.demand = t.step.spec.demand()
 		} else {
@@ -382,6 +383,7 @@
 	if r == nil {
 		return
 	}
+	r.startAnswered = true
 	switch result {
 	case Accepted, RejectedOutdated:
 		r.confirm(now)
@@ -390,6 +392,7 @@
 		c.runEnded(now, r, Vanished, "")
 	case Uncertain:
 		w.suspendedUntil = now.Add(failedStartPause)
+		r.confirmedAt = time.Time{} // a stop that was confirmed earlier may have been for another process
 		c.stopRun(now, r, "its start got no answer")
 		c.abortGang(now, r, "a member's start got no answer")
 	}
