scheduler: Count the failure of a run that counted as lost

What callers saw: nothing was reported.

Cause: a run failed on a worker that could not be reached until its leases had expired. Its end was listed later and acknowledged, but only ends as done were looked at for runs that had counted as lost.

Change: failed runs are kept by number, for a task or a gang, and stored, so that each counts once however often and to whichever leader it is listed. A late failure counts as well. Records of earlier versions are read, and their fields still written.

TestLateFailureOfALostRunCounts failed before and passes; TestFailureIsCountedOnceAcrossLeaders guards against the opposite. Tests of scheduler and leader pass.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -734,3 +734,55 @@
 	p.core.StopAnswered(p.now, first.Worker, first.Task, first.Run)
 	assert.Equal(t, len(flush(2).Starts), 1)
 }
+
+// Guards against a task that is started after it has used up its attempts: a run failed on a worker
+// that could not be reached until its leases had expired, and its end was ignored once it was
+// listed.
+func TestLateFailureOfALostRunCounts(t *testing.T) {
+	for name, spec := range map[string]scheduler.Step{"task": tasks(1, 1), "gang": gang(2, 8)} {
+		p := newPool(t, 4)
+		p.submit("job", 1, "c", spec) // two attempts
+		p.settle(4)
+		lost := p.runs["job.0.0.0"]
+		for task, s := range p.runs {
+			delete(p.runs, task)
+			p.core.ExpireLeases(p.now, s.Worker)
+		}
+		p.settle(4)
+		assert.Equal(t, p.runs["job.0.0.0"].Run, 2, name)
+		for range 2 { // ends are listed until they are acknowledged
+			p.core.Report(p.now, scheduler.Report{Worker: lost.Worker, Sent: p.now, Ended: []scheduler.EndedTask{{Number: 1, Task: lost.Task, Run: 1, Cause: scheduler.Fault}}})
+		}
+		assert.Equal(t, p.state("job"), scheduler.Running, "%s: one attempt is left", name)
+		p.finish("job.0.0.0", scheduler.Fault)
+		p.settle(4)
+		assert.Equal(t, p.state("job"), scheduler.Failed, name)
+	}
+}
+
+// Guards against a failed run that a new leader counts again, since its worker lists the end until
+// it is acknowledged.
+func TestFailureIsCountedOnceAcrossLeaders(t *testing.T) {
+	p := newPool(t, 2)
+	job := scheduler.Job{
+		ID: "job", Accepted: p.now.UnixMilli(), Queue: scheduler.Queue{Name: "q", Service: "s", Priority: 1, Attempts: 2},
+		Steps: []scheduler.Step{tasks(1, 1)},
+	}
+	p.core.AddJob(p.now, job)
+	p.settle(2)
+	run := p.runs["job.0.0.0"]
+	end := scheduler.Report{Worker: run.Worker, Sent: p.now, Ended: []scheduler.EndedTask{{Number: 1, Task: run.Task, Run: run.Run, Cause: scheduler.Fault}}}
+	p.core.Report(p.now, end)
+	var stored scheduler.Record
+	for _, r := range p.core.TakeEffects().Records {
+		if r.Key == run.Task {
+			stored = r
+		}
+	}
+	next := newPool(t, 2)
+	assert.NilError(t, next.core.Restore(next.now, stored.Key, stored.Value))
+	next.core.AddJob(next.now, job)
+	next.core.Report(next.now, end)
+	next.settle(2)
+	assert.Equal(t, next.state("job"), scheduler.Running, "one attempt is left")
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,8 +27,8 @@
 	index       int
 	name        string
 	phase       phase
-	run         int // number of the last run
-	failures    int
+	run         int    // number of the last run
+	failedRuns  []int  // runs that ended as Fault; those of a gang are in its step
 	checkpoint  string // newest known checkpoint
 	activeRun   *run
 	reservation *reservation
@@ -66,7 +67,7 @@
 	tasks            []*task
 	done             int           // tasks that are done
 	chosenRack       string        // rack that a tightly coupled step was placed on
-	lastFailedRun    int           // last run of a gang that was counted as failed
+	failedRuns       []int         // runs of a gang that ended as Fault
 	firstConfirmedAt time.Time     // when the first member of a gang's newest run was confirmed
 	readySince       time.Time     // start of its waiting time
 	badWorkers       []string      // workers where runs of its tasks failed or were too slow
@@ -168,8 +169,9 @@
 	Worker     string `json:"worker,omitempty"`
 	Checkpoint string `json:"saved,omitempty"`
 	Done       bool   `json:"done,omitempty"`
-	// LastFailed is the last run of the task's gang that Failures counts.
-	LastFailed int `json:"failed,omitempty"`
+	// LastFailed is the last run that Failures counts, and FailedRuns lists all of them.
+	LastFailed int   `json:"failed,omitempty"`
+	FailedRuns []int `json:"faults,omitempty"`
 }
 
 // jobRecord is the stored outcome of a job.
@@ -301,11 +303,13 @@
 		c.cfg.Logger.Warn("stored task matches no step of its job", "task", st.name)
 		return
 	}
-	t.run, t.failures, t.checkpoint = st.value.Run, st.value.Failures, st.value.Checkpoint
+	t.run, t.checkpoint = st.value.Run, st.value.Checkpoint
+	if failed := st.value.failedRuns(); len(failed) > len(*t.failures()) {
+		*t.failures() = failed
+	}
 	j.started = true
 	j.state = Running
 	t.step.occ.started = true
-	t.step.lastFailedRun = max(t.step.lastFailedRun, st.value.LastFailed)
 	switch {
 	case st.value.Done:
 		c.markDone(t)
@@ -317,6 +321,42 @@
 	}
 }
 
+// failures returns the list of the task's failed runs, which the members of a gang share.
+func (t *task) failures() *[]int {
+	if t.step.spec.Gang {
+		return &t.step.failedRuns
+	}
+	return &t.failedRuns
+}
+
+// countFailure notes that a run of the task failed. It reports whether that was not known yet.
+// Failures of tasks that run until they are cancelled don't count.
+func (t *task) countFailure(run int) bool {
+	failed := t.failures()
+	if t.step.spec.LongRunning || slices.Contains(*failed, run) {
+		return false
+	}
+	*failed = append(*failed, run)
+	return true
+}
+
+// failedRuns returns the runs that failed. Leaders of earlier versions stored their number and,
+// for gangs, the last one only; the others get numbers that no run has.
+func (r *taskRecord) failedRuns() []int {
+	if len(r.FailedRuns) > 0 || r.Failures == 0 {
+		return r.FailedRuns
+	}
+	last := r.LastFailed
+	if last == 0 {
+		last = r.Run
+	}
+	failed := []int{last}
+	for n := 1; n < r.Failures; n++ {
+		failed = append(failed, -n)
+	}
+	return failed
+}
+
 // findTask returns the task with the name, or nil.
 func (c *Core) findTask(name string) *task {
 	id, indices, ok := parseTaskName(name)
@@ -460,7 +500,11 @@
 
 // storeTask adds a record of the task's state to the effects.
 func (c *Core) storeTask(t *task) {
-	rec := taskRecord{Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.phase == done, LastFailed: t.step.lastFailedRun}
+	failed := *t.failures()
+	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed}
+	for _, run := range failed {
+		rec.LastFailed = max(rec.LastFailed, run)
+	}
 	if t.phase == placed && t.activeRun != nil {
 		rec.Worker = t.activeRun.worker.id
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -290,6 +290,8 @@
 			c.runEnded(now, r, e.Cause, e.Checkpoint)
 		} else if e.Cause == Done {
 			c.acceptLateResult(now, w, e)
+		} else if e.Cause == Fault {
+			c.acceptLateFailure(now, w, e)
 		}
 	}
 	for _, entry := range rep.Running {
@@ -329,6 +331,38 @@
 	c.completeTask(t)
 }
 
+// acceptLateFailure counts the failure of a run that counted as lost before its worker listed it.
+// It has used up an attempt all the same.
+func (c *Core) acceptLateFailure(now time.Time, w *worker, e EndedTask) {
+	t := c.findTask(e.Task)
+	if t == nil || t.phase == done || e.Run > t.run || t.step.spec.LongRunning || t.step.occ.job.state.Final() || !t.countFailure(e.Run) {
+		return
+	}
+	c.changed = true
+	c.cfg.Logger.Info("run that counted as lost has failed", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		c.storeTask(m)
+	}
+	c.endJobWithoutAttempts(now, t)
+}
+
+// endJobWithoutAttempts ends the job of a task that has used up its attempts as failed.
+func (c *Core) endJobWithoutAttempts(now time.Time, t *task) {
+	s := t.step
+	if len(*t.failures()) < s.occ.job.queue.Attempts || s.spec.LongRunning {
+		return
+	}
+	reason := "a task has used up its attempts"
+	if s.spec.Gang {
+		reason = "a gang has used up its attempts"
+	}
+	c.endJob(now, s.occ.job, Failed, reason)
+}
+
 // recordProgress applies an entry of a worker's list of running tasks. A run that isn't
 // known is counted on the worker and stopped.
 func (c *Core) recordProgress(now time.Time, w *worker, key runKey, entry RunningTask) {
@@ -500,7 +534,6 @@
 // whole.
 func (c *Core) requeueTask(now time.Time, t *task, r *run, cause Cause, checkpoint string) {
 	s := t.step
-	j := s.occ.job
 	t.phase, t.waitingSince = waiting, now
 	if checkpoint != "" && s.spec.Checkpoints {
 		t.checkpoint = checkpoint
@@ -513,22 +546,17 @@
 		return
 	}
 	if cause == Fault {
-		t.failures++
+		t.countFailure(r.number)
 	}
 	c.storeTask(t)
-	if t.failures >= j.queue.Attempts && !s.spec.LongRunning {
-		c.endJob(now, j, Failed, "a task has used up its attempts")
-	}
+	c.endJobWithoutAttempts(now, t)
 }
 
 // requeueGang requeues a gang after the run of one member ended early, and stops the other
 // members. A failed run counts once for the whole gang.
 func (c *Core) requeueGang(now time.Time, s *step, cause Cause, t *task) {
-	if cause == Fault && t.run > s.lastFailedRun {
-		s.lastFailedRun = t.run
-		for _, m := range s.tasks {
-			m.failures++
-		}
+	if cause == Fault {
+		t.countFailure(t.run)
 	}
 	for _, m := range s.tasks {
 		if m.activeRun != nil && m.activeRun.stopOrderedAt.IsZero() {
@@ -539,11 +567,8 @@
 		}
 		c.storeTask(m)
 	}
-	j := s.occ.job
 	s.readySince = time.Time{} // restart its waiting time
-	if t.failures >= j.queue.Attempts && !s.spec.LongRunning {
-		c.endJob(now, j, Failed, "a gang has used up its attempts")
-	}
+	c.endJobWithoutAttempts(now, t)
 }
 
 // gangWaitShare is the share of Config.GangWait after which an incomplete gang is stopped.
