leader: Read jobs again that the stored state shows to be missing

What callers saw: nothing was reported. Drawn histories of the leader broke TWICE: work that was done ran again after a change of the leader, and running work was stopped.

Cause: a new leader reads the accepted jobs while its fence is on the way, and the state after it. A job accepted and started in between is in the state only. Results that workers listed before the job was read from its stream were those of an unknown job: ignored and acknowledged.

Change: parts that lack a job with stored tasks and no outcome are read again after the state.

Evidence: the log of one history (epoch 8, reports at 7.654 s, the job read at 7.655 s).

--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -47,6 +47,8 @@
 	leaders   []*testLeader
 	wrap      func(leader.Config) leader.Config
 	fails     func(task string, run int) bool
+	workOf    func(task string) (time.Duration, bool) // run time, and whether all runs fail; nil means the default
+	makeJob   func(id, n int) scheduler.Job
 	mu        sync.Mutex
 }
 
@@ -60,6 +62,7 @@
 func newPool(workers int) *pool {
 	p := &pool{jobs: map[string]*scheduler.Job{}, uncertain: map[string]bool{}, log: standin.NewLog(standin.LogConfig{Latency: 6 * time.Millisecond, Seed: 1})}
 	p.fails = func(string, int) bool { return false }
+	p.makeJob = generatedJob
 	p.fleet = standin.NewFleet(standin.FleetConfig{
 		Seed: 1, MaxLease: 2 * testLease, StopTime: 400 * time.Millisecond, GangWait: testGangWait, RemotePenalty: testPenalty,
 		CheckpointInterval: 500 * time.Millisecond, RestoreTime: 250 * time.Millisecond, Latency: 2 * time.Millisecond,
@@ -72,10 +75,13 @@
 	return p
 }
 
-func (p *pool) addWorker(i int) {
+func (p *pool) addWorker(i int) { p.addWorkerOf(i, "a") }
+
+// addWorkerOf adds a worker of a kind, which is its first label.
+func (p *pool) addWorkerOf(i int, kind string) {
 	p.fleet.Add(scheduler.Worker{
 		ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("w%02d:1", i), Service: "robes", Rack: fmt.Sprintf("r%d", i/4),
-		Labels: []string{"a", fmt.Sprintf("r%d", i/4)}, Capacity: scheduler.Resources{CPU: 32000, Memory: 64000, Accelerators: 8},
+		Labels: []string{kind, fmt.Sprintf("r%d", i/4)}, Capacity: scheduler.Resources{CPU: 32000, Memory: 64000, Accelerators: 8},
 	})
 }
 
@@ -92,6 +98,9 @@
 	if step.Gang {
 		name = task[:strings.LastIndexByte(task, '.')]
 	}
+	if p.workOf != nil {
+		return p.workOf(name)
+	}
 	return 400*time.Millisecond + time.Duration(hash(name)%4000)*time.Millisecond, p.fails(name, run)
 }
 
@@ -420,7 +429,7 @@
 	switch a.kind {
 	case 0, 1, 2, 3:
 		p.jobCount++
-		p.submit(generatedJob(p.jobCount, a.n))
+		p.submit(p.makeJob(p.jobCount, a.n))
 	case 4: // the leader dies
 		current.cancel()
 		p.elect()
@@ -452,6 +461,16 @@
 	}
 }
 
+// heal ends all faults of the store, the orders and the workers.
+func (p *pool) heal(workers int) {
+	p.log.SetFault(standin.LogFault{})
+	p.fleet.SetFault(standin.OrderFault{})
+	for i := range workers {
+		p.fleet.SetUnreachable(fmt.Sprintf("w%02d", i), false)
+		p.fleet.SetHealth(fmt.Sprintf("w%02d", i), 1, false, false)
+	}
+}
+
 // generatedJob returns a job of a generated shape.
 func generatedJob(id, n int) scheduler.Job {
 	s := step(n%5+1, []int64{1, 2, 4, 8}[n%4])
@@ -492,12 +511,7 @@
 				p.perform(a)
 				time.Sleep(a.wait)
 			}
-			p.log.SetFault(standin.LogFault{})
-			p.fleet.SetFault(standin.OrderFault{})
-			for i := range 8 {
-				p.fleet.SetUnreachable(fmt.Sprintf("w%02d", i), false)
-				p.fleet.SetHealth(fmt.Sprintf("w%02d", i), 1, false, false)
-			}
+			p.heal(8)
 			p.elect()
 			open = p.waitForJobs(3 * time.Minute)
 		})
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -54,13 +55,14 @@
 }
 
 // load reads all that a new leader needs. Only the scheduler's state must be read after the
-// fence; the rest is read concurrently, since every call is slow if the store is.
+// fence; the rest is read concurrently, since every call is slow if the store is. Accepted jobs
+// are read again where the state shows that they are out of date.
 func (t *term) load(ctx context.Context) (storedState, error) {
 	var stored storedState
 	stored.requestedAt = t.cfg.Now()
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
+	g, ctx := errgroup.WithContext(loadCtx)
 	g.Go(func() error {
 		if err := t.fence(ctx); err != nil {
 			return err
@@ -84,7 +86,47 @@
 		})
 		return err
 	})
-	return stored, g.Wait()
+	if err := g.Wait(); err != nil {
+		return stored, err
+	}
+	return stored, t.rereadJobs(loadCtx, &stored)
+}
+
+// rereadJobs reads the parts again that lack a job of the stored state. It was accepted after the
+// part was read, but an earlier leader may have started it before the state was.
+func (t *term) rereadJobs(ctx context.Context, stored *storedState) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for part := range stored.missingParts() {
+		t.cfg.Logger.Info("accepted jobs are read again", "epoch", t.epoch, "part", part)
+		g.Go(func() error {
+			var err error
+			stored.jobs[part], stored.jobsNext[part], err = t.newest(ctx, intake.Stream(part))
+			return err
+		})
+	}
+	return g.Wait()
+}
+
+// missingParts returns the parts where a job is missing that has stored tasks and no outcome.
+func (s *storedState) missingParts() map[int]bool {
+	known := map[string]bool{}
+	for part := range s.jobs {
+		for _, r := range s.jobs[part] {
+			known[r.Key] = true
+		}
+	}
+	for _, r := range s.state {
+		if id, _, isTask := strings.Cut(r.Key, "."); !isTask {
+			known[id] = true
+		}
+	}
+	missing := map[int]bool{}
+	for _, r := range s.state {
+		if id, _, isTask := strings.Cut(r.Key, "."); isTask && !known[id] {
+			missing[intake.PartOf(id)] = true
+		}
+	}
+	return missing
 }
 
 func (t *term) newest(ctx context.Context, s store.Stream) ([]store.Record, int64, error) {
