scheduler: Bound how often a slow task is moved

Cause: a run was moved if it needed twice as long as a restart by the mean of its queue. What the task had shown on earlier workers did not count, nor how often it had been moved. The check for hung runs repeated without end too: workers report whole percents, so a long task has no progress for longer than the 4 s after which it counted as hung.

Change: the run time promised by the progress on earlier workers counts for a restart; a task is moved for slowness twice at most; the time without progress doubles with each move. Moves are stored with the task. A run that is slow is compared with runs of its step by progress only, as their age says nothing about that.

Evidence: TestTaskThatIsSlowEverywhereEnds and TestTaskWithRareProgressEnds failed before and pass.

--- a/internal/scheduler/blame.go
+++ b/internal/scheduler/blame.go
@@ -75,8 +75,8 @@
 	return len(b.task.badWorkers) > 1 || len(s.badWorkers) > 1 && len(s.badWorkers) > c.soundTasks(now, s, b.slow)
 }
 
-// soundTasks counts the step's tasks that are done or run well: much longer than those that went
-// wrong or, if those were slow, as fast as expected.
+// soundTasks counts the step's tasks that are done or run well: much longer than those that failed
+// or, compared with slow ones, as fast as expected.
 func (c *Core) soundTasks(now time.Time, s *step, slow bool) int {
 	count := &s.soundRunning[0]
 	if slow {
@@ -92,7 +92,7 @@
 			}
 			age := now.Sub(r.runningSince)
 			remaining, observed := r.remaining(now)
-			if age > soundAgeFactor*s.badRunAge || slow && observed && age+remaining < expected {
+			if slow && observed && age+remaining < expected || !slow && age > soundAgeFactor*s.badRunAge {
 				count.tasks++
 			}
 		}
--- a/internal/scheduler/blame_test.go
+++ b/internal/scheduler/blame_test.go
@@ -152,3 +152,44 @@
 	p.step(50 * time.Millisecond)
 	assert.Assert(t, len(p.runsByWorker("probe")) >= workers/2)
 }
+
+// endsAfter ends runs as Done after runSeconds, whatever the task.
+func (p *pool) endsAfter() func(task, worker string, age time.Duration) scheduler.Cause {
+	return func(_, _ string, age time.Duration) scheduler.Cause {
+		if age.Seconds() >= p.runSeconds {
+			return scheduler.Done
+		}
+		return ""
+	}
+}
+
+// Guards against a task that takes ten times as long as declared and never ends, as it is moved to
+// another worker every three seconds.
+func TestTaskThatIsSlowEverywhereEnds(t *testing.T) {
+	for _, checkpoints := range []bool{false, true} {
+		const workers = 8
+		p := newPool(t, workers)
+		p.runSeconds = 2.5
+		for i := range 3 { // the run times of the queue are known from these
+			p.submit(fmt.Sprint("usual", i), 1, "c", declared(tasks(8, 1), 2500*time.Millisecond))
+		}
+		p.playRuns(5*time.Second, workers, p.endsAfter())
+		p.runSeconds = 25
+		step := declared(tasks(1, 1), 2500*time.Millisecond)
+		step.Checkpoints = checkpoints
+		p.submit("slow", 1, "c", step)
+		p.playRuns(35*time.Second, workers, p.endsAfter())
+		assert.Equal(t, p.state("slow"), scheduler.Completed, "checkpoints: %t", checkpoints)
+	}
+}
+
+// Guards against a task that reports progress so seldom that each of its runs counts as hung.
+func TestTaskWithRareProgressEnds(t *testing.T) {
+	const workers = 4
+	p := newPool(t, workers)
+	p.runSeconds = 60
+	p.hung = true // reports the same percent all the time
+	p.submit("rare0", 1, "c", declared(tasks(1, 1), 5*time.Second))
+	p.playRuns(4*time.Minute, workers, p.endsAfter())
+	assert.Equal(t, p.state("rare0"), scheduler.Completed)
+}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -20,6 +20,12 @@
 	// minSpeedup is the ratio of a run's expected remaining time to that of a restart
 	// elsewhere above which the run is moved.
 	minSpeedup = 2.0
+	// maxSlowMoves is how often a task is moved because its runs are slow. After that, the task
+	// and not its workers is slow.
+	maxSlowMoves = 2
+	// maxHangDoublings limits how often the time without progress after which a run counts as
+	// hung doubles.
+	maxHangDoublings = 8
 )
 
 // runTimeStats holds the observed run times of a queue's tasks.
@@ -65,28 +71,46 @@
 	if r.task == nil || r.runningSince.IsZero() || r.task.step.spec.LongRunning || r.task.step.spec.Gang {
 		return
 	}
-	s := r.task.step
-	expected := c.expectedRunTime(s)
-	if r.reportedAt.Sub(r.progressAt) > max(time.Duration(hangShare*float64(expected)), minHangTime) {
+	if r.reportedAt.Sub(r.progressAt) > c.hangTime(r.task) || c.isFasterElsewhere(now, r) {
 		c.moveSlowRun(now, r)
-		return
 	}
+}
+
+// hangTime returns how long a run of the task may make no progress. It doubles each time that the
+// task is moved: it may be one whose progress is seldom reported.
+func (c *Core) hangTime(t *task) time.Duration {
+	hang := max(time.Duration(hangShare*float64(c.expectedRunTime(t.step))), minHangTime)
+	return hang << min(t.moves, maxHangDoublings)
+}
+
+// isFasterElsewhere reports whether a run would finish sooner if it were restarted on another
+// worker. What the task showed on earlier workers counts as well as the runs of its queue.
+func (c *Core) isFasterElsewhere(now time.Time, r *run) bool {
+	t, s := r.task, r.task.step
 	remaining, ok := r.remaining(now)
 	rt := c.runTimes[s.occ.job.queue.Name]
-	if !ok || c.slowedByPlacement(r) || rt == nil || rt.samples < minSamples {
-		return // declared run times are too often wrong to rely on them alone
+	if !ok || t.moves >= maxSlowMoves || c.slowedByPlacement(r) || rt == nil || rt.samples < minSamples {
+		return false // declared run times are too often wrong to rely on them alone
 	}
-	restarted := max(rt.mean, s.spec.Estimate)
+	restarted := max(rt.mean, s.spec.Estimate, t.bestRunTime)
 	if s.spec.Checkpoints {
 		restarted = time.Duration(float64(restarted)*(100-r.percent)/100) + c.cfg.RestoreTime
 	}
-	if float64(remaining) > minSpeedup*float64(restarted) && remaining-restarted > minHangTime/2 {
-		c.moveSlowRun(now, r)
-	}
+	return float64(remaining) > minSpeedup*float64(restarted) && remaining-restarted > minHangTime/2
 }
 
 // moveSlowRun stops a slow run so that it restarts elsewhere.
 func (c *Core) moveSlowRun(now time.Time, r *run) {
+	t := r.task
+	t.moves++
+	if remaining, ok := r.remaining(now); ok {
+		// A run that resumed a checkpoint has done part of the work before.
+		share := 100 / max(100-r.initialPercent, 1)
+		runTime := time.Duration(share * float64(now.Sub(r.runningSince)+remaining))
+		if t.bestRunTime == 0 || runTime < t.bestRunTime {
+			t.bestRunTime = runTime
+		}
+	}
 	c.recordBadRun(now, r, true)
 	c.stopRun(now, r, reasonNoProgress)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -34,9 +34,11 @@
 	reservation *reservation
 	// avoidWorker is the worker where the last run failed, was lost or made no progress.
 	avoidWorker  string
-	badWorkers   []string  // workers where its runs failed or were too slow
-	waitingSince time.Time // when it was last requeued
-	lateDoneRun  int       // run that was listed as done after it had counted as lost, 0 if none
+	badWorkers   []string      // workers where its runs failed or were too slow
+	moves        int           // how often its runs were moved because they were slow or hung
+	bestRunTime  time.Duration // shortest run time that its progress promised before it was moved
+	waitingSince time.Time     // when it was last requeued
+	lateDoneRun  int           // run that was listed as done after it had counted as lost, 0 if none
 }
 
 // run is one start of a task. It counts against its worker's capacity until it has
@@ -172,6 +174,7 @@
 	// LastFailed is the last run that Failures counts, and FailedRuns lists all of them.
 	LastFailed int   `json:"failed,omitempty"`
 	FailedRuns []int `json:"faults,omitempty"`
+	Moves      int   `json:"moves,omitempty"`
 }
 
 // jobRecord is the stored outcome of a job.
@@ -303,7 +306,7 @@
 		c.cfg.Logger.Warn("stored task matches no step of its job", "task", st.name)
 		return
 	}
-	t.run, t.checkpoint = st.value.Run, st.value.Checkpoint
+	t.run, t.checkpoint, t.moves = st.value.Run, st.value.Checkpoint, st.value.Moves
 	if failed := st.value.failedRuns(); len(failed) > len(*t.failures()) {
 		*t.failures() = failed
 	}
@@ -501,7 +504,7 @@
 // storeTask adds a record of the task's state to the effects.
 func (c *Core) storeTask(t *task) {
 	failed := *t.failures()
-	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed}
+	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed, Moves: t.moves}
 	for _, run := range failed {
 		rec.LastFailed = max(rec.LastFailed, run)
 	}
