leader: Read the stream before a job is reported as unknown

Cause: the leader had not read the job yet. It reported jobs that it does not know as unknown if its last read of their stream was under 2.5 s old, which says nothing about jobs accepted since. Questions for the state of a job were answered in the same way.

Change: the stream is read to its end first; calls that come during a read share the next one. Without an answer of the store in 400 ms the reply is not definite, and the VM that asked tries again. docs/decisions/17.

Evidence: TestCancelOfAJobThatTheLeaderHasNotReadIsNotFinal failed before (unknown, three times), and passes with a store that is silent or refuses.

TestUnknownJobsShareReads: 400 cancels of unknown jobs cause under 100 calls.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbshore/internal/fleet"
@@ -22,30 +24,102 @@
 // is logged and then one in logInterval.
 const logInterval = 32
 
-// followJobs reads newly accepted jobs of a part, starting at an offset.
-func (t *term) followJobs(ctx context.Context, part int, from int64) {
-	stream := intake.Stream(part)
+// jobReads coordinates the reads of a part's new jobs.
+type jobReads struct {
+	offset atomic.Int64 // records before it have been posted to the loop
+
+	mu   sync.Mutex
+	next *jobRead // read that has not begun; all callers share it
+	// reading is closed once the newest read that callers asked for has ended.
+	reading chan struct{}
+}
+
+// jobRead is a read of a part's new jobs that callers wait for.
+type jobRead struct {
+	done chan struct{} // closed once the jobs are applied or the read has failed
+	err  error
+}
+
+// followJobs reads newly accepted jobs of a part.
+func (t *term) followJobs(ctx context.Context, part int) {
 	failures := 0
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, jobPollWait+callTimeout)
-		page, err := t.cfg.Log.Read(callCtx, stream, from, jobPollWait)
-		cancel()
-		switch {
-		case errors.Is(err, store.ErrGone):
-			records, next, err := t.newest(ctx, stream)
-			if err == nil {
-				from = next
-				t.post(ctx, jobsEvent{part, records, t.cfg.Now()})
-			}
-		case err != nil:
-			if failures++; failures%logInterval == 1 && ctx.Err() == nil {
-				t.cfg.Logger.Warn("new jobs not read", "part", part, "from", from, "failures", failures, "error", err)
-			}
-			time.Sleep(retryDelay * 5)
-		default:
-			from, failures = page.Next, 0
-			t.post(ctx, jobsEvent{part, page.Records, t.cfg.Now()})
+		err := t.readJobs(ctx, part, jobPollWait, nil)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if failures++; failures%logInterval == 1 && ctx.Err() == nil {
+			t.cfg.Logger.Warn("new jobs not read", "part", part, "from", t.jobReads[part].offset.Load(), "failures", failures, "error", err)
 		}
+		time.Sleep(retryDelay * 5)
+	}
+}
+
+// readJobs reads the jobs of a part that have not been read yet, waits up to wait for one, and posts
+// them to the loop. The loop calls applied, unless it is nil, once they are applied.
+func (t *term) readJobs(ctx context.Context, part int, wait time.Duration, applied func()) error {
+	stream, reads := intake.Stream(part), &t.jobReads[part]
+	from := reads.offset.Load()
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	page, err := t.cfg.Log.Read(callCtx, stream, from, wait)
+	cancel()
+	if errors.Is(err, store.ErrGone) {
+		page.Records, page.Next, err = t.newest(ctx, stream)
+	}
+	if err != nil {
+		return err
+	}
+	t.post(ctx, jobsEvent{part, page.Records, t.cfg.Now(), applied})
+	// Another read may have been faster and further.
+	for last := from; last < page.Next && !reads.offset.CompareAndSwap(last, page.Next); {
+		last = reads.offset.Load()
+	}
+	return nil
+}
+
+// catchUp returns once all jobs of a part that had been accepted when it was called are applied.
+// Calls that come during a read share the next one.
+func (t *term) catchUp(ctx context.Context, part int) error {
+	reads := &t.jobReads[part]
+	reads.mu.Lock()
+	r := reads.next
+	if r == nil {
+		r = &jobRead{done: make(chan struct{})}
+		previous := reads.reading
+		reads.next, reads.reading = r, r.done
+		t.spawn(func() { t.runJobRead(part, r, previous) })
+	}
+	reads.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// runJobRead carries out a read that callers wait for, after the previous one, which is nil for the
+// first.
+func (t *term) runJobRead(part int, r *jobRead, previous chan struct{}) {
+	if previous != nil {
+		<-previous
+	}
+	reads := &t.jobReads[part]
+	reads.mu.Lock()
+	reads.next = nil
+	reads.mu.Unlock()
+	defer close(r.done)
+	ctx, cancel := context.WithTimeout(t.ctx, catchUpTimeout)
+	defer cancel()
+	applied := make(chan struct{})
+	if r.err = t.readJobs(ctx, part, 0, func() { close(applied) }); r.err != nil {
+		return
+	}
+	select {
+	case <-applied:
+	case <-ctx.Done():
+		r.err = ctx.Err()
 	}
 }
 
@@ -53,6 +127,7 @@
 	part    int
 	records []store.Record
 	read    time.Time
+	applied func()
 }
 
 func (jobsEvent) eventKind() eventKind { return kindJobs }
@@ -61,6 +136,9 @@
 	t.addJobs(now, e.records)
 	t.applyEffects(t.core.TakeEffects())
 	t.statusCache.markRead(e.part, e.read)
+	if e.applied != nil {
+		e.applied()
+	}
 }
 
 // followRegistry reads changes of the workers' registry entries, starting at an offset.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -178,7 +178,8 @@
 	pausedUntil   atomicTime        // starts are held back until then
 	suspension    *suspend.Detector // reports suspensions since the term began
 	pendingStarts atomic.Int64      // starts that were decided but not answered yet
-	lastWrite     atomicTime        // when the last successful write was sent
+	jobReads      [intake.Parts]jobReads
+	lastWrite     atomicTime // when the last successful write was sent
 	writesFailing atomic.Bool
 }
 
@@ -259,7 +260,8 @@
 	t.cfg.Logger.Info("leading", "epoch", epoch, "load_ms", time.Since(t.startedAt).Milliseconds(), "workers", len(t.links))
 	metric.Seconds("load_seconds", time.Since(t.startedAt))
 	for part := range intake.Parts {
-		t.spawn(func() { t.followJobs(ctx, part, stored.jobsNext[part]) })
+		t.jobReads[part].offset.Store(stored.jobsNext[part])
+		t.spawn(func() { t.followJobs(ctx, part) })
 	}
 	t.spawn(func() { t.followRegistry(ctx, stored.registry.Next) })
 	t.loopStats.ended.set(t.cfg.Now())
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -22,6 +22,9 @@
 	// outcomeWait is how long State waits for an outcome that is being stored. A write takes 10
 	// ms; if the store is slow, the next writes are just as late.
 	outcomeWait = 300 * time.Millisecond
+	// catchUpTimeout limits the read before a job is reported as unknown. It leaves time for
+	// another try within the time that VMs wait for an answer of the leader.
+	catchUpTimeout = 400 * time.Millisecond
 )
 
 // statusCache holds the published state of jobs. The loop writes it, and queries are answered
@@ -132,6 +135,12 @@
 	if errors.Is(err, scheduler.ErrUnknown) || err == nil && v.state == scheduler.Running && !v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, stateChangeWait)
 	}
+	if errors.Is(err, scheduler.ErrUnknown) {
+		if t.catchUp(ctx, intake.PartOf(id)) != nil {
+			return "", ErrIndeterminate
+		}
+		v, err = t.statusCache.state(t.cfg.Now(), id, customer)
+	}
 	if err == nil && v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, outcomeWait)
 	}
@@ -174,12 +183,30 @@
 	return t.statusCache.waiting[queue], nil
 }
 
-// Cancel cancels a job and returns once its end is stored.
+// Cancel cancels a job and returns once its end is stored. A job that is not found is reported as
+// unknown only after all jobs that had been accepted before the call were read: the answer is
+// final, and the job may have been accepted by another VM a moment ago.
 func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
 	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
+	state, err := t.cancel(ctx, id, customer)
+	if !errors.Is(err, scheduler.ErrUnknown) {
+		return state, err
+	}
+	if t.catchUp(ctx, intake.PartOf(id)) != nil {
+		return "", ErrIndeterminate
+	}
+	state, err = t.cancel(ctx, id, customer)
+	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
+		return "", ErrDeposed
+	}
+	return state, err
+}
+
+// cancel has the loop cancel a job that it knows.
+func (t *term) cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
 	c := cancelEvent{id, customer, make(chan cancelResult, 1)}
 	select {
 	case t.inbox <- c:
