--- a/internal/scheduler/blame.go
+++ b/internal/scheduler/blame.go
@@ -12,9 +12,11 @@
 	// failure is usually caused by the task itself.
 	quarantineThreshold = 2
 	// minQuarantine is how long a failing or slow worker gets no new work. For a failing one
-	// the time doubles with each further strike, up to maxQuarantine.
-	minQuarantine = 6 * time.Second
-	maxQuarantine = time.Minute
+	// the time doubles with each further strike, maxQuarantineDoublings times and up to
+	// maxQuarantine.
+	minQuarantine          = 6 * time.Second
+	maxQuarantine          = time.Minute
+	maxQuarantineDoublings = 4
 	// maxQuarantineShare limits the share of the workers of a service, and of those of them
 	// with a label, that are quarantined at a time. Work that there is room for twice over must
 	// start, so half of the workers must be left to it.
@@ -78,9 +80,9 @@
 // soundTasks counts the step's tasks that are done or run well: much longer than those that failed
 // or, compared with slow ones, as fast as expected.
 func (c *Core) soundTasks(now time.Time, s *step, slow bool) int {
-	count := &s.soundRunning[0]
+	count := &s.soundToFailed
 	if slow {
-		count = &s.soundRunning[1]
+		count = &s.soundToSlow
 	}
 	if count.round != c.index.round {
 		*count = soundCount{round: c.index.round}
@@ -134,7 +136,7 @@
 		counted[key], lastFailure = true, b.at
 	}
 	if strikes >= quarantineThreshold {
-		until = lastFailure.Add(min(minQuarantine<<min(strikes-quarantineThreshold, 4), maxQuarantine))
+		until = lastFailure.Add(min(minQuarantine<<min(strikes-quarantineThreshold, maxQuarantineDoublings), maxQuarantine))
 	}
 	if slowUntil.After(until) {
 		until = slowUntil
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -7,8 +7,7 @@
 
 const (
 	// gangReservationTTL is how long capacity is reserved for a gang that waits for running work
-	// to end by itself: twice the longest run on the sites. Nothing is reserved for a gang that
-	// is expected to wait longer.
+	// to end by itself. Nothing is reserved for a gang that is expected to wait longer.
 	gangReservationTTL = 25 * time.Second
 	// gangReservationDelay is how long a gang waits before capacity is reserved for it.
 	gangReservationDelay = time.Second
@@ -20,6 +19,9 @@
 	// idleLogInterval is the minimum time between two lines about jobs that wait in an idle
 	// service.
 	idleLogInterval = time.Second
+	// unknownRunTime is how long a run is assumed to take that is being stopped or whose task is
+	// unknown.
+	unknownRunTime = time.Second
 	// neverFree is the expected wait for capacity that no running work will free.
 	neverFree = 365 * 24 * time.Hour
 )
@@ -162,7 +164,7 @@
 func (c *Core) expectedRemaining(now time.Time, r *run) time.Duration {
 	switch {
 	case r.task == nil || !r.stopOrderedAt.IsZero():
-		return time.Second
+		return unknownRunTime
 	case r.task.step.spec.LongRunning:
 		return neverFree
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -74,7 +74,8 @@
 	readySince       time.Time     // start of its waiting time
 	badWorkers       []string      // workers where runs of its tasks failed or were too slow
 	badRunAge        time.Duration // longest time that one of these runs lasted
-	soundRunning     [2]soundCount // running tasks that run well: compared with failed runs, and with slow ones
+	soundToFailed    soundCount    // running tasks that do well, compared with failed runs
+	soundToSlow      soundCount    // the same, compared with slow runs
 	// headroomLogged is set once it has been logged that the step leaves capacity to
 	// urgent work.
 	headroomLogged bool
