leader: Answer questions about unknown jobs after one wait only

Cause: a question for a job that is not found waited 50 ms for a change and then for a read of the stream. With slow events that is too long.

Change: the read comes at once. It covers what the wait was for: each job that had been accepted when the question came.

Conclusion: an answer sooner, for a read more when a client asks before the leader has read its job.

--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -15,9 +15,9 @@
 const waitingCountInterval = 500 * time.Millisecond
 
 const (
-	// stateChangeWait is how long State waits for a change if a job is running or not found. The
-	// leader receives what a worker lists, and what another VM stores, within 25 ms, so the
-	// answer covers all that had happened when the query was sent.
+	// stateChangeWait is how long State waits for a change if a job is running. The leader
+	// receives what a worker lists within 25 ms, so the answer covers all that had happened when
+	// the query was sent.
 	stateChangeWait = 50 * time.Millisecond
 	// outcomeWait is how long State waits for an outcome that is being stored. A write takes 10
 	// ms; if the store is slow, the next writes are just as late.
@@ -123,16 +123,16 @@
 	}
 }
 
-// State returns the state of a customer's job. It waits for changes that are still on their way
-// to this VM or about to be stored, because clients ask as soon as their job is accepted and as
-// soon as its last task has ended.
+// State returns the state of a customer's job. It reads newly accepted jobs before it reports one
+// as unknown, and waits for changes that are still on their way to this VM or about to be stored:
+// clients ask as soon as their job is accepted and as soon as its last task has ended.
 func (l *Leader) State(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
 	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
 	v, err := t.statusCache.state(t.cfg.Now(), id, customer)
-	if errors.Is(err, scheduler.ErrUnknown) || err == nil && v.state == scheduler.Running && !v.unstored {
+	if err == nil && v.state == scheduler.Running && !v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, stateChangeWait)
 	}
 	if errors.Is(err, scheduler.ErrUnknown) {
