leader: Hand the jobs of a late read to the loop

An accepted job could stay unknown to the leader for its whole term (LOST).

Cause: a read for an unknown job ends after 400 ms. If its time ran out as the answer came, the jobs were not posted to the loop, but the offset of the next read moved past them.

Change: the jobs are posted for as long as the term lasts.

Evidence: TestJobsOfALateReadAreStarted delays answers until the time of the call has run out.

Conclusion: the offset moves only past jobs that the loop gets.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -70,7 +70,8 @@
 	if err != nil {
 		return err
 	}
-	t.post(ctx, jobsEvent{part, page.Records, t.cfg.Now(), applied})
+	// The offset moves on, so the jobs must reach the loop even if ctx ends now.
+	t.post(t.ctx, jobsEvent{part, page.Records, t.cfg.Now(), applied})
 	// Another read may have been faster and further.
 	for last := from; last < page.Next && !reads.offset.CompareAndSwap(last, page.Next); {
 		last = reads.offset.Load()
--- a/internal/leader/unknown_test.go
+++ b/internal/leader/unknown_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"rhubarbshore/internal/leader"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/standin"
+	"rhubarbshore/internal/store"
 )
 
 // cancelJob asks the newest leader to cancel a job, as a VM does for a client.
@@ -51,6 +53,49 @@
 	}
 }
 
+// lateReads delays the answers of reads that do not wait for records beyond the time that their caller
+// allows, and refuses the others.
+type lateReads struct {
+	leader.Log
+	enabled *atomic.Bool
+}
+
+func (l lateReads) Read(ctx context.Context, s store.Stream, from int64, wait time.Duration) (store.Page, error) {
+	if !l.enabled.Load() {
+		return l.Log.Read(ctx, s, from, wait)
+	}
+	if wait > 0 {
+		return store.Page{}, store.ErrRefused
+	}
+	page, err := l.Log.Read(context.Background(), s, from, wait)
+	<-ctx.Done()
+	return page, err
+}
+
+// Guards against jobs that are never started: a read for a question about an unknown job was
+// answered just as its time ran out, and the jobs of its answer were passed over.
+func TestJobsOfALateReadAreStarted(t *testing.T) {
+	violations := run(t, 8, func(p *pool) {
+		enabled := &atomic.Bool{}
+		p.wrap = func(c leader.Config) leader.Config {
+			c.Log = lateReads{c.Log, enabled}
+			return c
+		}
+		l := p.elect()
+		time.Sleep(time.Second)
+		enabled.Store(true)
+		time.Sleep(2 * time.Second) // reads in progress end
+		for i := range 16 {
+			p.submit(job(i, 1, step(1, 1)))
+			_, _ = l.leader.State(context.Background(), job(i, 1).ID, "") // may not be definite
+		}
+		enabled.Store(false)
+		assert.Check(t, is.Len(p.waitForJobs(30*time.Second), 0))
+		assert.Check(t, is.Equal(p.fleet.Starts(), 16), "starts")
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
+
 // Guards against answers about a job that was accepted while a read of its stream was on the way,
 // and against a call to the store for each cancel of an unknown job.
 func TestUnknownJobsShareReads(t *testing.T) {
