scheduler: Count the run in progress of records of earlier versions

Cause: records of earlier versions have the number of failures, and of tasks without a gang not which run failed. The newest run was taken for it, also while it was in progress, so that its own failure did not count.

Change: if a run is in progress, the one before counts as the last failed.

Evidence: TestFailuresOfEarlierVersionsCount failed before (running instead of failed) and passes.

Conclusion: versions can be mixed during an update.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -786,3 +786,16 @@
 	next.settle(2)
 	assert.Equal(t, next.state("job"), scheduler.Running, "one attempt is left")
 }
+
+// Guards against an attempt too many after an update: the stored state of an earlier version has the
+// number of failures only, and the run in progress counted as one that had failed.
+func TestFailuresOfEarlierVersionsCount(t *testing.T) {
+	p := newPool(t, 1)
+	assert.NilError(t, p.core.Restore(p.now, "job.0.0.0", []byte(`{"run":2,"fails":1,"worker":"w00"}`)))
+	p.submit("job", 1, "c", tasks(1, 1)) // two attempts
+	p.core.Report(p.now, scheduler.Report{Worker: workerID(0), Sent: p.now, Full: true, Ended: []scheduler.EndedTask{
+		{Number: 1, Task: "job.0.0.0", Run: 2, Cause: scheduler.Fault},
+	}})
+	p.settle(1)
+	assert.Equal(t, p.state("job"), scheduler.Failed)
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -351,7 +351,11 @@
 		return r.FailedRuns
 	}
 	last := r.LastFailed
-	if last == 0 {
+	switch {
+	case last > 0:
+	case r.Worker != "":
+		last = r.Run - 1 // Run is in progress
+	default:
 		last = r.Run
 	}
 	failed := []int{last}
