leader: Drop no descriptions once another VM leads

Cause: reading the change again. Drops are not fenced, and a drop may take several calls. A leader that was suspended between two of them would go on after it woke, when the ID may belong to a new job.

Change: the term is checked before each call, as for starts and stops. Names and comments of the reads of new jobs.

Measured: tests of the leader pass. Not shown: such a drop; the suspension would have to outlast the retention of outcomes.

Conclusion: the same check as on the other paths that act for the leader.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -30,8 +30,8 @@
 
 	mu   sync.Mutex
 	next *jobRead // read that has not begun; all callers share it
-	// reading is closed once the newest read that callers asked for has ended.
-	reading chan struct{}
+	// newestDone is closed once the newest read that callers asked for has ended.
+	newestDone chan struct{}
 }
 
 // jobRead is a read of a part's new jobs that callers wait for.
@@ -87,8 +87,8 @@
 	r := reads.next
 	if r == nil {
 		r = &jobRead{done: make(chan struct{})}
-		previous := reads.reading
-		reads.next, reads.reading = r, r.done
+		previous := reads.newestDone
+		reads.next, reads.newestDone = r, r.done
 		t.spawn(func() { t.runJobRead(part, r, previous) })
 	}
 	reads.mu.Unlock()
@@ -100,8 +100,8 @@
 	}
 }
 
-// runJobRead carries out a read that callers wait for, after the previous one, which is nil for the
-// first.
+// runJobRead carries out a read that callers wait for once the previous one, if there was one, has
+// closed its channel.
 func (t *term) runJobRead(part int, r *jobRead, previous chan struct{}) {
 	if previous != nil {
 		<-previous
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -178,8 +178,8 @@
 	pausedUntil   atomicTime        // starts are held back until then
 	suspension    *suspend.Detector // reports suspensions since the term began
 	pendingStarts atomic.Int64      // starts that were decided but not answered yet
+	lastWrite     atomicTime        // when the last successful write was sent
 	jobReads      [intake.Parts]jobReads
-	lastWrite     atomicTime // when the last successful write was sent
 	writesFailing atomic.Bool
 }
 
@@ -586,7 +586,11 @@
 	return len(ids)
 }
 
+// dropJobsInPart drops the descriptions of jobs of one part in one append.
 func (t *term) dropJobsInPart(ctx context.Context, part int, ids []string) {
+	if !t.active() {
+		return // the next leader drops them, or serves a new job with the same ID by now
+	}
 	records := make([]store.Record, len(ids))
 	for i, id := range ids {
 		records[i].Key = id
