scheduler, leader: Split long files; field's terms for new names

Cause: reading the change as a newcomer.

Names: attributedFailures, attributeFailures, withBadRuns, healthyTasks, gangReservation, backfills. Log lines about quarantines have the number of bad runs as well, since a slow worker has no failures.

--- /dev/null
+++ b/internal/leader/batch.go
@@ -0,0 +1,159 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
+)
+
+// endAck is the number of the last ended run that a worker listed in one of its incarnations.
+type endAck struct{ number, incarnation int64 }
+
+// batch is a set of state changes with the actions that wait until they are stored.
+type batch struct {
+	records  []store.Record
+	starts   []scheduler.Start
+	ackable  map[string]endAck // ended runs that may be forgotten once the batch is stored, by worker
+	replies  []func()
+	outcomes []string // jobs whose outcome is among the records
+	sentAt   time.Time
+}
+
+func (b *batch) empty() bool {
+	return len(b.records) == 0 && len(b.starts) == 0 && len(b.ackable) == 0 && len(b.replies) == 0 && len(b.outcomes) == 0
+}
+
+// storePending appends the pending batch unless an append is in progress. If nothing has been
+// written for epochCheckInterval, it appends an epoch record.
+func (t *term) storePending(ctx context.Context, now time.Time) {
+	if t.inFlight != nil {
+		return
+	}
+	idle := now.Sub(t.lastWrite.get()) > epochCheckInterval
+	if t.pending.empty() && !idle {
+		return
+	}
+	b := t.nextBatch()
+	t.inFlight = &b
+	if len(b.records) == 0 && !idle {
+		t.finishBatch(now)
+		return
+	}
+	if len(b.records) == 0 {
+		b.records = append(b.records, t.epochRecord())
+	}
+	t.sequence++
+	b.sentAt = now
+	sequence := t.sequence
+	t.spawn(func() { t.append(ctx, &b, sequence) })
+}
+
+// nextBatch removes and returns the pending batch. If the batch is too large for one append,
+// nextBatch returns only its first records, and all actions wait until the rest is stored as
+// well.
+func (t *term) nextBatch() batch {
+	size := 0
+	for i, r := range t.pending.records {
+		size += len(r.Key) + len(r.Value) + recordOverhead
+		if i > 0 && t.cfg.MaxBatch > 0 && size > t.cfg.MaxBatch {
+			first := batch{records: t.pending.records[:i:i], ackable: map[string]endAck{}}
+			t.pending.records = t.pending.records[i:]
+			return first
+		}
+	}
+	b := t.pending
+	t.pending = batch{ackable: map[string]endAck{}}
+	return b
+}
+
+// append writes a batch and retries until it is stored or this leader is deposed.
+func (t *term) append(ctx context.Context, b *batch, sequence int64) {
+	delay := retryDelay
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		start := time.Now()
+		_, err := t.cfg.Log.Append(callCtx, Stream, b.records, store.AppendOptions{Producer: producerName, Epoch: t.epoch, Sequence: sequence})
+		cancel()
+		if err == nil {
+			t.lastWrite.set(start)
+			t.writesFailing.Store(false)
+			metric.Observe("store_seconds", start)
+			t.post(ctx, storedEvent{})
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, store.ErrFenced) {
+			t.post(ctx, deposedEvent{by: "the store"})
+			return
+		}
+		t.writesFailing.Store(true)
+		t.cfg.Logger.Warn("state not stored", "epoch", t.epoch, "sequence", sequence, "records", len(b.records), "error", err)
+		metric.Count("store_failures_total")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		delay = min(delay*2, maxRetryDelay)
+	}
+}
+
+type storedEvent struct{}
+
+func (storedEvent) eventKind() eventKind { return kindStored }
+
+func (storedEvent) apply(t *term, now time.Time) { t.finishBatch(now) }
+
+// finishBatch performs the actions that waited until the batch in progress was stored.
+func (t *term) finishBatch(now time.Time) {
+	b := t.inFlight
+	t.inFlight = nil
+	for _, s := range b.starts {
+		l := t.links[s.Worker]
+		if l == nil {
+			t.pendingStarts.Add(-1)
+		} else {
+			// However late the start is sent, its lease must end before the next leader stops
+			// waiting for the leases that were requested when the batch was sent.
+			until := earlier(now.Add(startLease), b.sentAt.Add(t.cfg.Scheduler.MaxLease))
+			deadline := l.deadline(now, until.Sub(now))
+			t.spawn(func() { t.start(t.ctx, s, deadline) })
+			l.recordGrant(now, until.Sub(now))
+			t.renewNow(l)
+		}
+	}
+	for id, n := range b.ackable {
+		if l := t.links[id]; l != nil && l.incarnation == n.incarnation {
+			l.ackable = max(l.ackable, n.number)
+			l.unstoredEnds = false
+			t.markForCheck(l)
+		}
+	}
+	for _, id := range b.outcomes {
+		delete(t.unstoredOutcomes, id)
+		t.statusCache.publish(t.core, id)
+	}
+	t.droppable = append(t.droppable, b.outcomes...)
+	for _, reply := range b.replies {
+		reply()
+	}
+	if len(t.droppable) > 0 && time.Since(t.droppedAt) > jobDropInterval {
+		t.droppedAt = time.Now()
+		ids := t.droppable
+		t.spawn(func() { t.dropJobs(t.ctx, ids) })
+		t.droppable = nil
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -183,23 +182,6 @@
 	writesFailing atomic.Bool
 }
 
-// endAck is the number of the last ended run that a worker listed in one of its incarnations.
-type endAck struct{ number, incarnation int64 }
-
-// batch is a set of state changes with the actions that wait until they are stored.
-type batch struct {
-	records  []store.Record
-	starts   []scheduler.Start
-	ackable  map[string]endAck // ended runs that may be forgotten once the batch is stored, by worker
-	replies  []func()
-	outcomes []string // jobs whose outcome is among the records
-	sentAt   time.Time
-}
-
-func (b *batch) empty() bool {
-	return len(b.records) == 0 && len(b.starts) == 0 && len(b.ackable) == 0 && len(b.replies) == 0 && len(b.outcomes) == 0
-}
-
 // event is a change of the leader's state. The loop applies events one at a time.
 type event interface {
 	apply(t *term, now time.Time)
@@ -408,83 +390,6 @@
 	t.pending.starts = append(t.pending.starts, e.Starts...)
 }
 
-// storePending appends the pending batch unless an append is in progress. If nothing has been
-// written for epochCheckInterval, it appends an epoch record.
-func (t *term) storePending(ctx context.Context, now time.Time) {
-	if t.inFlight != nil {
-		return
-	}
-	idle := now.Sub(t.lastWrite.get()) > epochCheckInterval
-	if t.pending.empty() && !idle {
-		return
-	}
-	b := t.nextBatch()
-	t.inFlight = &b
-	if len(b.records) == 0 && !idle {
-		t.finishBatch(now)
-		return
-	}
-	if len(b.records) == 0 {
-		b.records = append(b.records, t.epochRecord())
-	}
-	t.sequence++
-	b.sentAt = now
-	sequence := t.sequence
-	t.spawn(func() { t.append(ctx, &b, sequence) })
-}
-
-// nextBatch removes and returns the pending batch. If the batch is too large for one append,
-// nextBatch returns only its first records, and all actions wait until the rest is stored as
-// well.
-func (t *term) nextBatch() batch {
-	size := 0
-	for i, r := range t.pending.records {
-		size += len(r.Key) + len(r.Value) + recordOverhead
-		if i > 0 && t.cfg.MaxBatch > 0 && size > t.cfg.MaxBatch {
-			first := batch{records: t.pending.records[:i:i], ackable: map[string]endAck{}}
-			t.pending.records = t.pending.records[i:]
-			return first
-		}
-	}
-	b := t.pending
-	t.pending = batch{ackable: map[string]endAck{}}
-	return b
-}
-
-// append writes a batch and retries until it is stored or this leader is deposed.
-func (t *term) append(ctx context.Context, b *batch, sequence int64) {
-	delay := retryDelay
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		start := time.Now()
-		_, err := t.cfg.Log.Append(callCtx, Stream, b.records, store.AppendOptions{Producer: producerName, Epoch: t.epoch, Sequence: sequence})
-		cancel()
-		if err == nil {
-			t.lastWrite.set(start)
-			t.writesFailing.Store(false)
-			metric.Observe("store_seconds", start)
-			t.post(ctx, storedEvent{})
-			return
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, store.ErrFenced) {
-			t.post(ctx, deposedEvent{by: "the store"})
-			return
-		}
-		t.writesFailing.Store(true)
-		t.cfg.Logger.Warn("state not stored", "epoch", t.epoch, "sequence", sequence, "records", len(b.records), "error", err)
-		metric.Count("store_failures_total")
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(delay):
-		}
-		delay = min(delay*2, maxRetryDelay)
-	}
-}
-
 func (t *term) post(ctx context.Context, ev event) {
 	select {
 	case t.inbox <- ev:
@@ -502,123 +407,3 @@
 	t.cfg.Logger.Warn("leader is deposed", "epoch", t.epoch, "by", e.by, "error", ErrDeposed)
 	t.endTerm()
 }
-
-type storedEvent struct{}
-
-func (storedEvent) eventKind() eventKind { return kindStored }
-
-func (storedEvent) apply(t *term, now time.Time) { t.finishBatch(now) }
-
-// finishBatch performs the actions that waited until the batch in progress was stored.
-func (t *term) finishBatch(now time.Time) {
-	b := t.inFlight
-	t.inFlight = nil
-	for _, s := range b.starts {
-		l := t.links[s.Worker]
-		if l == nil {
-			t.pendingStarts.Add(-1)
-		} else {
-			// However late the start is sent, its lease must end before the next leader stops
-			// waiting for the leases that were requested when the batch was sent.
-			until := earlier(now.Add(startLease), b.sentAt.Add(t.cfg.Scheduler.MaxLease))
-			deadline := l.deadline(now, until.Sub(now))
-			t.spawn(func() { t.start(t.ctx, s, deadline) })
-			l.recordGrant(now, until.Sub(now))
-			t.renewNow(l)
-		}
-	}
-	for id, n := range b.ackable {
-		if l := t.links[id]; l != nil && l.incarnation == n.incarnation {
-			l.ackable = max(l.ackable, n.number)
-			l.unstoredEnds = false
-			t.markForCheck(l)
-		}
-	}
-	for _, id := range b.outcomes {
-		delete(t.unstoredOutcomes, id)
-		t.statusCache.publish(t.core, id)
-	}
-	t.droppable = append(t.droppable, b.outcomes...)
-	for _, reply := range b.replies {
-		reply()
-	}
-	if len(t.droppable) > 0 && time.Since(t.droppedAt) > jobDropInterval {
-		t.droppedAt = time.Now()
-		ids := t.droppable
-		t.spawn(func() { t.dropJobs(t.ctx, ids) })
-		t.droppable = nil
-	}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// dropJobs drops the descriptions of jobs whose outcome is stored, and posts which drops
-// succeeded.
-func (t *term) dropJobs(ctx context.Context, ids []string) {
-	var byPart [intake.Parts][]string
-	for _, id := range ids {
-		part := intake.PartOf(id)
-		byPart[part] = append(byPart[part], id)
-	}
-	for part, ids := range byPart {
-		for len(ids) > 0 {
-			n := t.dropBatch(ids)
-			t.dropJobsInPart(ctx, part, ids[:n])
-			ids = ids[n:]
-		}
-	}
-}
-
-// dropBatch returns how many of the jobs can be dropped in one append, at least one.
-func (t *term) dropBatch(ids []string) int {
-	size := 0
-	for i, id := range ids {
-		size += len(id) + recordOverhead
-		if i > 0 && t.cfg.MaxBatch > 0 && size > t.cfg.MaxBatch {
-			return i
-		}
-	}
-	return len(ids)
-}
-
-// dropJobsInPart drops the descriptions of jobs of one part in one append.
-func (t *term) dropJobsInPart(ctx context.Context, part int, ids []string) {
-	if !t.active() {
-		return // the next leader drops them, or serves a new job with the same ID by now
-	}
-	records := make([]store.Record, len(ids))
-	for i, id := range ids {
-		records[i].Key = id
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := t.cfg.Log.Append(callCtx, intake.Stream(part), records, store.AppendOptions{})
-	if err != nil {
-		metric.Count("job_drop_failures_total")
-		t.cfg.Logger.Warn("descriptions of ended jobs not dropped; trying again", "part", part, "jobs", len(ids), "error", err)
-	}
-	t.post(ctx, droppedEvent{ids: ids, err: err})
-}
-
-// droppedEvent reports whether the descriptions of ended jobs were dropped.
-type droppedEvent struct {
-	ids []string
-	err error
-}
-
-func (droppedEvent) eventKind() eventKind { return kindStored }
-
-func (e droppedEvent) apply(t *term, now time.Time) {
-	if e.err != nil {
-		t.droppable = append(t.droppable, e.ids...)
-		return
-	}
-	for _, id := range e.ids {
-		t.core.DescriptionDropped(now, id)
-	}
-}
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/backfill.go
@@ -11,14 +11,6 @@
 	gangReservationTTL = 25 * time.Second
 	// gangReservationDelay is how long a gang waits before capacity is reserved for it.
 	gangReservationDelay = time.Second
-	// idleShare is the share of a service's capacity under which it counts as idle, and
-	// maxIdleWait how long a job with nothing running is kept from free capacity of an idle
-	// service. The users' limit is three seconds.
-	idleShare   = 0.5
-	maxIdleWait = 2 * time.Second
-	// idleLogInterval is the minimum time between two lines about jobs that wait in an idle
-	// service.
-	idleLogInterval = time.Second
 	// unknownRunTime is how long a run is assumed to take that is being stopped or whose task is
 	// unknown.
 	unknownRunTime = time.Second
@@ -26,55 +18,56 @@
 	neverFree = 365 * 24 * time.Hour
 )
 
-// hold is capacity that is reserved for a gang until the work that occupies the rest of it has
-// ended. Each service has one at most: gangs that hold parts of a pool would wait for each other.
-type hold struct {
+// gangReservation is the capacity that is reserved for a gang until the work that occupies a part of
+// it has ended. Each service has one at most: gangs with reservations for parts of a pool would wait
+// for each other.
+type gangReservation struct {
 	step     *step
 	startsAt time.Time // when the gang is expected to start
 	round    int64     // last round in which the gang was scheduled
 }
 
-// updateHolds removes holds of gangs that no longer wait for reserved capacity.
-func (c *Core) updateHolds() {
-	for service, h := range c.holds {
+// removeStaleGangReservations removes those of gangs that no longer wait for reserved capacity.
+func (c *Core) removeStaleGangReservations() {
+	for service, h := range c.gangReservations {
 		if h.step.tasks[0].reservation == nil {
-			delete(c.holds, service)
+			delete(c.gangReservations, service)
 		}
 	}
 }
 
-// holdForGang reserves capacity for a gang on the workers that are expected to be free soonest,
-// without stopping anything. The hold of a gang that comes later in the order ends.
-func (c *Core) holdForGang(now time.Time, s *step) {
+// reserveForGang reserves capacity for a gang on the workers that are expected to be free soonest,
+// without stopping anything. The reservation of a gang that comes later in the order ends.
+func (c *Core) reserveForGang(now time.Time, s *step) {
 	service := s.occ.job.queue.Service
-	if h := c.holds[service]; h != nil && h.step != s {
+	if h := c.gangReservations[service]; h != nil && h.step != s {
 		if h.round == c.index.round {
 			return
 		}
 		dropReservations(h.step.tasks)
-		delete(c.holds, service)
+		delete(c.gangReservations, service)
 	}
-	s.usesHold = false // it is to get one of its own
+	s.backfills = false // its own reservation has the level of its job
 	for _, r := range c.gangRacks(now, s, func(rackFit) bool { return true }) {
 		if c.reserveForGangOn(now, s, r) {
-			c.keepHold(now, s)
+			c.updateGangReservation(now, s)
 			return
 		}
 	}
 }
 
-// keepHold updates when a gang with reserved capacity is expected to start. It drops the
+// updateGangReservation updates when a gang with reserved capacity is expected to start. It drops the
 // reservations if that takes too long.
-func (c *Core) keepHold(now time.Time, s *step) {
+func (c *Core) updateGangReservation(now time.Time, s *step) {
 	service := s.occ.job.queue.Service
 	wait := c.reservedWait(now, s)
 	if wait > gangReservationTTL {
 		c.cfg.Logger.Info("capacity is no longer kept for a gang", "job", s.occ.job.spec.ID, "expected_ms", wait.Milliseconds())
 		dropReservations(s.tasks)
-		delete(c.holds, service)
+		delete(c.gangReservations, service)
 		return
 	}
-	c.holds[service] = &hold{step: s, startsAt: now.Add(wait), round: c.index.round}
+	c.gangReservations[service] = &gangReservation{step: s, startsAt: now.Add(wait), round: c.index.round}
 }
 
 // reserveForGangOn reserves capacity for a gang on the workers of a rack, or on any if rack
@@ -179,10 +172,10 @@
 	return max(left, -left)
 }
 
-// mayUseHold reports whether the step may use capacity that is reserved for a gang: it is
+// mayBackfill reports whether the step may use capacity that is reserved for a gang: it is
 // expected to end before the gang starts, or it must start.
-func (c *Core) mayUseHold(now time.Time, s *step) bool {
-	h := c.holds[s.occ.job.queue.Service]
+func (c *Core) mayBackfill(now time.Time, s *step) bool {
+	h := c.gangReservations[s.occ.job.queue.Service]
 	if h == nil || h.step == s {
 		return false
 	}
@@ -194,83 +187,11 @@
 }
 
 // reservationLevel is the level of the step's reservations, and the one up to which it leaves
-// reserved capacity alone. Capacity is held for gangs of other levels than the urgent ones only.
+// reserved capacity alone. Gang reservations never have an urgent level, as urgent gangs have other
+// work stopped instead.
 func (s *step) reservationLevel() int {
-	if s.usesHold {
+	if s.backfills {
 		return min(s.occ.job.level, levelUrgent)
 	}
 	return s.occ.job.level
 }
-
-// updateIdleServices notes since when under idleShare of a service's capacity has been in use.
-func (c *Core) updateIdleServices(now time.Time) {
-	c.refresh()
-	for service, sum := range c.index.totals {
-		if !sum.idle() {
-			delete(c.idleSince, service)
-		} else if c.idleSince[service].IsZero() {
-			c.idleSince[service] = now
-		}
-	}
-}
-
-// idle reports whether under idleShare of the registered capacity is in use, whatever the kind
-// of resource.
-func (u *usableCapacity) idle() bool {
-	under := func(used, registered int64) bool {
-		return float64(used) < idleShare*float64(registered) || registered == 0
-	}
-	return under(u.used.CPU, u.registered.CPU) && under(u.used.Memory, u.registered.Memory) && under(u.used.Accelerators, u.registered.Accelerators)
-}
-
-// mustStart reports whether the step must start if it fits anywhere: its job has had nothing
-// running for maxIdleWait while the service was idle or, whatever the load, the step has a task
-// that runs until it is cancelled and has waited as long.
-func (c *Core) mustStart(now time.Time, s *step) bool {
-	waitedSince := func(since time.Time) bool { return !since.IsZero() && now.Sub(since) >= maxIdleWait }
-	if !waitedSince(s.readySince) {
-		return false
-	}
-	if s.spec.LongRunning {
-		for _, t := range s.tasks {
-			if t.phase == waiting && t.activeRun == nil && now.Sub(t.waitingSince) >= maxIdleWait {
-				return true
-			}
-		}
-		return false
-	}
-	return waitedSince(c.idleSince[s.occ.job.queue.Service]) && !s.occ.job.hasRuns()
-}
-
-// logIfIdle logs at intervals what keeps workers from running a step that must start and has not.
-func (c *Core) logIfIdle(now time.Time, s *step) {
-	if now.Before(c.nextIdleLog) || s.occ.job.hasRuns() {
-		return
-	}
-	c.nextIdleLog = now.Add(idleLogInterval)
-	ft := c.fitTableFor(s)
-	n := map[string]int{}
-	for _, w := range c.sortedWorkers {
-		if w.info.Service == ft.service {
-			n[w.condition(now, c.cfg.ReportTimeout)]++
-		}
-	}
-	c.cfg.Logger.Info("job waits in an idle service", "job", s.occ.job.spec.ID, "step", s.index, "waited_ms", now.Sub(s.readySince).Milliseconds(),
-		"tasks", len(s.tasks)-s.done, "gang", s.spec.Gang, "fits", ft.total.fitFree, "fits_empty", ft.total.fitEmpty, "rack", s.spec.Rack, "label", s.spec.Label,
-		"usable", n[workerUsable], "unlisted", n[workerUnlisted], "unsynced", n[workerUnsynced], "draining", n[workerDraining],
-		"unknown_runs", n[workerUnknownRuns], "suspended", n[workerSuspended], "quarantined", n[workerQuarantined], "silent", n[workerSilent])
-}
-
-// hasRuns reports whether any task of the job has a run.
-func (j *job) hasRuns() bool {
-	for _, o := range j.occs {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if t.activeRun != nil {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
--- a/internal/scheduler/hold_test.go
+++ b/internal/scheduler/backfill_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// Guards against gangs that each hold a part of the pool and wait for each other.
-func TestOnlyOneGangHoldsCapacity(t *testing.T) {
+// Guards against gangs that each reserve a part of the pool and wait for each other.
+func TestOnlyOneGangReservesCapacity(t *testing.T) {
 	const workers = 24
 	p := newPool(t, workers)
 	for _, id := range []string{"bus-1", "bus-2"} {
@@ -71,12 +71,12 @@
 	p.playRuns(2*time.Second, workers, noEnds)
 	p.submit("wide2", 1, "c", declared(gang(12, 8), time.Second)) // comes first in the order
 	p.playRuns(2*time.Second, workers, noEnds)
-	assert.Equal(t, p.core.Holds(), 1)
+	assert.Equal(t, p.core.GangReservations(), 1)
 }
 
 // Guards against gangs that use capacity held for another gang and whose members share workers:
 // each was placed as if the others needed nothing.
-func TestGangInHeldCapacityFits(t *testing.T) {
+func TestGangInReservedCapacityFits(t *testing.T) {
 	const workers = 12
 	p := newPool(t, workers)
 	p.occupy(4, workers)
@@ -92,7 +92,7 @@
 
 // Guards against capacity that is held for a gang on workers where tasks run until they are
 // cancelled.
-func TestNothingIsHeldForAGangBehindLongRunningTasks(t *testing.T) {
+func TestNothingIsReservedForAGangBehindLongRunningTasks(t *testing.T) {
 	const workers = 8
 	p := newPool(t, workers)
 	s := tasks(2, 1)
@@ -101,7 +101,7 @@
 	p.playRuns(500*time.Millisecond, workers, noEnds)
 	p.submit("wide1", 1, "c", gang(7, 8))
 	p.playRuns(5*time.Second, workers, noEnds)
-	assert.Equal(t, p.core.Holds(), 0)
+	assert.Equal(t, p.core.GangReservations(), 0)
 }
 
 // Guards against a job with nothing running that waits for the rack of its data while the rest
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -68,8 +68,8 @@
 	return n
 }
 
-// Holds returns for how many gangs capacity is reserved until running work ends.
-func (c *Core) Holds() int {
+// GangReservations returns for how many gangs capacity is reserved until running work ends.
+func (c *Core) GangReservations() int {
 	n := 0
 	for _, j := range c.active {
 		for _, o := range j.occs {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -37,7 +37,7 @@
 			t.reserve(reservations[i].worker, reservations[i].expires)
 		}
 		if s.occ.job.queue.Priority > 0 {
-			c.keepHold(now, s)
+			c.updateGangReservation(now, s)
 		}
 		return
 	}
@@ -46,7 +46,7 @@
 		return
 	}
 	if now.Sub(s.readySince) > gangReservationDelay {
-		c.holdForGang(now, s)
+		c.reserveForGang(now, s)
 	}
 }
 
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -60,7 +60,7 @@
 	Gang         bool          `json:"gang,omitempty"`
 	Tight        bool          `json:"tight,omitempty"`  // slower on more than one rack
 	Label        string        `json:"label,omitempty"`  // label that the worker must have
-	Rack         string        `json:"rack,omitempty"`   // rack that holds its data
+	Rack         string        `json:"rack,omitempty"`   // rack that gangReservations its data
 	MaxPerWorker int           `json:"spread,omitempty"` // maximum tasks of the step on one worker; 0 means no limit
 	Checkpoints  bool          `json:"checkpoints,omitempty"`
 	LongRunning  bool          `json:"lasting,omitempty"` // runs until cancelled
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -74,7 +74,7 @@
 	cost   float64
 }
 
-// candidateSet holds the workers where urgent tasks of a step could run.
+// candidateSet gangReservations the workers where urgent tasks of a step could run.
 type candidateSet struct {
 	step    *step
 	list    []candidate
@@ -168,7 +168,7 @@
 		return candidate{}, false
 	}
 	victims, cost, ok := c.pickVictims(now, w, need, level, stopped)
-	return candidate{w, victims, cost + failCost*float64(w.strikes)}, ok
+	return candidate{w, victims, cost + failCost*float64(w.attributedFailures)}, ok
 }
 
 // preemptDelay returns how long urgent work waits for other work to end by itself before it
--- a/internal/scheduler/blame.go
+++ b/internal/scheduler/quarantine.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// quarantineThreshold is the number of strikes at which a worker is quarantined. A single
-	// failure is usually caused by the task itself.
+	// quarantineThreshold is the number of failures attributed to a worker at which it is
+	// quarantined. A single failure is usually caused by the task itself.
 	quarantineThreshold = 2
 	// minQuarantine is how long a failing or slow worker gets no new work. For a failing one
-	// the time doubles with each further strike, maxQuarantineDoublings times and up to
+	// the time doubles with each further failure, maxQuarantineDoublings times and up to
 	// maxQuarantine.
 	minQuarantine          = 6 * time.Second
 	maxQuarantine          = time.Minute
@@ -25,9 +25,9 @@
 	// step.
 	maxBadRuns    = 16
 	maxBadWorkers = 64
-	// soundAgeFactor is how many times as long as a bad run of the same step a run must have
-	// lasted to count as sound before it has ended.
-	soundAgeFactor = 2
+	// healthyAgeFactor is how many times as long as a failed run of the same step a run must have
+	// lasted to count as healthy before it has ended.
+	healthyAgeFactor = 2
 )
 
 // badRun is a run that failed or was too slow on a worker.
@@ -50,7 +50,7 @@
 		w.badRuns = slices.Delete(w.badRuns, 0, 1)
 	}
 	w.badRuns = append(w.badRuns, badRun{t, r.number, slow, now})
-	c.suspects[w] = true
+	c.withBadRuns[w] = true
 }
 
 // appendUnique appends an ID unless the list contains it or is full.
@@ -67,25 +67,26 @@
 	w.badRuns = slices.DeleteFunc(w.badRuns, func(b badRun) bool { return !b.slow })
 }
 
-// causedByWork reports whether the task and not its worker is to blame for a bad run: the task
-// also went wrong on another worker, or most of its step's tasks go wrong wherever they run.
+// causedByWork reports whether a bad run is attributed to its task instead of its worker: the task
+// had a bad run on another worker as well, or most of its step's tasks have bad runs on several
+// workers.
 func (c *Core) causedByWork(now time.Time, b *badRun) bool {
 	if b.task.phase == done {
 		return false
 	}
 	s := b.task.step
-	return len(b.task.badWorkers) > 1 || len(s.badWorkers) > 1 && len(s.badWorkers) > c.soundTasks(now, s, b.slow)
+	return len(b.task.badWorkers) > 1 || len(s.badWorkers) > 1 && len(s.badWorkers) > c.healthyTasks(now, s, b.slow)
 }
 
-// soundTasks counts the step's tasks that are done or run well: much longer than those that failed
+// healthyTasks counts the step's tasks that are done or run well: much longer than those that failed
 // or, compared with slow ones, as fast as expected.
-func (c *Core) soundTasks(now time.Time, s *step, slow bool) int {
-	count := &s.soundToFailed
+func (c *Core) healthyTasks(now time.Time, s *step, slow bool) int {
+	count := &s.healthyToFailed
 	if slow {
-		count = &s.soundToSlow
+		count = &s.healthyToSlow
 	}
 	if count.round != c.index.round {
-		*count = soundCount{round: c.index.round}
+		*count = healthyCount{round: c.index.round}
 		expected := time.Duration(minSpeedup * float64(c.expectedRunTime(s)))
 		for _, t := range s.tasks {
 			r := t.activeRun
@@ -94,7 +95,7 @@
 			}
 			age := now.Sub(r.runningSince)
 			remaining, observed := r.remaining(now)
-			if slow && observed && age+remaining < expected || !slow && age > soundAgeFactor*s.badRunAge {
+			if slow && observed && age+remaining < expected || !slow && age > healthyAgeFactor*s.badRunAge {
 				count.tasks++
 			}
 		}
@@ -102,8 +103,8 @@
 	return s.done + count.tasks
 }
 
-// soundCount is a number of running tasks, counted in one scheduling round.
-type soundCount struct {
+// healthyCount is a number of running tasks, counted in one scheduling round.
+type healthyCount struct {
 	round int64
 	tasks int
 }
@@ -115,9 +116,10 @@
 	number int
 }
 
-// judge counts the strikes against a worker and returns until when they keep it in quarantine.
-// Failures of one attempt at a step count once unless other tasks of the step succeed.
-func (c *Core) judge(now time.Time, w *worker) (strikes int, until time.Time) {
+// attributeFailures returns how many failures are attributed to a worker, and until when these and
+// its slow runs keep it in quarantine. Failures of one attempt at a step count once unless other
+// tasks of the step are healthy.
+func (c *Core) attributeFailures(now time.Time, w *worker) (failures int, until time.Time) {
 	counted := map[attempt]bool{}
 	var lastFailure, slowUntil time.Time
 	for i := range w.badRuns {
@@ -130,59 +132,59 @@
 			continue
 		}
 		key := attempt{b.task.step, b.number}
-		if !counted[key] || c.soundTasks(now, b.task.step, false) > 0 {
-			strikes++
+		if !counted[key] || c.healthyTasks(now, b.task.step, false) > 0 {
+			failures++
 		}
 		counted[key], lastFailure = true, b.at
 	}
-	if strikes >= quarantineThreshold {
-		until = lastFailure.Add(min(minQuarantine<<min(strikes-quarantineThreshold, maxQuarantineDoublings), maxQuarantine))
+	if failures >= quarantineThreshold {
+		until = lastFailure.Add(min(minQuarantine<<min(failures-quarantineThreshold, maxQuarantineDoublings), maxQuarantine))
 	}
 	if slowUntil.After(until) {
 		until = slowUntil
 	}
-	return strikes, until
+	return failures, until
 }
 
-// updateQuarantines decides anew which workers are quarantined. What happens elsewhere may show
-// that a worker is not to blame, which ends its quarantine.
+// updateQuarantines decides again which workers are quarantined. Runs on other workers may show
+// that the work was the cause, which ends a quarantine.
 func (c *Core) updateQuarantines(now time.Time) {
-	if len(c.suspects) == 0 {
+	if len(c.withBadRuns) == 0 {
 		return
 	}
 	var due []*worker
-	for w := range c.suspects {
+	for w := range c.withBadRuns {
 		w.badRuns = slices.DeleteFunc(w.badRuns, func(b badRun) bool { return b.slow && now.Sub(b.at) > minQuarantine })
 		if len(w.badRuns) == 0 {
-			delete(c.suspects, w)
+			delete(c.withBadRuns, w)
 		}
-		strikes, until := c.judge(now, w)
-		if strikes != w.strikes {
-			w.strikes = strikes
+		failures, until := c.attributeFailures(now, w)
+		if failures != w.attributedFailures {
+			w.attributedFailures = failures
 			w.markDirty()
 		}
 		if until.After(now) {
 			due = append(due, w)
 		} else {
 			if w.quarantinedUntil.After(now) {
-				c.cfg.Logger.Info("quarantine ends early", "worker", w.id, "failed_runs", w.strikes, "early_ms", w.quarantinedUntil.Sub(now).Milliseconds())
+				c.cfg.Logger.Info("quarantine ends early", "worker", w.id, "failures", w.attributedFailures, "bad_runs", len(w.badRuns), "early_ms", w.quarantinedUntil.Sub(now).Milliseconds())
 			}
 			w.quarantinedUntil = time.Time{}
 		}
-		w.judgedUntil = until
+		w.quarantineDue = until
 	}
 	c.quarantine(now, due)
 }
 
-// quarantine quarantines the workers for which it is due, those with the most strikes first, up
-// to maxQuarantineShare of similar workers.
+// quarantine quarantines the workers for which it is due, those with the most failures first, up to
+// maxQuarantineShare of each group.
 func (c *Core) quarantine(now time.Time, due []*worker) {
 	if len(due) == 0 {
 		return
 	}
-	c.refresh() // counts the workers by label
+	c.refresh() // groupSizes may be out of date
 	slices.SortFunc(due, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.strikes, a.strikes), strings.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.attributedFailures, a.attributedFailures), strings.Compare(a.id, b.id))
 	})
 	quarantined := map[workerGroup]int{}
 	for _, w := range due {
@@ -196,10 +198,10 @@
 		for _, g := range groups {
 			quarantined[g]++
 		}
-		if w.judgedUntil.After(w.quarantinedUntil) {
-			c.cfg.Logger.Warn("worker is quarantined", "worker", w.id, "failed_runs", w.strikes, "for_ms", w.judgedUntil.Sub(now).Milliseconds())
+		if w.quarantineDue.After(w.quarantinedUntil) {
+			c.cfg.Logger.Warn("worker is quarantined", "worker", w.id, "failures", w.attributedFailures, "bad_runs", len(w.badRuns), "for_ms", w.quarantineDue.Sub(now).Milliseconds())
 		}
-		w.quarantinedUntil = w.judgedUntil
+		w.quarantinedUntil = w.quarantineDue
 	}
 }
 
--- a/internal/scheduler/blame_test.go
+++ b/internal/scheduler/quarantine_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// Guards against jobs that can't be done and that put sound workers out of use: two wide jobs
+// Guards against jobs that can't be done and that put healthy workers out of use: two wide jobs
 // whose runs all fail once left no worker for a minute.
 func TestJobsThatAlwaysFailPutNoSoundWorkerOutOfUse(t *testing.T) {
 	const workers = 48
@@ -67,7 +67,7 @@
 
 // Guards against jobs with one task that fails everywhere: two of them on the same worker must
 // not put it out of use for longer than it takes them to fail elsewhere.
-func TestSingleTasksThatAlwaysFailExonerateTheirWorkers(t *testing.T) {
+func TestSingleTasksThatAlwaysFailReleaseTheirWorkers(t *testing.T) {
 	p := newPool(t, 3)
 	for i := range 4 {
 		p.submit(fmt.Sprint("poison", i), 1, "c", tasks(1, 1))
@@ -78,7 +78,7 @@
 	assert.Equal(t, len(p.runsByWorker("sound")), 3, "all workers are in use")
 }
 
-// Guards against work that is slow wherever it runs and that puts sound workers out of use.
+// Guards against work that is slow wherever it runs and that puts healthy workers out of use.
 func TestSlowWorkPutsNoSoundWorkerOutOfUse(t *testing.T) {
 	const workers = 16
 	p := newPool(t, workers)
@@ -102,7 +102,7 @@
 }
 
 // Guards against workers that fail whatever they are given and stay in use, because the work is
-// blamed for their failures.
+// taken for the cause of their failures.
 func TestWorkersThatFailEverythingAreQuarantined(t *testing.T) {
 	const workers, failing = 24, 6
 	p := newPool(t, workers)
--- /dev/null
+++ b/internal/scheduler/records.go
@@ -0,0 +1,161 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+type storedTask struct {
+	name  string
+	value taskRecord
+}
+
+// taskRecord is the stored state of a task. Worker is set while a run of the task may exist
+// there.
+type taskRecord struct {
+	Run        int    `json:"run"`
+	Failures   int    `json:"fails,omitempty"`
+	Worker     string `json:"worker,omitempty"`
+	Checkpoint string `json:"saved,omitempty"`
+	Done       bool   `json:"done,omitempty"`
+	// LastFailed is the last run that Failures counts, and FailedRuns lists all of them.
+	LastFailed int   `json:"failed,omitempty"`
+	FailedRuns []int `json:"faults,omitempty"`
+	Moves      int   `json:"moves,omitempty"`
+}
+
+// jobRecord is the stored outcome of a job.
+type jobRecord struct {
+	State    State  `json:"state"`
+	Ended    int64  `json:"ended"` // Unix milliseconds
+	Customer string `json:"customer,omitempty"`
+}
+
+// Restore loads a record that an earlier leader stored. All records must be loaded before
+// the first job is added.
+func (c *Core) Restore(now time.Time, key string, value []byte) error {
+	if !strings.Contains(key, ".") {
+		var rec jobRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			return errorx.Decorate(err, "stored job %s", key)
+		}
+		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, expiresAt: now.Add(c.cfg.KeepEnded), restored: true}
+		c.effects.Changed = append(c.effects.Changed, key)
+		return nil
+	}
+	id, _, ok := parseTaskName(key)
+	var rec taskRecord
+	if err := json.Unmarshal(value, &rec); err != nil || !ok {
+		return errorx.IllegalFormat.New("stored task %q: %v", key, err)
+	}
+	c.restored[id] = append(c.restored[id], storedTask{key, rec})
+	return nil
+}
+
+func (c *Core) restoreTask(now time.Time, j *job, st storedTask) {
+	t := c.findTask(st.name)
+	if t == nil {
+		c.cfg.Logger.Warn("stored task matches no step of its job", "task", st.name)
+		return
+	}
+	t.run, t.checkpoint, t.moves = st.value.Run, st.value.Checkpoint, st.value.Moves
+	if failed := st.value.failedRuns(); len(failed) > len(*t.failures()) {
+		*t.failures() = failed
+	}
+	j.started = true
+	j.state = Running
+	t.step.occ.started = true
+	switch {
+	case st.value.Done:
+		c.markDone(t)
+	case st.value.Worker != "":
+		w := c.worker(st.value.Worker)
+		t.phase = placed
+		t.activeRun = &run{task: t, name: t.name, number: t.run, worker: w, demand: t.step.spec.demand(), startAnswered: true, confirmedAt: now, progressAt: now}
+		w.addRun(t.activeRun)
+	}
+}
+
+// failures returns the list of the task's failed runs, which the members of a gang share.
+func (t *task) failures() *[]int {
+	if t.step.spec.Gang {
+		return &t.step.failedRuns
+	}
+	return &t.failedRuns
+}
+
+// countFailure notes that a run of the task failed. It reports whether that was not known yet.
+// Failures of tasks that run until they are cancelled don't count.
+func (t *task) countFailure(run int) bool {
+	failed := t.failures()
+	if t.step.spec.LongRunning || slices.Contains(*failed, run) {
+		return false
+	}
+	*failed = append(*failed, run)
+	return true
+}
+
+// failedRuns returns the runs that failed. Leaders of earlier versions stored their number and,
+// for gangs, the last one only; the others get numbers that no run has.
+func (r *taskRecord) failedRuns() []int {
+	if len(r.FailedRuns) > 0 || r.Failures == 0 {
+		return r.FailedRuns
+	}
+	last := r.LastFailed
+	switch {
+	case last > 0:
+	case r.Worker != "":
+		last = r.Run - 1 // Run is in progress
+	default:
+		last = r.Run
+	}
+	failed := []int{last}
+	for n := 1; n < r.Failures; n++ {
+		failed = append(failed, -n)
+	}
+	return failed
+}
+
+// storeRecord adds a record to the effects.
+func (c *Core) storeRecord(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		// The values are plain structs of this package, which can always be encoded.
+		panic(err)
+	}
+	c.effects.Records = append(c.effects.Records, Record{Key: key, Value: data})
+}
+
+// storeTask adds a record of the task's state to the effects.
+func (c *Core) storeTask(t *task) {
+	failed := *t.failures()
+	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed, Moves: t.moves}
+	for _, run := range failed {
+		rec.LastFailed = max(rec.LastFailed, run)
+	}
+	if t.phase == placed && t.activeRun != nil {
+		rec.Worker = t.activeRun.worker.id
+	}
+	if rec.Done {
+		rec.Checkpoint = ""
+	}
+	c.storeRecord(t.name, rec)
+}
+
+// dropDescription has the caller drop the job's description from the store.
+func (c *Core) dropDescription(j *job) {
+	j.pendingDrops++
+	c.effects.Forget = append(c.effects.Forget, j.spec.ID)
+}
+
+// DescriptionDropped records that the description of a job in Effects.Forget was dropped.
+func (c *Core) DescriptionDropped(now time.Time, id string) {
+	if j := c.jobs[id]; j != nil && j.pendingDrops > 0 {
+		j.pendingDrops--
+		j.expiresAt = now.Add(c.cfg.KeepEnded)
+	}
+}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -126,7 +126,7 @@
 		d.decay(now)
 	}
 	c.updateIdleServices(now)
-	c.updateHolds()
+	c.removeStaleGangReservations()
 	for _, j := range c.active {
 		for _, o := range j.occs {
 			if now.Before(o.due) && j.spec.Repeat > 0 {
@@ -140,7 +140,7 @@
 					s.readySince = now
 				}
 				s.mustStart = c.mustStart(now, s)
-				s.usesHold = c.mayUseHold(now, s)
+				s.backfills = c.mayBackfill(now, s)
 				if c.blockedByHeadroom(s) {
 					continue
 				}
@@ -400,7 +400,7 @@
 // Costs added by placementCost, in accelerators left over.
 const (
 	avoidCost = 1000 // the task's last run went badly on the worker
-	failCost  = 30   // for each strike against the worker
+	failCost  = 30   // for each failure attributed to the worker
 )
 
 func (c *Core) placementCost(t *task, w *worker, need Resources) float64 {
@@ -409,7 +409,7 @@
 	if t.avoidWorker == w.id {
 		cost += avoidCost
 	}
-	return cost + failCost*float64(w.strikes)
+	return cost + failCost*float64(w.attributedFailures)
 }
 
 // startRun orders a run of a task on a worker.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -37,11 +37,12 @@
 	unknownDemand int            // number of runs whose demand is unknown
 	reservations  []*reservation // capacity reserved for waiting tasks
 	badRuns       []badRun       // runs that failed since one ended as Done, and recent slow runs
-	// strikes counts the failures that the worker is to blame for, as of the last round.
-	strikes          int
-	judgedUntil      time.Time // when its quarantine should end
-	quarantinedUntil time.Time // no new work before this time, as runs went wrong here
-	suspendedUntil   time.Time // no new work before this time, as it didn't answer or rejected a start
+	// attributedFailures counts the failures that are attributed to the worker and not to its
+	// work, as of the last round.
+	attributedFailures int
+	quarantineDue      time.Time // when its quarantine should end
+	quarantinedUntil   time.Time // no new work before this time, as runs went wrong here
+	suspendedUntil     time.Time // no new work before this time, as it didn't answer or rejected a start
 
 	index          *index
 	pos            int            // position in Core.sortedWorkers
@@ -200,7 +201,7 @@
 
 func (c *Core) forgetWorker(w *worker) {
 	delete(c.workers, w.id)
-	delete(c.suspects, w)
+	delete(c.withBadRuns, w)
 	w.rack, w.schedulable, w.usableCapacity = nil, false, usableCapacity{} // a reservation may still refer to it
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
 	c.index.stale = true
@@ -302,67 +303,6 @@
 	return listed
 }
 
-// acceptLateResult completes a task by a run that counted as lost before its worker listed it as
-// done. A gang needs the results of all members of one run, since a member may have been lost
-// while others ended. Runs that replace it are stopped, so that the work is not done again.
-func (c *Core) acceptLateResult(now time.Time, w *worker, e EndedTask) {
-	t := c.findTask(e.Task)
-	if t == nil || t.phase == done || e.Run > t.run || t.step.spec.LongRunning || t.step.occ.job.state.Final() {
-		return
-	}
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	t.lateDoneRun = e.Run
-	for _, m := range members {
-		if m.lateDoneRun != e.Run {
-			return
-		}
-	}
-	c.changed = true
-	c.cfg.Logger.Info("run that counted as lost is done", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
-	for _, m := range members {
-		m.dropReservation()
-		if m.activeRun != nil && m.activeRun.stopOrderedAt.IsZero() {
-			c.stopRun(now, m.activeRun, "an earlier run is done")
-		}
-	}
-	c.completeTask(t)
-}
-
-// acceptLateFailure counts the failure of a run that counted as lost before its worker listed it.
-// It has used up an attempt all the same.
-func (c *Core) acceptLateFailure(now time.Time, w *worker, e EndedTask) {
-	t := c.findTask(e.Task)
-	if t == nil || t.phase == done || e.Run > t.run || t.step.spec.LongRunning || t.step.occ.job.state.Final() || !t.countFailure(e.Run) {
-		return
-	}
-	c.changed = true
-	c.cfg.Logger.Info("run that counted as lost has failed", "task", t.name, "run", e.Run, "worker", w.id, "newest_run", t.run)
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	for _, m := range members {
-		c.storeTask(m)
-	}
-	c.endJobWithoutAttempts(now, t)
-}
-
-// endJobWithoutAttempts ends the job of a task that has used up its attempts as failed.
-func (c *Core) endJobWithoutAttempts(now time.Time, t *task) {
-	s := t.step
-	if len(*t.failures()) < s.occ.job.queue.Attempts || s.spec.LongRunning {
-		return
-	}
-	reason := "a task has used up its attempts"
-	if s.spec.Gang {
-		reason = "a gang has used up its attempts"
-	}
-	c.endJob(now, s.occ.job, Failed, reason)
-}
-
 // recordProgress applies an entry of a worker's list of running tasks. A run that isn't
 // known is counted on the worker and stopped.
 func (c *Core) recordProgress(now time.Time, w *worker, key runKey, entry RunningTask) {
@@ -475,102 +415,6 @@
 	c.effects.Stops = append(c.effects.Stops, Stop{Worker: r.worker.id, Address: r.worker.info.Address, Task: r.name, Run: r.number})
 }
 
-// runEnded removes a run that has certainly ended from its worker, and completes or
-// requeues its task.
-func (c *Core) runEnded(now time.Time, r *run, cause Cause, checkpoint string) {
-	w := r.worker
-	c.changed = true
-	delete(w.runs, runKey{r.name, r.number})
-	w.used = w.used.minus(r.demand)
-	w.sortedCache = nil
-	w.markDirty()
-	if r.unknownDemand {
-		w.unknownDemand--
-	}
-	t := r.task
-	if t == nil || t.activeRun != r {
-		return
-	}
-	t.activeRun = nil
-	if checkpoint == "" {
-		checkpoint = r.checkpoint
-	}
-	j := t.step.occ.job
-	c.recordRunOutcome(now, r, cause)
-	c.cfg.Logger.Info("run ended", "task", r.name, "run", r.number, "worker", w.id, "cause", string(cause),
-		"percent", r.percent, "ran_ms", ranMillis(now, r), "why", r.stopReason)
-	if j.state.Final() || t.phase == done {
-		return
-	}
-	if cause == Done && !t.step.spec.LongRunning {
-		c.completeTask(t)
-		return
-	}
-	c.requeueTask(now, t, r, cause, checkpoint)
-}
-
-func ranMillis(now time.Time, r *run) int64 {
-	if r.runningSince.IsZero() {
-		return 0
-	}
-	return now.Sub(r.runningSince).Milliseconds()
-}
-
-// completeTask marks a task, or all tasks of its gang, as done and stores their state.
-func (c *Core) completeTask(t *task) {
-	tasks := []*task{t}
-	if t.step.spec.Gang {
-		tasks = t.step.tasks
-	}
-	for _, member := range tasks {
-		if member.phase != done {
-			c.markDone(member)
-			c.storeTask(member)
-		}
-	}
-}
-
-// requeueTask returns a task whose run ended early to the queue. A gang is requeued as a
-// whole.
-func (c *Core) requeueTask(now time.Time, t *task, r *run, cause Cause, checkpoint string) {
-	s := t.step
-	t.phase, t.waitingSince = waiting, now
-	if checkpoint != "" && s.spec.Checkpoints {
-		t.checkpoint = checkpoint
-	}
-	if cause != Stopped || r.stopReason == reasonNoProgress {
-		t.avoidWorker = r.worker.id
-	}
-	if s.spec.Gang {
-		c.requeueGang(now, s, cause, t)
-		return
-	}
-	if cause == Fault {
-		t.countFailure(r.number)
-	}
-	c.storeTask(t)
-	c.endJobWithoutAttempts(now, t)
-}
-
-// requeueGang requeues a gang after the run of one member ended early, and stops the other
-// members. A failed run counts once for the whole gang.
-func (c *Core) requeueGang(now time.Time, s *step, cause Cause, t *task) {
-	if cause == Fault {
-		t.countFailure(t.run)
-	}
-	for _, m := range s.tasks {
-		if m.activeRun != nil && m.activeRun.stopOrderedAt.IsZero() {
-			c.stopRun(now, m.activeRun, "its gang is broken up")
-		}
-		if t.checkpoint != "" {
-			m.checkpoint = t.checkpoint
-		}
-		c.storeTask(m)
-	}
-	s.readySince = time.Time{} // restart its waiting time
-	c.endJobWithoutAttempts(now, t)
-}
-
 // gangWaitShare is the share of Config.GangWait after which an incomplete gang is stopped.
 // The rest of that time is left for stopping its members.
 const gangWaitShare = 0.5
