standin: A gang resumed from a checkpoint begins with all its members

Members of a gang had different amounts of work there, and a checkpoint of one counts for all. Run 2 of task 1 resumed a checkpoint that covered its own work, and ended as done before the other members had started. PROTOCOL.md says that a gang works from the moment when all are present and ends together, "One such end represents all of them", and so the leader completed the job. The others ended alone.

Change: a run that waits for its gang can't end as done or failed.

TestGangMemberDoesNotEndBeforeItsGangIsWhole failed before and passes.

Conclusion: no fault of the scheduler.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -465,6 +465,8 @@
 	case e.workingSince.IsZero() && now.Sub(e.started) > f.cfg.GangWait:
 		f.gangTimeouts = append(f.gangTimeouts, fmt.Sprintf("%s run %d", e.task, e.run))
 		f.endRun(e, scheduler.GangTimeout, now)
+	case e.workingSince.IsZero():
+		// A gang whose checkpoint covers all of its work begins with all members as well.
 	case f.progress(e, now) >= e.work && e.fail:
 		f.endRun(e, scheduler.Fault, now)
 	case f.progress(e, now) >= e.work:
--- /dev/null
+++ b/internal/standin/fleet_test.go
@@ -0,0 +1,41 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/standin"
+)
+
+// Guards against a member of a gang that ends as done before the others are present, since it
+// resumes a checkpoint of a member with more work: the scheduler takes such an end for that of the
+// whole gang, as the protocol says.
+func TestGangMemberDoesNotEndBeforeItsGangIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = time.Second
+		step := &scheduler.Step{Count: 2, Gang: true, Checkpoints: true}
+		f := standin.NewFleet(standin.FleetConfig{
+			MaxLease: time.Minute, GangWait: 3 * time.Second, CheckpointInterval: 500 * time.Millisecond,
+			Work: func(string, int) (time.Duration, bool) { return work, false },
+			Spec: func(string) *scheduler.Step { return step },
+		})
+		f.Add(scheduler.Worker{ID: "w", Capacity: scheduler.Resources{CPU: 1, Memory: 1, Accelerators: 1}})
+		start := func(task string) {
+			answer, err := f.Start(context.Background(), scheduler.Start{Worker: "w", Task: task, Run: 1, Checkpoint: "2000000000"}, 1, time.Minute.Milliseconds())
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Verdict, fleet.Accepted)
+		}
+		start("j.0.0.0")
+		time.Sleep(2 * work)
+		assert.Assert(t, !f.Finished("j.0.0.0"), "the other member is missing")
+		start("j.0.0.1")
+		time.Sleep(work)
+		assert.Assert(t, f.Finished("j.0.0.0") && f.Finished("j.0.0.1"))
+	})
+}
