scheduler: Quarantine a rack whose workers all fail

Of four workers of a rack that failed all they were given, two stayed in use.

Cause: half of the workers with each label were left in use, and the rack is a label. That limit is for failures whose cause is not known yet.

Change: a worker with two failures of tasks that others completed counts for the limit of its service only.

TestRackThatFailsEverythingIsQuarantined fails without the change. TestHalfOfTheWorkersStayInUse could not fail without the limit; it has a load now for which it does. TestSlowTaskIsMovedTwiceAtMost is new for a bound that no test needed. Each was tried against the code without what it guards.

Measured: tests of the scheduler pass.

Conclusion: evidence goes before the limits by label.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -168,7 +168,7 @@
 		return candidate{}, false
 	}
 	victims, cost, ok := c.pickVictims(now, w, need, level, stopped)
-	return candidate{w, victims, cost + failCost*float64(w.attributedFailures)}, ok
+	return candidate{w, victims, cost + failCost*float64(w.attributed.failures)}, ok
 }
 
 // preemptDelay returns how long urgent work waits for other work to end by itself before it
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -19,7 +19,8 @@
 	maxQuarantineDoublings = 4
 	// maxQuarantineShare limits the share of the workers of a service, and of those of them
 	// with a label, that are quarantined at a time. Work that there is room for twice over must
-	// start, so half of the workers must be left to it.
+	// start, so half of the workers must be left to it. Workers with quarantineThreshold
+	// failures of tasks that others completed count for the service only.
 	maxQuarantineShare = 0.5
 	// maxBadRuns and maxBadWorkers limit what is remembered of a worker, and of a task or a
 	// step.
@@ -116,10 +117,16 @@
 	number int
 }
 
-// attributeFailures returns how many failures are attributed to a worker, and until when these and
-// its slow runs keep it in quarantine. Failures of one attempt at a step count once unless other
-// tasks of the step are healthy.
-func (c *Core) attributeFailures(now time.Time, w *worker) (failures int, until time.Time) {
+// attribution holds what is attributed to a worker and not to its work.
+type attribution struct {
+	failures int       // each attempt at a step counts once unless other tasks of the step are healthy
+	proven   int       // failures of tasks that other workers completed
+	until    time.Time // until when failures and slow runs keep it in quarantine
+}
+
+// attributeFailures decides which bad runs of a worker are attributed to it.
+func (c *Core) attributeFailures(now time.Time, w *worker) attribution {
+	var a attribution
 	counted := map[attempt]bool{}
 	var lastFailure, slowUntil time.Time
 	for i := range w.badRuns {
@@ -133,17 +140,20 @@
 		}
 		key := attempt{b.task.step, b.number}
 		if !counted[key] || c.healthyTasks(now, b.task.step, false) > 0 {
-			failures++
+			a.failures++
+		}
+		if b.task.phase == done {
+			a.proven++
 		}
 		counted[key], lastFailure = true, b.at
 	}
-	if failures >= quarantineThreshold {
-		until = lastFailure.Add(min(minQuarantine<<min(failures-quarantineThreshold, maxQuarantineDoublings), maxQuarantine))
+	if a.failures >= quarantineThreshold {
+		a.until = lastFailure.Add(min(minQuarantine<<min(a.failures-quarantineThreshold, maxQuarantineDoublings), maxQuarantine))
 	}
-	if slowUntil.After(until) {
-		until = slowUntil
+	if slowUntil.After(a.until) {
+		a.until = slowUntil
 	}
-	return failures, until
+	return a
 }
 
 // updateQuarantines decides again which workers are quarantined. Runs on other workers may show
@@ -158,20 +168,19 @@
 		if len(w.badRuns) == 0 {
 			delete(c.withBadRuns, w)
 		}
-		failures, until := c.attributeFailures(now, w)
-		if failures != w.attributedFailures {
-			w.attributedFailures = failures
+		a := c.attributeFailures(now, w)
+		if a.failures != w.attributed.failures {
 			w.markDirty()
 		}
-		if until.After(now) {
+		w.attributed = a
+		if a.until.After(now) {
 			due = append(due, w)
 		} else {
 			if w.quarantinedUntil.After(now) {
-				c.cfg.Logger.Info("quarantine ends early", "worker", w.id, "failures", w.attributedFailures, "bad_runs", len(w.badRuns), "early_ms", w.quarantinedUntil.Sub(now).Milliseconds())
+				c.cfg.Logger.Info("quarantine ends early", "worker", w.id, "failures", w.attributed.failures, "bad_runs", len(w.badRuns), "early_ms", w.quarantinedUntil.Sub(now).Milliseconds())
 			}
 			w.quarantinedUntil = time.Time{}
 		}
-		w.quarantineDue = until
 	}
 	c.quarantine(now, due)
 }
@@ -184,11 +193,14 @@
 	}
 	c.refresh() // groupSizes may be out of date
 	slices.SortFunc(due, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.attributedFailures, a.attributedFailures), strings.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.attributed.failures, a.attributed.failures), strings.Compare(a.id, b.id))
 	})
 	quarantined := map[workerGroup]int{}
 	for _, w := range due {
 		groups := w.groups()
+		if w.attributed.proven >= quarantineThreshold {
+			groups = groups[:1]
+		}
 		if slices.ContainsFunc(groups, func(g workerGroup) bool {
 			return float64(quarantined[g]+1) > maxQuarantineShare*float64(c.index.groupSizes[g])
 		}) {
@@ -198,17 +210,17 @@
 		for _, g := range groups {
 			quarantined[g]++
 		}
-		if w.quarantineDue.After(w.quarantinedUntil) {
-			c.cfg.Logger.Warn("worker is quarantined", "worker", w.id, "failures", w.attributedFailures, "bad_runs", len(w.badRuns), "for_ms", w.quarantineDue.Sub(now).Milliseconds())
+		if w.attributed.until.After(w.quarantinedUntil) {
+			c.cfg.Logger.Warn("worker is quarantined", "worker", w.id, "failures", w.attributed.failures, "bad_runs", len(w.badRuns), "for_ms", w.attributed.until.Sub(now).Milliseconds())
 		}
-		w.quarantinedUntil = w.quarantineDue
+		w.quarantinedUntil = w.attributed.until
 	}
 }
 
 // workerGroup identifies the workers of a service or, with a label, those of them that have it.
 type workerGroup struct{ service, label string }
 
-// groups returns the groups that the worker belongs to.
+// groups returns the groups that the worker belongs to, that of its whole service first.
 func (w *worker) groups() []workerGroup {
 	groups := []workerGroup{{service: w.info.Service}}
 	for _, label := range w.info.Labels {
--- a/internal/scheduler/quarantine_test.go
+++ b/internal/scheduler/quarantine_test.go
@@ -117,7 +117,7 @@
 		return ""
 	}
 	p.playRuns(6*time.Second, workers, outcome)
-	p.submitMixed("later", 40)
+	p.submitMixed("later", 60) // more than the other workers have room for
 	p.step(50 * time.Millisecond)
 	onFailing := 0
 	for _, s := range p.runs {
@@ -127,7 +127,7 @@
 	}
 	assert.Equal(t, onFailing, 0, "of %d runs", len(p.runs))
 	p.playRuns(10*time.Second, workers, outcome)
-	for i := range 40 {
+	for i := range 60 {
 		assert.Equal(t, p.state(fmt.Sprint("later", i)), scheduler.Completed)
 	}
 }
@@ -139,18 +139,39 @@
 	}
 }
 
-// Guards against a pool that is quarantined as a whole: half of the workers with each label must
-// be left, whatever they fail.
+// Guards against a pool that is quarantined as a whole: many jobs of one task that fail at the same
+// time look like failures of all workers until their second attempts.
 func TestHalfOfTheWorkersStayInUse(t *testing.T) {
 	const workers = 8
 	p := newPool(t, workers)
-	for i := range 60 {
-		p.submit(fmt.Sprint("job", i), 1, "c", tasks(1, 1))
-		p.playRuns(200*time.Millisecond, workers, func(string, string, time.Duration) scheduler.Cause { return scheduler.Fault })
+	for i := range 8 * workers {
+		p.submit(fmt.Sprintf("poison%02d", i), 1, "c", tasks(1, 1))
 	}
-	p.submit("probe", 1, "c", tasks(64, 1))
-	p.step(50 * time.Millisecond)
-	assert.Assert(t, len(p.runsByWorker("probe")) >= workers/2)
+	most := 0
+	for range 40 {
+		p.playRuns(50*time.Millisecond, workers, poisoned(time.Second))
+		most = max(most, p.core.Quarantined(p.now))
+	}
+	assert.Equal(t, most, workers/2)
+}
+
+// Guards against a rack whose workers all fail and of which half stay in use, since they have a label
+// in common: what others complete shows that the workers fail.
+func TestRackThatFailsEverythingIsQuarantined(t *testing.T) {
+	const workers, failing = 12, 4
+	p := newPool(t, workers)
+	p.submitMixed("early", 16)
+	outcome := func(_, worker string, age time.Duration) scheduler.Cause {
+		switch {
+		case worker < workerID(failing) && age >= 500*time.Millisecond:
+			return scheduler.Fault
+		case age >= 2*time.Second:
+			return scheduler.Done
+		}
+		return ""
+	}
+	p.playRuns(4*time.Second, workers, outcome)
+	assert.Equal(t, p.core.Quarantined(p.now), failing)
 }
 
 // endsAfter ends runs as Done after runSeconds, whatever the task.
@@ -183,6 +204,23 @@
 	}
 }
 
+// Guards against a task that is moved without end since each worker is slower than those before.
+func TestSlowTaskIsMovedTwiceAtMost(t *testing.T) {
+	const workers = 8
+	p := newPool(t, workers)
+	p.runSeconds = 2.5
+	for i := range 3 { // the run times of the queue are known from these
+		p.submit(fmt.Sprint("usual", i), 1, "c", declared(tasks(8, 1), 2500*time.Millisecond))
+	}
+	p.playRuns(5*time.Second, workers, p.endsAfter())
+	p.submit("slow", 1, "c", declared(tasks(1, 1), 2500*time.Millisecond))
+	for run, seconds := range []float64{12, 60, 300} {
+		p.runSeconds = seconds
+		p.playRuns(6*time.Second, workers, p.endsAfter())
+		assert.Equal(t, p.runs["slow.0.0.0"].Run, min(run+2, 3))
+	}
+}
+
 // Guards against a task that reports progress so seldom that each of its runs counts as hung.
 func TestTaskWithRareProgressEnds(t *testing.T) {
 	const workers = 4
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -409,7 +409,7 @@
 	if t.avoidWorker == w.id {
 		cost += avoidCost
 	}
-	return cost + failCost*float64(w.attributedFailures)
+	return cost + failCost*float64(w.attributed.failures)
 }
 
 // startRun orders a run of a task on a worker.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -26,23 +26,20 @@
 
 // worker is the scheduler's state of a worker.
 type worker struct {
-	id            string
-	listed        bool // in the registry
-	info          Worker
-	incarnation   int64     // start time of its current process in Unix milliseconds
-	synced        bool      // has reported under this leader's fencing token
-	lastHeard     time.Time // last registry entry or report
-	runs          map[runKey]*run
-	used          Resources
-	unknownDemand int            // number of runs whose demand is unknown
-	reservations  []*reservation // capacity reserved for waiting tasks
-	badRuns       []badRun       // runs that failed since one ended as Done, and recent slow runs
-	// attributedFailures counts the failures that are attributed to the worker and not to its
-	// work, as of the last round.
-	attributedFailures int
-	quarantineDue      time.Time // when its quarantine should end
-	quarantinedUntil   time.Time // no new work before this time, as runs went wrong here
-	suspendedUntil     time.Time // no new work before this time, as it didn't answer or rejected a start
+	id               string
+	listed           bool // in the registry
+	info             Worker
+	incarnation      int64     // start time of its current process in Unix milliseconds
+	synced           bool      // has reported under this leader's fencing token
+	lastHeard        time.Time // last registry entry or report
+	runs             map[runKey]*run
+	used             Resources
+	unknownDemand    int            // number of runs whose demand is unknown
+	reservations     []*reservation // capacity reserved for waiting tasks
+	badRuns          []badRun       // runs that failed since one ended as Done, and recent slow runs
+	attributed       attribution    // bad runs that are attributed to the worker, as of the last round
+	quarantinedUntil time.Time      // no new work before this time, as runs went wrong here
+	suspendedUntil   time.Time      // no new work before this time, as it didn't answer or rejected a start
 
 	index          *index
 	pos            int            // position in Core.sortedWorkers
