leader, scheduler: Log reads that failed; one sum of resources

A question about an unknown job that was not answered since the read failed left no trace on the leader; the stand-in and a test had their own sums of resources; a field of jobs was set and never read; a pause was an unnamed multiple.

Change: a log line and job_read_failures_total; Resources.Plus and Minus are exported and used; the field is gone; the pause has a name.

Conclusion: no change of behaviour but the line and the metric.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -10,6 +10,7 @@
 
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
 )
@@ -24,6 +25,9 @@
 // is logged and then one in logInterval.
 const logInterval = 32
 
+// jobReadRetryDelay is the pause after a read of new jobs that failed.
+const jobReadRetryDelay = 100 * time.Millisecond
+
 // jobReads coordinates the reads of a part's new jobs.
 type jobReads struct {
 	offset atomic.Int64 // records before it have been posted to the loop
@@ -52,7 +56,7 @@
 		if failures++; failures%logInterval == 1 && ctx.Err() == nil {
 			t.cfg.Logger.Warn("new jobs not read", "part", part, "from", t.jobReads[part].offset.Load(), "failures", failures, "error", err)
 		}
-		time.Sleep(retryDelay * 5)
+		time.Sleep(jobReadRetryDelay)
 	}
 }
 
@@ -114,13 +118,16 @@
 	ctx, cancel := context.WithTimeout(t.ctx, catchUpTimeout)
 	defer cancel()
 	applied := make(chan struct{})
-	if r.err = t.readJobs(ctx, part, 0, func() { close(applied) }); r.err != nil {
-		return
+	if r.err = t.readJobs(ctx, part, 0, func() { close(applied) }); r.err == nil {
+		select {
+		case <-applied:
+		case <-ctx.Done():
+			r.err = ctx.Err()
+		}
 	}
-	select {
-	case <-applied:
-	case <-ctx.Done():
-		r.err = ctx.Err()
+	if r.err != nil && t.ctx.Err() == nil {
+		metric.Count("job_read_failures_total")
+		t.cfg.Logger.Info("no definite answer about an unknown job: new jobs not read", "part", part, "timeout_ms", catchUpTimeout.Milliseconds(), "error", r.err)
 	}
 }
 
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -85,7 +85,7 @@
 		if !w.schedulable || !ft.eligible(w) {
 			continue
 		}
-		if w.info.Capacity.minus(w.reserved(level)).Fits(need) {
+		if w.info.Capacity.Minus(w.reserved(level)).Fits(need) {
 			if wait := c.estimateWait(now, w, w.free(level), need); wait <= gangReservationTTL {
 				candidates = append(candidates, option{w, wait})
 			}
@@ -94,7 +94,7 @@
 	sort.SliceStable(candidates, func(i, k int) bool { return candidates[i].wait < candidates[k].wait })
 	i := 0
 	for _, t := range s.tasks {
-		for i < len(candidates) && (!candidates[i].w.info.Capacity.minus(candidates[i].w.reserved(level)).Fits(need) || !s.spreadAllows(candidates[i].w)) {
+		for i < len(candidates) && (!candidates[i].w.info.Capacity.Minus(candidates[i].w.reserved(level)).Fits(need) || !s.spreadAllows(candidates[i].w)) {
 			i++
 		}
 		if i == len(candidates) {
@@ -119,11 +119,11 @@
 	reserved := map[*worker]Resources{}
 	for _, t := range s.tasks {
 		w := t.reservation.worker
-		reserved[w] = reserved[w].plus(t.reservation.demand)
+		reserved[w] = reserved[w].Plus(t.reservation.demand)
 	}
 	longest := time.Duration(0)
 	for w, demand := range reserved {
-		longest = max(longest, c.estimateWait(now, w, w.info.Capacity.minus(w.used), demand))
+		longest = max(longest, c.estimateWait(now, w, w.info.Capacity.Minus(w.used), demand))
 	}
 	return longest
 }
@@ -144,7 +144,7 @@
 	}
 	sort.SliceStable(ends, func(i, k int) bool { return ends[i].in < ends[k].in })
 	for _, e := range ends {
-		free = free.plus(e.demand)
+		free = free.Plus(e.demand)
 		if free.Fits(need) {
 			return e.in
 		}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -69,7 +69,7 @@
 	w := r.worker
 	c.changed = true
 	delete(w.runs, runKey{r.name, r.number})
-	w.used = w.used.minus(r.demand)
+	w.used = w.used.Minus(r.demand)
 	w.sortedCache = nil
 	w.markDirty()
 	if r.unknownDemand {
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -14,8 +14,8 @@
 	totals := map[string]usableCapacity{}
 	for _, w := range c.sortedWorkers {
 		sum, own := totals[w.info.Service], usableCapacityOf(w)
-		sum.capacity, sum.free = sum.capacity.plus(own.capacity), sum.free.plus(own.free)
-		sum.registered, sum.used = sum.registered.plus(own.registered), sum.used.plus(own.used)
+		sum.capacity, sum.free = sum.capacity.Plus(own.capacity), sum.free.Plus(own.free)
+		sum.registered, sum.used = sum.registered.Plus(own.registered), sum.used.Plus(own.used)
 		for i := range sum.freeBySize {
 			sum.freeBySize[i] += own.freeBySize[i]
 		}
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -51,10 +51,10 @@
 		return
 	}
 	sum := ix.totals[w.info.Service]
-	sum.capacity = sum.capacity.plus(current.capacity).minus(w.usableCapacity.capacity)
-	sum.free = sum.free.plus(current.free).minus(w.usableCapacity.free)
-	sum.registered = sum.registered.plus(current.registered).minus(w.usableCapacity.registered)
-	sum.used = sum.used.plus(current.used).minus(w.usableCapacity.used)
+	sum.capacity = sum.capacity.Plus(current.capacity).Minus(w.usableCapacity.capacity)
+	sum.free = sum.free.Plus(current.free).Minus(w.usableCapacity.free)
+	sum.registered = sum.registered.Plus(current.registered).Minus(w.usableCapacity.registered)
+	sum.used = sum.used.Plus(current.used).Minus(w.usableCapacity.used)
 	for i := range sum.freeBySize {
 		sum.freeBySize[i] += current.freeBySize[i] - w.usableCapacity.freeBySize[i]
 	}
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -219,7 +219,7 @@
 		fitFree = fitCount(free, ft.need)
 		fitPreempt = fitFree
 		if ft.level <= levelUrgent {
-			fitPreempt = fitCount(free.plus(w.preemptible(ft.level)), ft.need)
+			fitPreempt = fitCount(free.Plus(w.preemptible(ft.level)), ft.need)
 		}
 	}
 	if ft.fitFree[w.pos] > 0 {
@@ -244,7 +244,7 @@
 	var sum Resources
 	for _, r := range w.runs {
 		if !r.stopOrderedAt.IsZero() || r.preemptibleBy(level) {
-			sum = sum.plus(r.demand)
+			sum = sum.Plus(r.demand)
 		}
 	}
 	return sum
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -23,11 +23,13 @@
 	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.Accelerators <= r.Accelerators
 }
 
-func (r Resources) plus(o Resources) Resources {
+// Plus returns the sum in every dimension.
+func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
 }
 
-func (r Resources) minus(o Resources) Resources {
+// Minus returns the difference in every dimension, which may be negative.
+func (r Resources) Minus(o Resources) Resources {
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -164,7 +164,7 @@
 func (c *Core) evaluate(now time.Time, s *step, w *worker, stopped map[*run]bool) (candidate, bool) {
 	c.evaluations++
 	need, level := s.spec.demand(), s.occ.job.level
-	if !s.spreadAllows(w) || !w.info.Capacity.minus(w.reserved(level)).Fits(need) {
+	if !s.spreadAllows(w) || !w.info.Capacity.Minus(w.reserved(level)).Fits(need) {
 		return candidate{}, false
 	}
 	victims, cost, ok := c.pickVictims(now, w, need, level, stopped)
@@ -225,7 +225,7 @@
 	gangs := map[*step]int{} // index in choices
 	for _, r := range w.sortedRuns() {
 		if !r.stopOrderedAt.IsZero() || stopped[r] {
-			free = free.plus(r.demand)
+			free = free.Plus(r.demand)
 			continue
 		}
 		if !r.preemptibleBy(level) {
@@ -233,7 +233,7 @@
 		}
 		if s := r.task.step; s.spec.Gang {
 			if i, ok := gangs[s]; ok {
-				choices[i].demand = choices[i].demand.plus(r.demand)
+				choices[i].demand = choices[i].demand.Plus(r.demand)
 				continue
 			}
 			gangs[s] = len(choices)
@@ -246,7 +246,7 @@
 	sort.SliceStable(choices, func(i, k int) bool { return choices[i].loss < choices[k].loss })
 	n := 0
 	for n < len(choices) && !free.Fits(need) {
-		free = free.plus(choices[n].demand)
+		free = free.Plus(choices[n].demand)
 		n++
 	}
 	if !free.Fits(need) {
@@ -255,7 +255,7 @@
 	choices = choices[:n]
 	// Drop earlier, smaller choices that a later, larger one has made unnecessary.
 	for i := len(choices) - 2; i >= 0; i-- {
-		if remaining := free.minus(choices[i].demand); remaining.Fits(need) {
+		if remaining := free.Minus(choices[i].demand); remaining.Fits(need) {
 			free = remaining
 			choices = slices.Delete(choices, i, i+1)
 		}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -43,7 +43,7 @@
 		if err := json.Unmarshal(value, &rec); err != nil {
 			return errorx.Decorate(err, "stored job %s", key)
 		}
-		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, expiresAt: now.Add(c.cfg.KeepEnded), restored: true}
+		c.jobs[key] = &job{spec: Job{ID: key, Customer: rec.Customer}, state: rec.State, expiresAt: now.Add(c.cfg.KeepEnded)}
 		c.effects.Changed = append(c.effects.Changed, key)
 		return nil
 	}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -404,7 +404,7 @@
 )
 
 func (c *Core) placementCost(t *task, w *worker, need Resources) float64 {
-	left := w.free(t.step.reservationLevel()).minus(need)
+	left := w.free(t.step.reservationLevel()).Minus(need)
 	cost := float64(left.Accelerators) + float64(left.CPU)/math.Max(1, float64(w.info.Capacity.CPU))
 	if t.avoidWorker == w.id {
 		cost += avoidCost
@@ -434,7 +434,7 @@
 		Worker: w.id, Address: w.info.Address, Task: t.name, Run: number, Text: j.spec.Text, Checkpoint: t.checkpoint,
 	})
 	c.cfg.Logger.Info("run is started", "task", t.name, "run", number, "worker", w.id, "rack", w.info.Rack,
-		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.readySince).Milliseconds(), "free_before", w.info.Capacity.minus(w.used).plus(t.activeRun.demand).Accelerators,
+		"home_rack", s.homeRack(), "waited_ms", now.Sub(s.readySince).Milliseconds(), "free_before", w.info.Capacity.Minus(w.used).Plus(t.activeRun.demand).Accelerators,
 		"rank", j.rank, "saved", t.checkpoint != "")
 }
 
@@ -448,10 +448,10 @@
 			dropReservations(tasks)
 			return false
 		}
-		reserved[w] = reserved[w].plus(t.reservation.demand)
+		reserved[w] = reserved[w].Plus(t.reservation.demand)
 	}
 	for w, demand := range reserved {
-		if !w.info.Capacity.minus(w.used).Fits(demand) {
+		if !w.info.Capacity.Minus(w.used).Fits(demand) {
 			return false
 		}
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -110,8 +110,7 @@
 		}
 		index, err := strconv.Atoi(parts[2])
 		assert.NilError(p.t, err)
-		need, sum := steps[index].Need, used[s.Worker]
-		sum = scheduler.Resources{CPU: sum.CPU + need.CPU, Memory: sum.Memory + need.Memory, Accelerators: sum.Accelerators + need.Accelerators}
+		sum := used[s.Worker].Plus(steps[index].Need)
 		assert.Assert(p.t, testCapacity.Fits(sum), "LIMIT: %s runs %+v", s.Worker, sum)
 		used[s.Worker] = sum
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -97,7 +97,6 @@
 	occs     []*occurrence
 	done     int // occurrences that are done
 	started  bool
-	restored bool      // read from a stored outcome
 	deadline time.Time // end of its objective; the job earns its full worth until then
 	accepted time.Time
 	// pendingDrops counts the drops of the job's description that aren't confirmed yet. The
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -66,7 +66,7 @@
 
 func (w *worker) addRun(r *run) {
 	w.runs[runKey{r.name, r.number}] = r
-	w.used = w.used.plus(r.demand)
+	w.used = w.used.Plus(r.demand)
 	w.sortedCache = nil
 	w.markDirty()
 }
@@ -77,7 +77,7 @@
 	var sum Resources
 	for _, r := range w.reservations {
 		if r.level <= level {
-			sum = sum.plus(r.demand)
+			sum = sum.Plus(r.demand)
 		}
 	}
 	return sum
@@ -85,7 +85,7 @@
 
 // free returns the capacity that new work of a level may use.
 func (w *worker) free(level int) Resources {
-	return w.info.Capacity.minus(w.used).minus(w.reserved(level))
+	return w.info.Capacity.Minus(w.used).Minus(w.reserved(level))
 }
 
 // Conditions of a worker, in logs. Only a usable one may be given new work.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -374,9 +374,7 @@
 func (f *Fleet) checkCapacity(m *machine, task string) {
 	var used scheduler.Resources
 	for _, e := range m.runs {
-		used.CPU += e.step.Need.CPU
-		used.Memory += e.step.Need.Memory
-		used.Accelerators += e.step.Need.Accelerators
+		used = used.Plus(e.step.Need)
 	}
 	if !m.worker.Capacity.Fits(used) {
 		f.addViolation("LIMIT %s: %+v of %+v on %s", task, used, m.worker.Capacity, m.worker.ID)
@@ -670,16 +668,16 @@
 	var total, used scheduler.Resources
 	for id, m := range f.machines {
 		free := m.worker.Capacity
-		total = addResources(total, free, 1)
+		total = total.Plus(free)
 		for _, e := range m.runs {
-			free = addResources(free, e.step.Need, -1)
-			used = addResources(used, e.step.Need, 1)
+			free = free.Minus(e.step.Need)
+			used = used.Plus(e.step.Need)
 		}
 		if f.unreachable[id] || m.worker.Draining || label != "" && !slices.Contains(m.worker.Labels, label) {
 			continue
 		}
 		for free.Fits(need) && need != (scheduler.Resources{}) {
-			free = addResources(free, need, -1)
+			free = free.Minus(need)
 			room.Fits++
 		}
 	}
@@ -691,10 +689,6 @@
 	return room
 }
 
-func addResources(a, b scheduler.Resources, sign int64) scheduler.Resources {
-	return scheduler.Resources{CPU: a.CPU + sign*b.CPU, Memory: a.Memory + sign*b.Memory, Accelerators: a.Accelerators + sign*b.Accelerators}
-}
-
 // Running reports whether a task has a run on a worker.
 func (f *Fleet) Running(task string) bool {
 	f.mu.Lock()
