--- /dev/null
+++ b/review/stand2/cases_test.go
@@ -0,0 +1,162 @@
+//go:build review2
+
+package stand2
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/standin"
+)
+
+// smallSite starts three VMs and ten minions, of which the last has the label b.
+func smallSite(s *site) (*vm, []*vm) {
+	for i := range 10 {
+		label := "a"
+		if i == 9 {
+			label = "b"
+		}
+		s.addMinion(fmt.Sprintf("m-%02d", i), fmt.Sprintf("r1-%d", i/5), label, room{128000, 262144, 8})
+	}
+	for i := range 3 {
+		s.addVM(fmt.Sprintf("vm-%d", i+1))
+	}
+	lead, others := s.leader()
+	time.Sleep(contact) // all are in touch
+	return lead, others
+}
+
+// jobIDs returns n IDs of jobs of one part.
+func jobIDs(part, n int) []string {
+	var ids []string
+	for i := 0; len(ids) < n; i++ {
+		if id := fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i); intake.PartOf(id) == part {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// cancelledJobRuns is case 6: a client that was not told whether its job was accepted cancels it, and the job
+// starts long after the cancelling was acknowledged.
+func cancelledJobRuns(s *site, trouble bool) string {
+	_, others := smallSite(s)
+	a, b := others[0], others[1]
+	id := jobIDs(3, 1)[0]
+	if trouble {
+		s.note("the store does not answer the writes of %s, and carries them out 6 s later", a.name)
+		s.platform.Log.SetVMFault(a.name, &standin.LogFault{LossRate: 1, Late: 6 * time.Second})
+	}
+	others8 := make(chan bool)
+	go func() { // other clients, whose writes the store answers
+		defer close(others8)
+		for _, other := range jobIDs(5, 8) {
+			s.call(b, http.MethodPost, other, job("work=500", nil))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	status, _ := s.call(a, http.MethodPost, id, job("work=9000", nil))
+	s.platform.Log.SetVMFault(a.name, nil)
+	s.note("the store answers all writes")
+	<-others8
+	cancelled := s.retry(http.MethodDelete, id, nil)
+	ackedAt := time.Now()
+	if cancelled == 0 {
+		return "" // no acknowledgement to judge by
+	}
+	s.note("the cancelling of %s is acknowledged with %d", id, cancelled)
+	for end := ackedAt.Add(12 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, at := range s.startsOf(id) {
+			if late := at.Sub(ackedAt); late > cancelTime {
+				return fmt.Sprintf("UNASKED a task of %s starts %d ms after its cancelling was acknowledged with %d; its submission was answered %d", id, late.Milliseconds(), cancelled, status)
+			}
+		}
+	}
+	return ""
+}
+
+// waitingJobsAreNotCounted is case 8: jobs whose starts were refused are not counted as waiting.
+func waitingJobsAreNotCounted(s *site, trouble bool) string {
+	smallSite(s)
+	sick := s.minions[9]
+	if trouble {
+		sick.setBusy(true)
+		defer sick.setBusy(false)
+	}
+	ids := jobIDs(1, 8)
+	for _, id := range ids {
+		if s.retry(http.MethodPost, id, job("work=9000", map[string]any{"required_label": "b"})) != http.StatusOK {
+			return ""
+		}
+	}
+	time.Sleep(visible + 2*time.Second + 200*time.Millisecond)
+	for _, v := range s.vms {
+		begunBefore := s.begun(ids)
+		status, data := s.call(v, http.MethodGet, "", nil)
+		notBegun := len(ids) - s.begun(ids)
+		var out struct {
+			Waiting int `json:"waiting"`
+		}
+		if status != http.StatusOK || json.Unmarshal(data, &out) != nil {
+			continue
+		}
+		s.note("%s says that %d jobs wait; %d of %d had begun before the call", v.name, out.Waiting, begunBefore, len(ids))
+		if 2*out.Waiting < notBegun {
+			return fmt.Sprintf("MIXED %s gives %d as waiting, and %d jobs that were accepted over %s before have not begun", v.name, out.Waiting, notBegun, visible+2*time.Second)
+		}
+	}
+	return ""
+}
+
+// begun returns how many of the jobs have begun.
+func (s *site) begun(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if len(s.startsOf(id)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// lastingTaskStaysAway is case 7: a task that lasts is not started again in time after its minion was lost.
+func lastingTaskStaysAway(s *site, trouble bool) string {
+	smallSite(s)
+	id := jobIDs(2, 1)[0]
+	if s.retry(http.MethodPost, id, job("lasts", map[string]any{"long_running": true})) != http.StatusOK {
+		return ""
+	}
+	task := id + ".0.0.0"
+	time.Sleep(contact + 2*time.Second)
+	if up, _ := s.running(task); !up {
+		return "LOST the lasting task has not begun 5 s after its acceptance"
+	}
+	if trouble {
+		for _, m := range s.minions {
+			m.mu.Lock()
+			host := m.runs[task] != nil
+			m.mu.Unlock()
+			if host {
+				m.lose()
+			}
+		}
+	}
+	for end := time.Now().Add(14 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		up, ended := s.running(task)
+		if !up && time.Since(ended) > 9*time.Second {
+			defer func() {
+				for wait := time.Now().Add(6 * time.Second); time.Now().Before(wait); time.Sleep(20 * time.Millisecond) {
+					if up, _ := s.running(task); up {
+						s.note("the task runs again")
+						return
+					}
+				}
+			}()
+			return fmt.Sprintf("LOST %s has had no run since its last one ended 9 s ago, with nine minions free", task)
+		}
+	}
+	return ""
+}
