review: Show that accepted jobs are passed over under a very long objective

Cause: a VM checks a job before it has its queue, the leader checks it with the queue and goes on without the job. Change: a script as case 9 of the review; no code of the product.

--- a/review/stand2/cases_test.go
+++ b/review/stand2/cases_test.go
@@ -170,3 +170,27 @@
 	}
 	panic(setupError{fmt.Errorf("no minion runs %s", task)})
 }
+
+// acceptedJobIsPassedOver is case 9: after a change of the configuration jobs are accepted that no leader takes.
+func acceptedJobIsPassedOver(s *site, trouble bool) string {
+	smallSite(s)
+	target := int64(2000)
+	if trouble {
+		target = 400 * 24 * time.Hour.Milliseconds()
+	}
+	s.note("the operator changes the queue's objective to %d ms", target)
+	s.publish(7, target)
+	time.Sleep(contact)
+	for _, id := range jobIDs(4, 3) {
+		if s.retry(http.MethodPost, id, job("work=500", nil)) != http.StatusOK {
+			continue
+		}
+		time.Sleep(visible + time.Second)
+		for _, v := range s.vms {
+			if status, _ := s.call(v, http.MethodGet, id, nil); status == http.StatusGone {
+				return fmt.Sprintf("LOST %s answers 410 for %s, accepted over %s before; starts: %d", v.name, id, visible, len(s.startsOf(id)))
+			}
+		}
+	}
+	return ""
+}
--- a/review/stand2/main_test.go
+++ b/review/stand2/main_test.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(s *site, trouble bool) string{
 	"6": cancelledJobRuns,
 	"8": waitingJobsAreNotCounted,
+	"9": acceptedJobIsPassedOver,
 	"7": lastingTaskStaysAway,
 }
 
--- a/review/stand2/site_test.go
+++ b/review/stand2/site_test.go
@@ -111,16 +111,16 @@
 	s.must(err)
 	s.platform, err = platformtest.New(platformtest.Config{})
 	s.must(err)
-	s.publish()
+	s.publish(3, 1000)
 	return s
 }
 
-// publish publishes the configuration.
-func (s *site) publish() {
+// publish publishes a version of the configuration, with the queue's objective in milliseconds.
+func (s *site) publish(version int, target int64) {
 	value, err := json.Marshal(map[string]any{
-		"version": 3,
+		"version": version,
 		"routes": []map[string]any{{
-			"name": "queue", "host": host, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": 5000, "target_latency_ms": 1000,
+			"name": "queue", "host": host, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": 5000, "target_latency_ms": target,
 			"priority": 1, "service": serviceName, "retry_attempts": 3, "stretch_factor": 3.0,
 		}},
 		"services": []map[string]any{{"name": serviceName}},
