review: Take ports of daemons from below the ephemeral range

A listener or connection may have got a port that was found free for a daemon. Change: ports between 12000 and 32000.

--- a/review/stand2/site_test.go
+++ b/review/stand2/site_test.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -134,14 +135,18 @@
 	s.platform.Log.Put(store.Stream{Topic: "op"}, store.Record{Key: "config", Value: value})
 }
 
+// Ports of daemons are below those that the kernel gives to connections and to listeners of any port.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
 // freePorts returns n ports in a row that are free now.
 func (s *site) freePorts(n int) int {
 	for range 200 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		s.must(err)
-		open := []net.Listener{first}
-		port := first.Addr().(*net.TCPAddr).Port
-		for i := 1; i < n; i++ {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		var open []net.Listener
+		for i := range n {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
 			if err != nil {
 				break
