node: Log and measure how old the configuration is that decides a call

No line or metric tells how long ago the store confirmed the version that answered a call, how long a read of the configuration took, or that one failed. No decision changed. Conclusion: a late version shows by its age, on the VM and call concerned.

--- a/internal/node/confirmation.go
+++ b/internal/node/confirmation.go
@@ -46,6 +46,18 @@
 	return c.askedAt.After(c.wokenAt) && time.Since(c.askedAt) < maxConfirmationAge
 }
 
+// age returns how long ago the newest answered read of the configuration was sent, or -1 if none
+// was answered since the start or the last suspension.
+func (c *confirmation) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checkSuspension()
+	if !c.askedAt.After(c.wokenAt) {
+		return -1
+	}
+	return time.Since(c.askedAt)
+}
+
 // checkSuspension notes a suspension, which the age of a confirmation does not count. The caller
 // holds the lock.
 func (c *confirmation) checkSuspension() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 	ctx, n.cancel = context.WithCancel(ctx)
 	settings := n.cfg.Settings
 	front := platform.NewFront(platform.FrontConfig{
-		Jobs: n.intake, Catalog: n.catalog.Load, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
+		Jobs: n.intake, Catalog: n.catalog.Load, CatalogAge: n.confirmation.age, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
 	})
 	var err error
 	if n.clients, err = n.listen(ctx, settings.Clients, front); err != nil {
@@ -264,13 +264,15 @@
 			err = nil
 		}
 		n.log.Note(askedAt, err)
+		metric.Observe("config_read_seconds", askedAt)
 		if errors.Is(err, store.ErrGone) {
 			from = -1
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
+			metric.Count("config_reads_failed_total")
 			if failures++; failures%logInterval == 1 {
-				n.cfg.Logger.Warn("configuration not read", "from", from, "failures", failures, "error", err)
+				n.cfg.Logger.Warn("configuration not read", "from", from, "failures", failures, "took_ms", time.Since(askedAt).Milliseconds(), "age_ms", n.confirmation.age().Milliseconds(), "error", err)
 			}
 			n.waitRetry(ctx)
 			continue
@@ -302,7 +304,8 @@
 		return
 	}
 	n.catalog.Store(snap)
-	n.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset())
+	// The version is in force here at most age_ms after its acknowledgement.
+	n.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset(), "age_ms", n.confirmation.age().Milliseconds())
 }
 
 // IsLeader reports whether this VM leads.
