--- a/internal/cmd/join/link_test.go
+++ b/internal/cmd/join/link_test.go
@@ -34,8 +34,8 @@
 	mu          sync.Mutex
 	changed     chan struct{} // closed and replaced when the fault changes
 	fault       fault
-	conns       map[net.Conn]bool
-	lastRefusal time.Time // when the target last refused a connection, or reset one before sending any bytes
+	conns       map[net.Conn]bool // whether bytes to the connection are dropped
+	lastRefusal time.Time         // when the target last refused a connection, or reset one before sending any bytes
 }
 
 func newLink(t *testing.T, target string) *link {
@@ -72,6 +72,22 @@
 	l.changed = make(chan struct{})
 }
 
+// silence drops all bytes of the connections that are open now. New connections work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		l.conns[c] = true
+	}
+}
+
+// silenced reports whether bytes to the connection are dropped.
+func (l *link) silenced(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[c]
+}
+
 // currentFault returns the fault and a channel that is closed when it changes.
 func (l *link) currentFault() (fault, <-chan struct{}) {
 	l.mu.Lock()
@@ -124,7 +140,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.conns[c], l.conns[upstream] = true, true
+	l.conns[c], l.conns[upstream] = false, false
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.copy(upstream, c, false) })
@@ -169,7 +185,7 @@
 		case f == linkStalled:
 			<-changed
 			continue
-		case f == linkDropsReplies && toClient:
+		case f == linkDropsReplies && toClient, l.silenced(dst):
 			return true
 		case f == linkDelayed:
 			time.Sleep(linkLatency)
