operator: Decide calls only by a configuration that is known to be in force

Callers saw 404, 401 and 200 by a version that had been replaced more than 2 s before. Cause: one read at a time, which ended only 2.5 s after it was sent if its answer was lost, over the bound of 2 s by itself. Refusals, states, counts and cancels never asked how old the configuration was; submissions accepted 3.5 s. A page that ended before the end of the log counted as a confirmation. Class: acting on a copy without a bound on its age that follows from the rule. Change: package operator. Its reads overlap once an answer is overdue, over new connections. A call is admitted only if a read sent within 0.9 of the bound reached the end of the log (store.Extent). Otherwise the store is asked, then the leader, and else the answer is 503 at once. Bounds follow from config_apply_ms. Why it works: the age counts from the sending of the read, so that no version that was acknowledged a bound before the call can be missing. With the check of the extent or the floor taken out, TestReadThatEndsEarlyConfirmsNothing and TestVMDoesNotGoBackBehindTheLeader fail.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"rhubarbshore/internal/scheduler"
+	"rhubarbshore/internal/store"
 )
 
 // Errors of a call and of a configuration. Callers test for them with errors.Is.
@@ -25,11 +26,11 @@
 
 // Route directs requests for a host and path prefix to a queue.
 type Route struct {
-	Host      string
-	Prefix    string
-	Anonymous bool          // no key is required
-	Timeout   time.Duration // until the answer, unless the client requests a shorter one
-	Queue     scheduler.Queue
+	Host      string          `json:"host"`
+	Prefix    string          `json:"prefix"`
+	Anonymous bool            `json:"anonymous,omitempty"` // no key is required
+	Timeout   time.Duration   `json:"timeout,omitempty"`   // until the answer, unless the client requests a shorter one
+	Queue     scheduler.Queue `json:"queue"`
 }
 
 // Customer is authenticated by its keys and has a number of guaranteed accelerators.
@@ -56,6 +57,12 @@
 	Limits    Limits
 }
 
+// Read is the answer to a read of the configuration. Snapshot is nil if it found none.
+type Read struct {
+	Snapshot *Snapshot
+	Extent   store.Extent
+}
+
 // Snapshot is one immutable version of the configuration.
 type Snapshot struct {
 	cfg           Config
@@ -113,24 +120,31 @@
 	Key  string `json:"key,omitempty"`
 }
 
-// Admission is the route and customer of an allowed call.
+// Admission is the route and customer of an allowed call, with the configuration that allows it. That
+// of a rejected call has only the configuration.
 type Admission struct {
-	Route    Route
-	Rest     string // of the path, after the route's prefix
-	Customer string // empty if the call has no key and the route is anonymous
+	Version  int64         `json:"version"`
+	Offset   int64         `json:"offset"`
+	Age      time.Duration `json:"age"`           // of the configuration's confirmation; negative if it has none
+	MaxBody  int64         `json:"max,omitempty"` // size of a request's body in bytes; 0 if it has no limit
+	Route    Route         `json:"route"`
+	Rest     string        `json:"rest,omitempty"`     // of the path, after the route's prefix
+	Customer string        `json:"customer,omitempty"` // empty if the call has no key and the route is anonymous
 }
 
 // Admit returns the route and customer of a call, or the reason for rejecting it.
 func (s *Snapshot) Admit(o Origin) (Admission, error) {
+	a := Admission{Version: s.cfg.Version, Offset: s.cfg.Offset, MaxBody: s.cfg.Limits.BodyBytes}
 	route, rest, ok := s.Match(o.Host, o.Path)
 	if !ok {
-		return Admission{}, ErrRoute
+		return a, ErrRoute
 	}
 	customer, known := s.Owner(o.Key)
 	if !known && (!route.Anonymous || o.Key != "") {
-		return Admission{}, ErrKey
+		return a, ErrKey
 	}
-	return Admission{Route: route, Rest: rest, Customer: customer}, nil
+	a.Route, a.Rest, a.Customer = route, rest, customer
+	return a, nil
 }
 
 // Queues returns the policy of each queue by name.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -111,8 +111,9 @@
 	// Healthy reports whether the store answers this VM, and FailingFor for how long it has not.
 	Healthy    func() bool
 	FailingFor func() time.Duration
-	// Catalog returns the configuration in force, or nil.
-	Catalog func() *catalog.Snapshot
+	// Admit admits a call of another VM under the configuration in force, which must not be
+	// older than the one at the given offset.
+	Admit func(ctx context.Context, o catalog.Origin, floor int64) (catalog.Admission, error)
 	// CatalogConfirmed reports whether the store has confirmed recently that no newer
 	// configuration is in force.
 	CatalogConfirmed func() bool
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -73,12 +73,13 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: body, Header: http.Header{}}, nil
 }
 
-// catalogAllowing returns a configuration in which a customer's key allows jobs below /jobs/.
-func catalogAllowing(key string) *catalog.Snapshot {
-	return catalog.New(catalog.Config{
+// admitKey admits calls under a configuration in which a customer's key allows jobs below /jobs/.
+func admitKey(key string) func(context.Context, catalog.Origin, int64) (catalog.Admission, error) {
+	snap := catalog.New(catalog.Config{
 		Routes:    []catalog.Route{{Host: "h", Prefix: "/jobs/", Queue: scheduler.Queue{Name: "q"}}},
 		Customers: []catalog.Customer{{Name: "c", Keys: []string{key}}},
 	})
+	return func(_ context.Context, o catalog.Origin, _ int64) (catalog.Admission, error) { return snap.Admit(o) }
 }
 
 // site is an intake with a simulated store, in virtual time.
@@ -105,7 +106,7 @@
 		s.intake = intake.New(intake.Config{
 			Log: watched, LeaderTracker: s.tracker, Client: s.client, Logger: slog.New(slog.DiscardHandler),
 			LocalScheduler: func() intake.LocalScheduler { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-			Catalog: func() *catalog.Snapshot { return catalogAllowing("k") }, CatalogConfirmed: func() bool { return !s.unconfirmed },
+			Admit: admitKey("k"), CatalogConfirmed: func() bool { return !s.unconfirmed },
 		})
 		s.wg.Go(func() { s.intake.Run(ctx) })
 		defer func() {
--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -33,16 +33,12 @@
 // Accept stores a job for another VM if this VM's configuration allows it as well. A VM that
 // cannot reach the store may have missed a version of the configuration.
 func (in *Intake) Accept(ctx context.Context, r RelayRequest) RelayResult {
-	snap := in.cfg.Catalog()
-	if snap == nil {
-		return RelayResult{Reason: "no configuration yet"}
-	}
-	a, err := snap.Admit(r.From)
+	a, err := in.cfg.Admit(ctx, r.From, r.Job.QueueOffset)
 	if err != nil || a.Customer != r.Job.Customer || a.Rest != r.Job.ID {
-		in.cfg.Logger.Info("relayed job refused", "job", r.Job.ID, "config", snap.Version(), "customer", r.Job.Customer, "owner", a.Customer, "error", err)
+		in.cfg.Logger.Info("relayed job refused", "job", r.Job.ID, "config", a.Version, "customer", r.Job.Customer, "owner", a.Customer, "error", err)
 		return RelayResult{Reason: "not allowed by the configuration in force"}
 	}
-	r.Job.Queue = a.Route.Queue
+	r.Job.Queue, r.Job.QueueOffset = a.Route.Queue, a.Offset
 	err = in.store(ctx, r.Job)
 	switch {
 	case err == nil:
--- a/internal/intake/relay_test.go
+++ b/internal/intake/relay_test.go
@@ -13,7 +13,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/intake"
 	"rhubarbshore/internal/standin"
 	"rhubarbshore/internal/store"
@@ -53,7 +52,7 @@
 	o := &schedulingVM{intake: intake.New(intake.Config{
 		Log: watched, LeaderTracker: &tracker{changed: make(chan struct{})}, Logger: slog.New(slog.DiscardHandler),
 		LocalScheduler: func() intake.LocalScheduler { return nil }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-		Catalog: func() *catalog.Snapshot { return catalogAllowing(key) }, CatalogConfirmed: func() bool { return true },
+		Admit: admitKey(key), CatalogConfirmed: func() bool { return true },
 	})}
 	s.wg.Go(func() { o.intake.Run(s.ctx) })
 	s.client.Transport = o
--- a/internal/intake/sameid_test.go
+++ b/internal/intake/sameid_test.go
@@ -25,7 +25,7 @@
 	in := intake.New(intake.Config{
 		Log: watched, LeaderTracker: &tracker{changed: make(chan struct{})}, Logger: slog.New(slog.DiscardHandler),
 		LocalScheduler: func() intake.LocalScheduler { return local }, Healthy: watched.Healthy, FailingFor: watched.FailingFor,
-		Catalog: func() *catalog.Snapshot { return catalogAllowing("k") }, CatalogConfirmed: func() bool { return true },
+		Admit: admitKey("k"), CatalogConfirmed: func() bool { return true },
 	})
 	s.wg.Go(func() { in.Run(s.ctx) })
 	return in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -22,6 +21,7 @@
 	"rhubarbshore/internal/intake"
 	"rhubarbshore/internal/leader"
 	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/operator"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
 	"rhubarbshore/platform"
@@ -35,17 +35,8 @@
 	// maxWorkerConns covers a renewal and concurrent orders.
 	maxWorkerConns = 3
 	maxPeerConns   = 4
-	// configPollWait is how long a read waits for a new configuration, and configPollMargin how
-	// much longer it may take while the store is slow. A version must be in force within two
-	// seconds. A read may miss records that are added while the store drops its history, and a
-	// connection that goes silent is allowed three seconds more.
-	configPollWait   = time.Second
-	configPollMargin = 1500 * time.Millisecond
-	// logInterval thins out log lines about a store that stays unavailable: one in logInterval
-	// failures is logged.
-	logInterval = 32
-	// configRetryDelay is the delay before the next read after a failed one.
-	configRetryDelay = 150 * time.Millisecond
+	// noIdleConns makes a client open a connection for each call.
+	noIdleConns = -1
 	// memoryLimitShare is the share of the VM's memory at which the garbage collector works
 	// hardest.
 	memoryLimitShare = 0.6
@@ -78,8 +69,7 @@
 	cfg             Config
 	log             *store.HealthTracker
 	platformStore   *platform.Store
-	catalog         atomic.Pointer[catalog.Snapshot]
-	confirmation    *confirmation
+	operator        *operator.Follower
 	member          *election.Member
 	leader          *leader.Leader
 	intake          *intake.Intake
@@ -99,10 +89,9 @@
 	}
 	n := &Node{cfg: cfg, failed: make(chan error, 1), platformStore: platform.NewStore(platform.NewHTTPClient(maxStoreConns, dialTimeout), settings.Store)}
 	n.log = store.NewHealthTracker(n.platformStore)
-	n.confirmation = newConfirmation(cfg.Logger, nil)
 	n.leader = leader.New(leader.Config{
 		Log: n.log, Registry: n.platformStore, Workers: platform.NewWorkers(platform.NewHTTPClient(maxWorkerConns, dialTimeout)),
-		Catalog: n.catalog.Load, Logger: cfg.Logger, MaxBatch: settings.MaxBatch,
+		Catalog: func() *catalog.Snapshot { return n.operator.Snapshot() }, Logger: cfg.Logger, MaxBatch: settings.MaxBatch,
 		Identity: func() string { return n.member.Identity() },
 		EndedFor: func(ctx context.Context, identity string, epoch int64, workers []string) (time.Duration, []time.Duration, bool) {
 			return n.member.EndedFor(ctx, identity, epoch, workers)
@@ -118,9 +107,13 @@
 	n.member = election.New(election.Config{
 		VM: settings.VM, Address: settings.Internal, Cores: settings.Cores, StoreHealthy: n.log.Healthy, Log: n.log, Client: peers, Logger: cfg.Logger, Leader: n.leader, StoreFailedAt: n.log.FailedSentAt, StuckAsOf: n.leader.StuckAsOf, TermAge: n.leader.TermAge, SinceLastGrant: n.leader.SinceLastGrant,
 	})
+	n.operator = operator.New(operator.Config{
+		Store: n.platformStore, Redial: platform.NewStore(platform.NewHTTPClient(noIdleConns, dialTimeout), settings.Store), Health: n.log,
+		Leader: n.member, Leads: n.leader.IsLeader, Client: peers, ApplyTime: settings.Bounds.ConfigApply, Logger: cfg.Logger,
+	})
 	n.intake = intake.New(intake.Config{
 		Log: n.log, LeaderTracker: n.member, Client: peers, Logger: cfg.Logger, Healthy: n.log.Healthy, FailingFor: n.log.FailingFor,
-		LocalScheduler: n.localScheduler, Catalog: n.catalog.Load, CatalogConfirmed: n.confirmation.recent,
+		LocalScheduler: n.localScheduler, Admit: n.operator.AdmitLocally, CatalogConfirmed: n.operator.Confirmed,
 	})
 	return n
 }
@@ -138,7 +131,7 @@
 	ctx, n.cancel = context.WithCancel(ctx)
 	settings := n.cfg.Settings
 	front := platform.NewFront(platform.FrontConfig{
-		Jobs: n.intake, Catalog: n.catalog.Load, CatalogAge: n.confirmation.age, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
+		Jobs: n.intake, Admit: n.operator.Admit, Logger: n.cfg.Logger, Stopping: n.stopping.Load,
 	})
 	var err error
 	if n.clients, err = n.listen(ctx, settings.Clients, front); err != nil {
@@ -151,7 +144,7 @@
 		}
 		n.internalServers = append(n.internalServers, srv)
 	}
-	for _, run := range []func(context.Context){n.followConfig, n.member.Run, n.intake.Run} {
+	for _, run := range []func(context.Context){n.operator.Run, n.member.Run, n.intake.Run} {
 		n.wg.Go(func() {
 			defer n.recoverPanic()
 			run(ctx)
@@ -204,7 +197,7 @@
 
 // ready reports whether clients should be directed to this VM.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.catalog.Load() != nil && n.log.Healthy()
+	return !n.stopping.Load() && n.operator.Snapshot() != nil && n.log.Healthy()
 }
 
 // internalHandler serves calls of other VMs and the metrics.
@@ -216,6 +209,7 @@
 	// A campaign may outlast the call that requested it, so it gets the daemon's context.
 	handleJSON(r, "/take", func(_ context.Context, in election.Ping) election.Pong { return n.member.Accept(ctx, in) })
 	handleJSON(r, "/store", n.intake.Accept)
+	handleJSON(r, operator.AdmitPath, n.operator.Answer)
 	handleJSON(r, "/ask", func(ctx context.Context, q intake.Query) intake.Reply {
 		return intake.AnswerQuery(ctx, n.localScheduler(), q)
 	})
@@ -235,79 +229,6 @@
 	})
 }
 
-// followConfig keeps the configuration up to date.
-func (n *Node) followConfig(ctx context.Context) {
-	from := int64(-1)
-	failures := 0
-	for ctx.Err() == nil {
-		var snap *catalog.Snapshot
-		var next int64
-		var err error
-		wait := configPollWait
-		askedAt := time.Now()
-		if !n.log.Healthy() {
-			wait = 0 // an immediate answer shows when the store is back
-		}
-		if from < 0 {
-			callCtx, cancel := context.WithTimeout(ctx, time.Second)
-			snap, next, err = n.platformStore.Config(callCtx)
-			cancel()
-		} else {
-			callCtx, cancel := context.WithTimeout(ctx, wait+configPollMargin)
-			snap, next, err = n.platformStore.NextConfig(callCtx, from, wait)
-			cancel()
-		}
-		if errors.Is(err, catalog.ErrMalformed) {
-			// Another read would return the same bytes, and the store is not at fault.
-			metric.Count("configurations_rejected_total")
-			n.cfg.Logger.Error("configuration passed over", "from", from, "next", next, "error", err)
-			err = nil
-		}
-		n.log.Note(askedAt, err)
-		metric.Observe("config_read_seconds", askedAt)
-		if errors.Is(err, store.ErrGone) {
-			from = -1
-			continue
-		}
-		if err != nil && ctx.Err() == nil {
-			metric.Count("config_reads_failed_total")
-			if failures++; failures%logInterval == 1 {
-				n.cfg.Logger.Warn("configuration not read", "from", from, "failures", failures, "took_ms", time.Since(askedAt).Milliseconds(), "age_ms", n.confirmation.age().Milliseconds(), "error", err)
-			}
-			n.waitRetry(ctx)
-			continue
-		}
-		if failures > 0 {
-			n.cfg.Logger.Info("store answers again", "failures", failures)
-			failures = 0
-		}
-		from = next
-		n.setCatalog(snap)
-		n.confirmation.confirm(askedAt)
-		if wait == 0 || (snap == nil && n.catalog.Load() == nil) {
-			n.waitRetry(ctx)
-		}
-	}
-}
-
-func (n *Node) waitRetry(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(configRetryDelay):
-	}
-}
-
-// setCatalog puts a configuration in force unless a newer one already is.
-func (n *Node) setCatalog(snap *catalog.Snapshot) {
-	old := n.catalog.Load()
-	if snap == nil || (old != nil && snap.Offset() <= old.Offset()) {
-		return
-	}
-	n.catalog.Store(snap)
-	// The version is in force here at most age_ms after its acknowledgement.
-	n.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset(), "age_ms", n.confirmation.age().Milliseconds())
-}
-
 // IsLeader reports whether this VM leads.
 func (n *Node) IsLeader() bool { return n.leader.IsLeader() }
 
--- a/internal/node/confirmation_test.go
+++ b/internal/operator/confirmation_test.go
@@ -1,4 +1,4 @@
-package node
+package operator
 
 import (
 	"log/slog"
@@ -15,14 +15,15 @@
 // may have been replaced meanwhile, for example with a key that was withdrawn.
 func TestConfirmationDoesNotOutliveAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		const maxAge = 1800 * time.Millisecond
 		clocks := &suspendtest.Clocks{}
-		c := newConfirmation(slog.New(slog.DiscardHandler), clocks)
+		c := newConfirmation(maxAge, slog.New(slog.DiscardHandler), clocks)
 		time.Sleep(time.Second)
 		assert.Assert(t, !c.recent(), "nothing is confirmed at the start")
 		c.confirm(time.Now())
 		assert.Assert(t, c.recent())
 
-		time.Sleep(maxConfirmationAge)
+		time.Sleep(maxAge)
 		assert.Assert(t, !c.recent(), "the process was paused")
 		c.confirm(time.Now())
 		assert.Assert(t, c.recent())
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -80,16 +80,18 @@
 
 // Job is a job as its customer submitted it, with the policy of its queue at that time.
 type Job struct {
-	ID       string        `json:"id"`
-	Key      string        `json:"-"` // of the record from which the job was read
-	Customer string        `json:"customer,omitempty"`
-	Queue    Queue         `json:"queue"`
-	Text     string        `json:"text,omitempty"` // passed to workers unchanged
-	Steps    []Step        `json:"steps"`
-	Repeat   int           `json:"repeat,omitempty"` // number of occurrences; 0 means one that starts immediately
-	First    int64         `json:"first,omitempty"`  // Unix milliseconds of occurrence 0
-	Interval time.Duration `json:"interval,omitempty"`
-	Accepted int64         `json:"accepted"` // Unix milliseconds, by the accepting VM's clock
+	ID       string `json:"id"`
+	Key      string `json:"-"` // of the record from which the job was read
+	Customer string `json:"customer,omitempty"`
+	Queue    Queue  `json:"queue"`
+	// QueueOffset is the offset of the configuration that Queue is from; 0 if that is not known.
+	QueueOffset int64         `json:"config,omitempty"`
+	Text        string        `json:"text,omitempty"` // passed to workers unchanged
+	Steps       []Step        `json:"steps"`
+	Repeat      int           `json:"repeat,omitempty"` // number of occurrences; 0 means one that starts immediately
+	First       int64         `json:"first,omitempty"`  // Unix milliseconds of occurrence 0
+	Interval    time.Duration `json:"interval,omitempty"`
+	Accepted    int64         `json:"accepted"` // Unix milliseconds, by the accepting VM's clock
 }
 
 // State is a stage of a job's life cycle.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -251,6 +251,7 @@
 
 // Read implements store.Log.
 func (v *View) Read(ctx context.Context, name store.Stream, from int64, wait time.Duration) (store.Page, error) {
+	askedAt := time.Now()
 	if _, err := v.applyFault(ctx, name); err != nil {
 		return store.Page{}, err
 	}
@@ -264,7 +265,7 @@
 			l.mu.Unlock()
 			return store.Page{}, store.ErrGone
 		}
-		page := store.Page{Next: t.end(), End: t.end(), Records: append([]store.Record(nil), t.records[from-t.first:]...)}
+		page := store.Page{Records: append([]store.Record(nil), t.records[from-t.first:]...), Extent: store.Extent{AskedAt: askedAt, Next: t.end(), End: t.end()}}
 		changed := t.changed
 		l.mu.Unlock()
 		if len(page.Records) > 0 || wait <= 0 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -2,7 +2,11 @@
 // retains the newest record of each key indefinitely.
 package store
 
-import "github.com/joomcode/errorx"
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
 
 var namespace = errorx.NewNamespace("store")
 
@@ -26,7 +30,7 @@
 type Record struct {
 	Key    string
 	Value  []byte
-	Offset int64 // set only by Newest
+	Offset int64
 }
 
 // Stream is a partition of a topic. All records of a key belong to the same stream.
@@ -35,14 +39,24 @@
 	Part  int
 }
 
-// Page is a consecutive range of a stream's records. Next is the offset at which to
-// continue reading, End the offset after the stream's last record.
-type Page struct {
-	Records []Record
+// Extent tells how far a stream was read. Next is the offset at which to continue reading, End the
+// offset after the stream's last record.
+type Extent struct {
+	AskedAt time.Time // when the read was sent
 	Next    int64
 	End     int64
 }
 
+// Complete reports whether the read reached the end. Only then does it prove that nothing else was
+// stored before AskedAt.
+func (e Extent) Complete() bool { return e.Next >= e.End }
+
+// Page is a consecutive range of a stream's records.
+type Page struct {
+	Records []Record
+	Extent
+}
+
 // AppendOptions make an append conditional, fenced or safe to repeat. Producer, Epoch
 // and Sequence identify an append: a repeat returns the first offset and adds nothing,
 // and a lower epoch of the producer is fenced.
