scheduler: Keep a job's queue while the leader's configuration is older

Callers could see a job run by the service of a version that had been replaced, though the VM that accepted it had the new one. Cause: a leader replaced the queue that a job was stored with by the one of its own configuration, also if that was older. Class: as before, a copy is acted on without asking which one is newer. Change: jobs are stored with the offset of their queue's configuration; a leader applies its own policy only if that is not older. 'job taken in' tells both. Why it works: offsets of the operator's topic order all versions.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -13,6 +13,7 @@
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/intake"
 	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
 )
 
@@ -265,6 +266,6 @@
 func (t *term) setPolicy(snap *catalog.Snapshot) {
 	if snap.Offset() >= t.policyOffset {
 		t.policyOffset = snap.Offset()
-		t.core.SetPolicy(snap.Queues(), snap.Guarantees())
+		t.core.SetPolicy(scheduler.Policy{Offset: snap.Offset(), Queues: snap.Queues(), Guarantees: snap.Guarantees()})
 	}
 }
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -27,7 +27,7 @@
 			for b.Loop() {
 				p.now = p.now.Add(time.Millisecond)
 				p.core.Report(p.now, scheduler.Report{Worker: workerID(0), Sent: p.now})
-				p.core.SetPolicy(nil, nil) // a change, without which Flush does not schedule
+				p.core.SetPolicy(scheduler.Policy{}) // a change, without which Flush does not schedule
 				p.core.Flush(p.now)
 			}
 		})
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -135,7 +135,7 @@
 	for i := range 10 {
 		guaranteed[fmt.Sprint("c", i)] = int64(float64(workers) * 8 * 0.06)
 	}
-	sim.core.SetPolicy(nil, guaranteed)
+	sim.core.SetPolicy(scheduler.Policy{Guarantees: guaranteed})
 	for i := range workers {
 		id := fmt.Sprintf("w%04d", i)
 		rack := fmt.Sprintf("r%03d", i/simRackSize)
--- a/internal/scheduler/model_pool_test.go
+++ b/internal/scheduler/model_pool_test.go
@@ -130,7 +130,7 @@
 		Logger: logger, MaxLease: modelLease, RemotePenalty: modelPenalty, KeepEnded: time.Hour, ReportTimeout: 5 * time.Second,
 		RestoreTime: modelRestore, CheckpointInterval: modelCheckpoint, StopTime: modelStopTime, GangWait: modelGangWait,
 	})
-	c.SetPolicy(nil, map[string]int64{"c0": 16})
+	c.SetPolicy(scheduler.Policy{Guarantees: map[string]int64{"c0": 16}})
 	return c
 }
 
--- a/internal/scheduler/quarantine_test.go
+++ b/internal/scheduler/quarantine_test.go
@@ -350,7 +350,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPool(t, workers)
-			p.core.SetPolicy(nil, map[string]int64{"c": 8 * workers})
+			p.core.SetPolicy(scheduler.Policy{Guarantees: map[string]int64{"c": 8 * workers}})
 			p.runSeconds = 600
 			if c.spare > 0 {
 				p.submit("spare", 2, "o", tasks(c.spare, 1))
@@ -385,7 +385,7 @@
 	for name, urgent := range map[string]scheduler.Step{"tasks": tasks(workers, 8), "gang": gang(workers, 8)} {
 		t.Run(name, func(t *testing.T) {
 			p := newPool(t, workers)
-			p.core.SetPolicy(nil, map[string]int64{"c": 8 * workers})
+			p.core.SetPolicy(scheduler.Policy{Guarantees: map[string]int64{"c": 8 * workers}})
 			p.runSeconds = 600
 			p.submitMixed("early", 8)
 			outcome := func(task, worker string, age time.Duration) scheduler.Cause {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -77,7 +77,7 @@
 		switch {
 		case j.queue.Priority > 0:
 			level = levelOther + j.queue.Priority - 1
-		case need[j.spec.Customer] <= c.guaranteed[j.spec.Customer]:
+		case need[j.spec.Customer] <= c.policy.Guarantees[j.spec.Customer]:
 			level = levelGuaranteed
 		}
 		if level != j.level {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -192,7 +192,7 @@
 // Guards against urgent guaranteed work that waits while other work uses the whole pool.
 func TestGuaranteedWorkReclaimsItsCapacity(t *testing.T) {
 	p := newPool(t, 4)
-	p.core.SetPolicy(nil, map[string]int64{"c": 16})
+	p.core.SetPolicy(scheduler.Policy{Guarantees: map[string]int64{"c": 16}})
 	p.submit("spare", 2, "other", tasks(32, 1))
 	p.settle(4)
 	assert.Equal(t, len(p.runs), 32)
@@ -220,7 +220,7 @@
 // another customer requests its guaranteed capacity.
 func TestGuaranteedWorkComesBeforeOtherUrgentWork(t *testing.T) {
 	p := newPool(t, 2)
-	p.core.SetPolicy(nil, map[string]int64{"small": 8, "large": 8})
+	p.core.SetPolicy(scheduler.Policy{Guarantees: map[string]int64{"small": 8, "large": 8}})
 	p.submit("large", 0, "large", tasks(2, 8))
 	p.settle(2)
 	p.submit("small", 0, "small", gang(1, 8))
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -162,8 +162,7 @@
 	active           []*job
 	workers          map[string]*worker
 	sortedWorkers    []*worker // sorted by ID
-	queues           map[string]Queue
-	guaranteed       map[string]int64          // accelerators, by customer
+	policy           Policy
 	restored         map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
 	readAsOf         func(id string) time.Time // see AwaitJobs; nil if all are added at once
 	effects          Effects
@@ -182,19 +181,31 @@
 // New returns a Core without jobs and workers.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, queues: map[string]Queue{},
-		guaranteed: map[string]int64{}, index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{},
+		index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
 
-// SetPolicy replaces the policy of all queues and the customers' guarantees.
-func (c *Core) SetPolicy(queues map[string]Queue, guaranteed map[string]int64) {
+// Policy is the part of a configuration that scheduling depends on.
+type Policy struct {
+	Offset     int64            // of the configuration
+	Queues     map[string]Queue // by name
+	Guarantees map[string]int64 // accelerators by customer
+}
+
+// SetPolicy replaces the policy.
+func (c *Core) SetPolicy(p Policy) {
 	c.changed = true
-	c.queues, c.guaranteed = queues, guaranteed
+	c.policy = p
 	for _, j := range c.active {
-		if q, ok := queues[j.spec.Queue.Name]; ok {
-			j.queue = q
-		}
+		c.updateQueue(j)
+	}
+}
+
+// updateQueue applies the policy to a job, unless the job was accepted under a later one.
+func (c *Core) updateQueue(j *job) {
+	if q, ok := c.policy.Queues[j.spec.Queue.Name]; ok && j.spec.QueueOffset <= c.policy.Offset {
+		j.queue = q
 	}
 }
 
@@ -217,9 +228,7 @@
 	}
 	c.changed = true
 	j := &job{spec: spec, queue: spec.Queue, state: Queued, accepted: time.UnixMilli(spec.Accepted)}
-	if q, ok := c.queues[spec.Queue.Name]; ok {
-		j.queue = q
-	}
+	c.updateQueue(j)
 	occurrences := max(spec.Repeat, 1)
 	for k := range occurrences {
 		j.occs = append(j.occs, newOccurrence(j, k))
@@ -246,7 +255,7 @@
 		c.recordUrgentArrival(now, j)
 	}
 	c.effects.Changed = append(c.effects.Changed, spec.ID)
-	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "priority", j.queue.Priority,
+	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "config", spec.QueueOffset, "policy", c.policy.Offset, "priority", j.queue.Priority,
 		"customer", spec.Customer, "tasks", j.taskCount(), "steps", len(spec.Steps), "repeat", spec.Repeat)
 }
 
