join: Check in the soak that no call is decided by an outdated configuration

Cause: the soak published versions that did not differ, so that it could not see which one decided a call. Change: versions are published all the while; each adds a route and a key and drops older ones. Probes at all VMs check, during all faults, that a call sent 2 s after an acknowledgement is not decided by an older version, and that no VM goes back behind a version that it has shown.

--- a/internal/cmd/join/soak_test.go
+++ b/internal/cmd/join/soak_test.go
@@ -95,6 +95,7 @@
 	disruptedUntil time.Time // by unplanned faults; the VM counts as recovered soakRecoveryTime later
 	plannedStop    bool      // a planned stop and its restart are in progress
 	busy           bool      // a stop, pause or reload is in progress
+	config         configWatch
 }
 
 // markDisrupted records an unplanned disruption.
@@ -114,11 +115,15 @@
 	platform  *platformtest.Platform
 	vms       []*soakVM
 	vmByAddr  map[string]*soakVM
-	version   int
+	configs   *rand.Rand // of versions of the configuration and their probes
 	faultsEnd time.Time
 	watched   chan struct{} // closed when long-running tasks have been watched
 
+	publishing sync.Mutex // held while a version is published
+
 	mu          sync.Mutex
+	version     int // newest that was published or is being published
+	published   []publishedVersion
 	jobs        map[string]*soakJob // all jobs that were submitted
 	open        map[string]*soakJob // accepted jobs that have not ended
 	violations  []string
@@ -131,7 +136,7 @@
 	t.Helper()
 	s := &soak{
 		rand: rand.New(rand.NewPCG(seed, 11)), outages: rand.New(rand.NewPCG(seed, 12)),
-		partial: rand.New(rand.NewPCG(seed, 13)), troubles: rand.New(rand.NewPCG(seed, 14)), vmByAddr: map[string]*soakVM{}, watched: make(chan struct{}),
+		partial: rand.New(rand.NewPCG(seed, 13)), troubles: rand.New(rand.NewPCG(seed, 14)), configs: rand.New(rand.NewPCG(seed, 15)), vmByAddr: map[string]*soakVM{}, watched: make(chan struct{}),
 		jobs: map[string]*soakJob{}, open: map[string]*soakJob{}, startedJobs: map[string]bool{}, endedAt: map[string]time.Time{},
 	}
 	var err error
@@ -221,9 +226,18 @@
 	s.faultLog = append(s.faultLog, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// publish publishes the next version of the configuration.
 func (s *soak) publish() {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	s.mu.Lock()
 	s.version++
-	s.platform.Publish(s.version)
+	version := s.version
+	s.mu.Unlock()
+	s.platform.Publish(version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published = append(s.published, publishedVersion{version, time.Now()})
 }
 
 func (s *soak) run(t *testing.T) {
@@ -247,6 +261,9 @@
 		r := rand.New(rand.NewPCG(s.troubles.Uint64(), 0))
 		wg.Go(func() { s.runClient(ctx, soakClients+soakMixedClients+i, r, variedShape) })
 	}
+	versions, probes := rand.New(rand.NewPCG(s.configs.Uint64(), 0)), rand.New(rand.NewPCG(s.configs.Uint64(), 0))
+	wg.Go(func() { s.publishVersions(versions) })
+	wg.Go(func() { s.probeConfig(ctx, probes) })
 	s.injectFaults(t)
 	time.AfterFunc(soakDrainTime+s.workLeft(), cancel)
 	stopped := make(chan struct{})
@@ -371,8 +388,8 @@
 			s.platform.Fleet.SetFault(standin.OrderFault{})
 		}
 	default:
-		s.logFaultf("configuration %d is published", s.version+1)
 		s.publish()
+		s.logFaultf("configuration %d is published", s.newestVersion())
 		return func(time.Duration) { v.reload() }
 	}
 }
