leader: Report a job as unknown only after its stream was read to the end

Callers saw 410 for a DELETE of a job that had been accepted, and it ran on. Cause: a page of the stream that was cut at its limit counted as all that the stream held, as of the time of the answer. The count of waiting jobs did not ask whether the streams could be read at all. Class: an answer about the whole from a part. Change: reads of jobs carry their store.Extent. A question for an unknown job reads on to the end that its first page names. Only complete reads say that a part is read, as of the time at which they were sent. Why it works: all that was accepted before the question lies before that end.

--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -49,7 +49,7 @@
 func (t *term) followJobs(ctx context.Context, part int) {
 	failures := 0
 	for ctx.Err() == nil {
-		err := t.readJobs(ctx, part, jobPollWait, nil)
+		_, err := t.readJobs(ctx, part, jobPollWait, nil)
 		if err == nil {
 			failures = 0
 			continue
@@ -61,9 +61,9 @@
 	}
 }
 
-// readJobs reads the jobs of a part that have not been read yet, waits up to wait for one, and posts
-// them to the loop. The loop calls applied, unless it is nil, once they are applied.
-func (t *term) readJobs(ctx context.Context, part int, wait time.Duration, applied func()) error {
+// readJobs reads a page of the jobs of a part that have not been read yet, waits up to wait for one, and
+// posts them to the loop. The loop calls applied, unless it is nil, once they are applied.
+func (t *term) readJobs(ctx context.Context, part int, wait time.Duration, applied func()) (store.Extent, error) {
 	reads := &t.jobReads[part]
 	from := reads.offset.Load()
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -73,16 +73,40 @@
 		read, err = t.newestJobs(ctx, part)
 	}
 	if err != nil {
-		return err
+		return store.Extent{}, err
 	}
 	// The offset moves on, so the jobs must reach the loop even if ctx ends now.
-	t.post(t.ctx, jobsEvent{part, read, t.cfg.Now(), applied})
+	t.post(t.ctx, jobsEvent{part, read, applied})
 	// Another read may have been faster and further.
-	for last := from; last < read.next && !reads.offset.CompareAndSwap(last, read.next); {
+	for last := from; last < read.extent.Next && !reads.offset.CompareAndSwap(last, read.extent.Next); {
 		last = reads.offset.Load()
 	}
 	reads.unread.Store(false)
-	return nil
+	return read.extent, nil
+}
+
+// readJobsToEnd reads what a part holds when it is called and returns once it is applied. A read that
+// stops before the end, at the limit of a page, says nothing about the jobs behind it.
+func (t *term) readJobsToEnd(ctx context.Context, part int) error {
+	for end := int64(-1); ; {
+		applied := make(chan struct{})
+		extent, err := t.readJobs(ctx, part, 0, func() { close(applied) })
+		if err != nil {
+			return err
+		}
+		if end < 0 {
+			end = extent.End
+		}
+		if extent.Next < end {
+			continue
+		}
+		select {
+		case <-applied: // after the pages before it
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // readPage reads the records of a part that follow, or the newest ones if the term began without them.
@@ -90,10 +114,11 @@
 	stream, reads := intake.Stream(part), &t.jobReads[part]
 	if !reads.unread.Load() {
 		page, err := t.cfg.Log.Read(ctx, stream, reads.offset.Load(), wait)
-		return partJobs{records: page.Records, next: page.Next}, err
+		return partJobs{records: page.Records, extent: page.Extent}, err
 	}
-	records, next, err := t.cfg.Log.Newest(ctx, stream)
-	return newPartJobs(records, next), err
+	askedAt := t.cfg.Now()
+	records, end, err := t.cfg.Log.Newest(ctx, stream)
+	return newPartJobs(records, store.Extent{AskedAt: askedAt, Next: end, End: end}), err
 }
 
 // catchUp returns once all jobs of a part that had been accepted when it was called are applied.
@@ -130,14 +155,7 @@
 	defer close(r.done)
 	ctx, cancel := context.WithTimeout(t.ctx, catchUpTimeout)
 	defer cancel()
-	applied := make(chan struct{})
-	if r.err = t.readJobs(ctx, part, 0, func() { close(applied) }); r.err == nil {
-		select {
-		case <-applied:
-		case <-ctx.Done():
-			r.err = ctx.Err()
-		}
-	}
+	r.err = t.readJobsToEnd(ctx, part)
 	if r.err != nil && t.ctx.Err() == nil {
 		metric.Count("job_read_failures_total")
 		t.cfg.Logger.Info("no definite answer about an unknown job: new jobs not read", "part", part, "timeout_ms", catchUpTimeout.Milliseconds(), "error", r.err)
@@ -147,7 +165,6 @@
 type jobsEvent struct {
 	part    int
 	jobs    partJobs
-	read    time.Time
 	applied func()
 }
 
@@ -155,16 +172,17 @@
 
 func (e jobsEvent) apply(t *term, now time.Time) {
 	t.addJobs(now, e.jobs)
-	first := t.readAsOf[e.part].IsZero()
-	if e.read.After(t.readAsOf[e.part]) {
-		t.readAsOf[e.part] = e.read
-	}
-	if first {
-		t.core.JobsRead(now)
-		t.cfg.Logger.Info("jobs read that the term began without", "epoch", t.epoch, "part", e.part, "records", len(e.jobs.records))
+	if extent := e.jobs.extent; extent.Complete() {
+		first := t.readAsOf[e.part].IsZero()
+		if extent.AskedAt.After(t.readAsOf[e.part]) {
+			t.readAsOf[e.part] = extent.AskedAt
+		}
+		if first {
+			t.core.JobsRead(now)
+			t.cfg.Logger.Info("jobs read that the term began without", "epoch", t.epoch, "part", e.part, "records", len(e.jobs.records))
+		}
 	}
 	t.applyEffects(t.core.TakeEffects())
-	t.statusCache.markRead(e.part, e.read)
 	if e.applied != nil {
 		e.applied()
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -88,11 +88,8 @@
 	callTimeout = 900 * time.Millisecond
 	// loadTimeout limits reading the whole state when a term begins.
 	loadTimeout = 4 * time.Second
-	// jobPollWait is how long a read waits for new jobs. maxJobFeedAge is how old the last
-	// answer may be for a job that is not found to count as unknown. Jobs must be visible three
-	// seconds after they were accepted.
-	jobPollWait   = 1500 * time.Millisecond
-	maxJobFeedAge = 2500 * time.Millisecond
+	// jobPollWait is how long a read waits for new jobs.
+	jobPollWait = 1500 * time.Millisecond
 	// registryPollInterval is the time between reads of the registry. Workers renew their
 	// entries every 1.5 s, and a draining worker must get no new work later than 2 s
 	// after it announced the drain.
@@ -197,7 +194,7 @@
 	earlierLeasesEnd time.Time            // when all leases of earlier terms have expired, zero if unknown
 	earlierGrants    map[string]time.Time // when leases were last requested in earlier terms, of workers asked for
 
-	readAsOf [intake.Parts]time.Time // time up to which all jobs of a part are applied, zero if this term may not have read some
+	readAsOf [intake.Parts]time.Time // time up to which all stored jobs of a part are applied, zero if this term may not have read some
 
 	// The fields below are shared with other goroutines.
 	statusCache   statusCache
@@ -370,7 +367,7 @@
 			t.checkStalls(now)
 			t.expireLeases(now)
 			t.markAllForCheck()
-			t.statusCache.updateWaiting(now, t.core)
+			t.statusCache.updateWaiting(now, t.core, t.readAsOf[:])
 		}
 		if ctx.Err() != nil {
 			return
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -226,10 +226,10 @@
 	t.applyEffects(t.core.TakeEffects()) // publishes the stored outcomes
 	for part := range stored.jobs {
 		t.addJobs(now, stored.jobs[part])
-		t.jobReads[part].offset.Store(stored.jobs[part].next)
+		t.jobReads[part].offset.Store(stored.jobs[part].extent.Next)
 		t.jobReads[part].unread.Store(stored.unread[part])
 		if !stored.unread[part] {
-			t.readAsOf[part] = stored.requestedAt
+			t.readAsOf[part] = stored.jobs[part].extent.AskedAt
 		}
 	}
 	t.core.AwaitJobs(now, func(id string) time.Time { return t.readAsOf[intake.PartOf(id)] })
@@ -241,12 +241,7 @@
 	}
 	t.noteUnclaimed()
 	t.applyEffects(t.core.TakeEffects())
-	for part := range stored.jobs {
-		if !stored.unread[part] {
-			t.statusCache.markRead(part, stored.requestedAt)
-		}
-	}
-	t.statusCache.updateWaiting(now, t.core)
+	t.statusCache.updateWaiting(now, t.core, t.readAsOf[:])
 }
 
 // retry calls f until it succeeds or ctx ends. The time limit of a call holds for each page that it reads.
--- a/internal/leader/partjobs.go
+++ b/internal/leader/partjobs.go
@@ -16,23 +16,22 @@
 type partJobs struct {
 	records []store.Record // in the order in which they were stored
 	orphans []string       // keys of copies whose job was dropped
-	next    int64          // offset from which to continue
+	extent  store.Extent   // of the read
 }
 
-// newPartJobs returns the submissions among the newest records of a part, of which next is the end
-// that was read first. The records from next on are left out: they were not read at one time, and an
-// earlier submission may be missing.
-func newPartJobs(records []store.Record, next int64) partJobs {
+// newPartJobs returns the submissions among the newest records of a part, up to the extent of the read.
+// Later records are left out: they were not read at one time, and an earlier submission may be missing.
+func newPartJobs(records []store.Record, extent store.Extent) partJobs {
 	exists := map[string]bool{}
 	for _, r := range records {
 		if r.Key == intake.JobOf(r.Key) {
 			exists[r.Key] = true
 		}
 	}
-	jobs := partJobs{next: next}
+	jobs := partJobs{extent: extent}
 	for _, r := range records {
 		switch {
-		case r.Offset >= next:
+		case r.Offset >= extent.Next:
 		case exists[intake.JobOf(r.Key)]:
 			jobs.records = append(jobs.records, r)
 		default:
@@ -45,8 +44,9 @@
 
 // newestJobs reads all submissions of a part.
 func (t *term) newestJobs(ctx context.Context, part int) (partJobs, error) {
-	records, next, err := t.newest(ctx, intake.Stream(part))
-	return newPartJobs(records, next), err
+	askedAt := t.cfg.Now()
+	records, end, err := t.newest(ctx, intake.Stream(part))
+	return newPartJobs(records, store.Extent{AskedAt: askedAt, Next: end, End: end}), err
 }
 
 // addJobs adds the submissions to the scheduler. Copies whose job was dropped, by a leader of an
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -11,8 +11,13 @@
 	"rhubarbshore/internal/scheduler"
 )
 
-// waitingCountInterval is the time between counts of waiting jobs, which may be two seconds old.
-const waitingCountInterval = 500 * time.Millisecond
+const (
+	// waitingCountInterval is the time between counts of waiting jobs, which may be two seconds old.
+	waitingCountInterval = 500 * time.Millisecond
+	// maxCountAge is how long ago the jobs may have been asked for that a count includes. Jobs must
+	// be counted five seconds after they were accepted.
+	maxCountAge = 4500 * time.Millisecond
+)
 
 const (
 	// stateChangeWait is how long State waits for a change if a job is running. The leader
@@ -35,7 +40,7 @@
 	watchers  map[string]chan struct{} // closed when a new status of the job is published
 	waiting   map[string]int           // number of waiting jobs by queue
 	countedAt time.Time
-	readAt    [intake.Parts]time.Time // time as of which all records of each stream are applied
+	countAsOf time.Time // all jobs that were stored before are counted; zero if some may not be
 }
 
 // jobStatus is the published status of a job.
@@ -73,35 +78,26 @@
 	}
 }
 
-// markRead notes that all records that a job stream held at the given time are applied.
-func (c *statusCache) markRead(part int, at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readAt[part] = at
-}
-
-// updateWaiting publishes the number of waiting jobs once per waitingCountInterval.
-func (c *statusCache) updateWaiting(now time.Time, core *scheduler.Core) {
+// updateWaiting publishes the number of waiting jobs once per waitingCountInterval. The times are those
+// up to which the jobs of each part are read.
+func (c *statusCache) updateWaiting(now time.Time, core *scheduler.Core, readAsOf []time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.countedAt) >= waitingCountInterval {
-		c.waiting, c.countedAt = core.Waiting(), now
+		c.waiting, c.countedAt, c.countAsOf = core.Waiting(), now, slices.MinFunc(readAsOf, time.Time.Compare)
 	}
 }
 
-// state looks up a job for a customer. A job that is not found is reported as unknown only if
-// its stream was read recently.
-func (c *statusCache) state(now time.Time, id, customer string) (jobStatus, error) {
+// state looks up a job for a customer. That a job is not found proves nothing: it may be stored and not
+// read yet.
+func (c *statusCache) state(id, customer string) (jobStatus, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v, known := c.jobs[id]
-	switch {
-	case known && scheduler.MaySee(customer, v.customer):
-		return v, nil
-	case now.Sub(c.readAt[intake.PartOf(id)]) > maxJobFeedAge:
-		return jobStatus{}, ErrIndeterminate
+	if !known || !scheduler.MaySee(customer, v.customer) {
+		return jobStatus{}, scheduler.ErrUnknown
 	}
-	return jobStatus{}, scheduler.ErrUnknown
+	return v, nil
 }
 
 // watch returns a channel that is closed when a new status of the job is published.
@@ -131,7 +127,7 @@
 	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
-	v, err := t.statusCache.state(t.cfg.Now(), id, customer)
+	v, err := t.statusCache.state(id, customer)
 	if err == nil && v.state == scheduler.Running && !v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, stateChangeWait)
 	}
@@ -139,13 +135,13 @@
 		if t.catchUp(ctx, intake.PartOf(id)) != nil {
 			return "", ErrIndeterminate
 		}
-		v, err = t.statusCache.state(t.cfg.Now(), id, customer)
+		v, err = t.statusCache.state(id, customer)
 	}
 	if err == nil && v.unstored {
 		v, err = t.awaitChange(ctx, id, customer, outcomeWait)
 	}
 	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
-		return "", ErrDeposed // the age of the job streams says nothing after a suspension
+		return "", ErrDeposed // the jobs of a term that was suspended say nothing
 	}
 	return v.state, err
 }
@@ -167,7 +163,7 @@
 	changed := t.statusCache.watch(id)
 	defer t.statusCache.unwatch(id, changed)
 	// The status may have changed before watch was called.
-	if v, err := t.statusCache.state(t.cfg.Now(), id, customer); err == nil && v.state.Final() {
+	if v, err := t.statusCache.state(id, customer); err == nil && v.state.Final() {
 		return v, nil
 	}
 	timer := time.NewTimer(timeout)
@@ -178,7 +174,7 @@
 	case <-t.ctx.Done():
 	case <-ctx.Done():
 	}
-	return t.statusCache.state(t.cfg.Now(), id, customer)
+	return t.statusCache.state(id, customer)
 }
 
 // Waiting returns the number of jobs in a queue of which no task has started.
@@ -189,8 +185,7 @@
 	}
 	t.statusCache.mu.Lock()
 	defer t.statusCache.mu.Unlock()
-	unread := slices.ContainsFunc(t.statusCache.readAt[:], time.Time.IsZero)
-	if unread || t.cfg.Now().Sub(t.statusCache.countedAt) > maxJobFeedAge {
+	if t.cfg.Now().Sub(t.statusCache.countAsOf) > maxCountAge {
 		return 0, ErrIndeterminate
 	}
 	return t.statusCache.waiting[queue], nil
@@ -256,7 +251,7 @@
 	out.state, out.err = t.core.Cancel(now, c.job, c.customer)
 	t.applyEffects(t.core.TakeEffects())
 	if errors.Is(out.err, scheduler.ErrUnknown) {
-		_, out.err = t.statusCache.state(now, c.job, c.customer)
+		_, out.err = t.statusCache.state(c.job, c.customer)
 	}
 	send := func() { c.reply <- out }
 	switch {
