leader: Keep the cancelling of an unknown job for submissions that come later

Callers were told 410 by a DELETE, and the job started seconds later, when the store carried out its submission. Cause: nothing was stored under the ID, so the late submission counted as a new job. Class: an answer about the future from what was read. Change: before 410 the leader stores the cancelling, with its next append. A submission of that customer under the ID that is read later is cancelled, also by the next leader. Why it works: whatever is carried out after the 410 is read after the record.

--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -192,30 +192,31 @@
 }
 
 // Cancel cancels a job and returns once its end is stored. A job that is not found is reported as
-// unknown only after all jobs that had been accepted before the call were read: the answer is
-// final, and the job may have been accepted by another VM a moment ago.
+// unknown only after all jobs that had been accepted before the call were read, and the call is stored:
+// the answer is final, but the job may have been accepted by another VM a moment ago, and a write of it
+// may be carried out later.
 func (l *Leader) Cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
 	t := l.current.Load()
 	if t == nil || !t.active() {
 		return "", ErrDeposed
 	}
-	state, err := t.cancel(ctx, id, customer)
+	state, err := t.cancel(ctx, id, customer, false)
 	if !errors.Is(err, scheduler.ErrUnknown) {
 		return state, err
 	}
 	if t.catchUp(ctx, intake.PartOf(id)) != nil {
 		return "", ErrIndeterminate
 	}
-	state, err = t.cancel(ctx, id, customer)
+	state, err = t.cancel(ctx, id, customer, true)
 	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
 		return "", ErrDeposed
 	}
 	return state, err
 }
 
-// cancel has the loop cancel a job that it knows.
-func (t *term) cancel(ctx context.Context, id, customer string) (scheduler.State, error) {
-	c := cancelEvent{id, customer, make(chan cancelResult, 1)}
+// cancel has the loop cancel a job that it knows, or keep the call for one that it doesn't.
+func (t *term) cancel(ctx context.Context, id, customer string, keep bool) (scheduler.State, error) {
+	c := cancelEvent{id, customer, keep, make(chan cancelResult, 1)}
 	select {
 	case t.inbox <- c:
 	case <-t.ctx.Done():
@@ -233,9 +234,11 @@
 	}
 }
 
-// cancelEvent asks the loop to cancel a job. The reply is sent once the outcome is stored.
+// cancelEvent asks the loop to cancel a job, and to keep the call if it doesn't know the job. The reply is
+// sent once the outcome or the call is stored.
 type cancelEvent struct {
 	job, customer string
+	keep          bool
 	reply         chan cancelResult
 }
 
@@ -249,12 +252,20 @@
 func (c cancelEvent) apply(t *term, now time.Time) {
 	var out cancelResult
 	out.state, out.err = t.core.Cancel(now, c.job, c.customer)
-	t.applyEffects(t.core.TakeEffects())
-	if errors.Is(out.err, scheduler.ErrUnknown) {
-		_, out.err = t.statusCache.state(c.job, c.customer)
+	kept := false
+	if c.keep && errors.Is(out.err, scheduler.ErrUnknown) {
+		if err := t.core.CancelUnknown(now, c.job, c.customer); err != nil {
+			t.cfg.Logger.Warn("cancelling of an unknown job not kept", "job", c.job, "error", err)
+			out.err = ErrIndeterminate
+		} else {
+			kept = true
+		}
 	}
+	t.applyEffects(t.core.TakeEffects())
 	send := func() { c.reply <- out }
 	switch {
+	case kept:
+		t.pending.replies = append(t.pending.replies, send)
 	case !t.unstoredOutcomes[c.job]:
 		send()
 	case t.inFlight != nil && !slices.ContainsFunc(t.pending.outcomes, func(d scheduler.Description) bool { return d.Job == c.job }):
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -44,6 +44,9 @@
 // Restore loads a record that an earlier leader stored. All records must be loaded before
 // the first job is added.
 func (c *Core) Restore(now time.Time, key string, value []byte) error {
+	if ok, err := c.restoreCancellation(now, key, value); ok {
+		return err
+	}
 	if !strings.Contains(key, ".") {
 		var rec jobRecord
 		if err := json.Unmarshal(value, &rec); err != nil {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -163,6 +163,7 @@
 	workers          map[string]*worker
 	sortedWorkers    []*worker // sorted by ID
 	policy           Policy
+	cancellations    map[string]time.Time      // when the cancellings of unknown jobs expire, by cancellationKey
 	restored         map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
 	readAsOf         func(id string) time.Time // see AwaitJobs; nil if all are added at once
 	effects          Effects
@@ -181,7 +182,7 @@
 // New returns a Core without jobs and workers.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]time.Time{},
 		index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
@@ -257,6 +258,7 @@
 	c.effects.Changed = append(c.effects.Changed, spec.ID)
 	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "config", spec.QueueOffset, "policy", c.policy.Offset, "priority", j.queue.Priority,
 		"customer", spec.Customer, "tasks", j.taskCount(), "steps", len(spec.Steps), "repeat", spec.Repeat)
+	c.applyCancellation(now, j)
 }
 
 func newOccurrence(j *job, number int) *occurrence {
@@ -458,6 +460,7 @@
 	for _, w := range c.sortedWorkers {
 		c.checkWorker(now, w)
 	}
+	c.expireCancellations(now)
 	for id, j := range c.jobs {
 		if j.state.Final() && j.pendingDrops == 0 && now.After(j.expiresAt) && !c.mayBeStored(id, j.expiresAt) {
 			delete(c.jobs, id)
