intake: Don't store a job whose call has ended

Callers left, cancelled the job elsewhere, and it was stored and ran. Cause: the queue of a VM took submissions without looking at whether their call went on, so that one that waited behind a silent append, or in a paused VM, was stored later. Change: submissions whose call has ended are answered instead of stored.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -166,6 +167,20 @@
 	result      chan error
 }
 
+// abandon answers a submission whose call has ended, so that it is not stored any more. A VM that was paused
+// may find such ones in its queues. It reports false if the call goes on.
+func (s *submission) abandon() bool {
+	switch {
+	case s.ctx.Err() == nil:
+		return false
+	case s.uncertain:
+		s.result <- ErrUncertain
+	default:
+		s.result <- &BusyError{Reason: "the call ended before the job was stored", RetryAfter: minRetryAfter}
+	}
+	return true
+}
+
 // Intake accepts jobs. All calls on a VM share its appends.
 type Intake struct {
 	cfg    Config
@@ -287,6 +302,7 @@
 func (q *partQueue) nextBatch() []*submission {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.pending = slices.DeleteFunc(q.pending, (*submission).abandon)
 	n, size := 0, 0
 	for n < min(len(q.pending), maxBatchJobs) && (n == 0 || size+recordsPerJob*len(q.pending[n].value) <= maxBatchBytes) {
 		size += recordsPerJob * len(q.pending[n].value)
