leader: End the runs of a worker whose address another process has

Callers saw a lasting task without a run for 10 s after its worker had crashed and been replaced. Cause: a renewal that another process at the worker's address answers with 421 counted as one without an answer, so the runs counted until the lease was over. Class: knowledge that ends a wait is not used. Change: such an answer ends the worker's runs, if the worker answered at that address before and no start is on its way or unanswered. Why it works: two processes can't listen at one address. Workers lost for good at leases of 10 s and the package for the rule remain.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -55,6 +55,8 @@
 	ackable      int64     // number of the last ended run whose record is stored
 	ackedEnd     int64     // number of the last ended run that the worker was asked to forget
 	answeredAt   time.Time // when the worker last answered a renewal
+	answeredFrom string    // address at which it did
+	startedAt    time.Time // when a start on the worker was last answered
 	incarnation  int64
 	starting     int  // starts in progress, whose leases are counted once they are over
 	renewing     bool // a renewal is in progress
@@ -261,14 +263,17 @@
 	if r.Wait > 0 {
 		timeout = r.Wait + renewalMargin
 	}
+	sentAt := t.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	answer, err := t.cfg.Workers.Renew(callCtx, id, address, r)
 	cancel()
-	t.post(ctx, renewalEvent{id: id, answer: answer, err: err, request: r, check: check})
+	t.post(ctx, renewalEvent{id: id, address: address, sentAt: sentAt, answer: answer, err: err, request: r, check: check})
 }
 
 type renewalEvent struct {
 	id      string
+	address string
+	sentAt  time.Time
 	answer  fleet.RenewalAnswer
 	err     error
 	request fleet.Renewal
@@ -290,6 +295,10 @@
 		return
 	case e.err != nil || e.answer.Verdict != fleet.Accepted:
 		e.recordFailure(t, l, now)
+		if e.provesEnd(t, l) {
+			t.cfg.Logger.Info("worker's process has ended", "worker", l.id, "address", e.address, "leases_end_ms", l.leasesExpire.Sub(now).Milliseconds())
+			t.endLeases(now, l)
+		}
 		return
 	}
 	if !t.core.Report(now, e.answer.Report) {
@@ -297,6 +306,7 @@
 		return
 	}
 	t.noteAnswer(now, l)
+	l.answeredFrom = e.address
 	restarted := e.answer.Report.Incarnation > l.incarnation
 	if restarted {
 		l.setIncarnation(e.answer.Report.Incarnation)
@@ -384,14 +394,28 @@
 			continue
 		}
 		if (l.failures > 0 || l.address == "") && l.starting == 0 && now.After(l.leasesExpire) {
-			t.core.ExpireLeases(now, id)
-			t.resolveEarlier(id)
-			l.setIncarnation(0)
-			l.leasesExpire = now.Add(t.cfg.Scheduler.MaxLease)
+			t.endLeases(now, l)
 		}
 	}
 }
 
+// endLeases reports to the scheduler that nothing runs on a worker any more.
+func (t *term) endLeases(now time.Time, l *link) {
+	t.core.ExpireLeases(now, l.id)
+	t.resolveEarlier(l.id)
+	l.setIncarnation(0)
+	l.leasesExpire = now.Add(t.cfg.Scheduler.MaxLease)
+}
+
+// provesEnd reports whether the answer to a renewal proves that the worker's process has ended, and its runs
+// with it: another process answers at the address at which the worker did. Starts that may be carried out
+// after that, by a later process of the worker, have to wait for their leases.
+func (e renewalEvent) provesEnd(t *term, l *link) bool {
+	return e.err == nil && e.answer.Verdict == fleet.WorkerRestarted &&
+		e.address == l.answeredFrom && e.address == l.address &&
+		l.starting == 0 && !l.startedAt.After(e.sentAt) && t.core.HasOnlyAnsweredRuns(l.id)
+}
+
 // awaitStartWindow waits until a batch is stored that was sent within startWindow. It returns false once
 // the start's lease would have ended.
 func (t *term) awaitStartWindow(ctx context.Context, until time.Time) bool {
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -46,6 +46,7 @@
 	l := t.links[e.start.Worker]
 	if l != nil {
 		l.starting = max(l.starting-1, 0) // the link may be newer than the start
+		l.startedAt = now
 		if !e.carriedOut.IsZero() {
 			// A worker that has restarted unnoticed grants the longest lease, whatever the deadline.
 			l.recordGrant(e.carriedOut, t.cfg.Scheduler.MaxLease)
