catalog: Cut figures beyond the limits of jobs when a configuration is read

Callers got 200 for jobs that no leader ever took. Cause: a job was checked before its queue was set, and by the leader with it; a job that failed there was passed over. Class: what is accepted is not what is checked.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -68,14 +69,21 @@
 	cfg           Config
 	routesByHost  map[string][]Route
 	customerByKey map[string]string
+	limited       []string // queues with figures that were cut
 }
 
 // New indexes a configuration.
 func New(cfg Config) *Snapshot {
 	s := &Snapshot{cfg: cfg, routesByHost: map[string][]Route{}, customerByKey: map[string]string{}}
-	for _, r := range cfg.Routes {
+	s.cfg.Routes = slices.Clone(cfg.Routes)
+	for i := range s.cfg.Routes {
+		r := &s.cfg.Routes[i]
+		var cut bool
+		if r.Queue, cut = r.Queue.Limited(); cut {
+			s.limited = append(s.limited, r.Queue.Name)
+		}
 		host := strings.ToLower(r.Host)
-		s.routesByHost[host] = append(s.routesByHost[host], r)
+		s.routesByHost[host] = append(s.routesByHost[host], *r)
 	}
 	for _, routes := range s.routesByHost {
 		sort.SliceStable(routes, func(i, k int) bool { return len(routes[i].Prefix) > len(routes[k].Prefix) })
@@ -94,6 +102,9 @@
 // Offset returns the offset of the version in the operator's topic.
 func (s *Snapshot) Offset() int64 { return s.cfg.Offset }
 
+// Limited returns the names of the queues of which figures were cut to the limits of jobs.
+func (s *Snapshot) Limited() []string { return s.limited }
+
 // Limits returns the limits on requests from clients.
 func (s *Snapshot) Limits() Limits { return s.cfg.Limits }
 
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/intake"
@@ -105,3 +106,21 @@
 	})
 	assert.DeepEqual(t, violations, []string(nil))
 }
+
+// Guards against a stored job that nobody hears of again: one beyond the limits was passed over, and its
+// customer was told that it doesn't exist.
+func TestStoredJobBeyondTheLimitsIsShownAsFailed(t *testing.T) {
+	violations := run(t, 2, func(p *pool) {
+		odd := job(1, 1, step(1, 1))
+		odd.Queue.Target = 400 * 24 * time.Hour
+		p.submit(odd)
+		p.elect()
+		time.Sleep(2 * time.Second)
+		assert.Check(t, is.Equal(p.state(odd.ID), scheduler.Failed))
+		p.takeOver(time.Second)
+		time.Sleep(2 * time.Second)
+		assert.Check(t, is.Equal(p.state(odd.ID), scheduler.Failed))
+		assert.Check(t, is.Equal(p.fleet.Starts(), 0), "starts")
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
--- a/internal/leader/partjobs.go
+++ b/internal/leader/partjobs.go
@@ -70,14 +70,16 @@
 		return
 	}
 	j, err := decodeStoredJob(r.Value)
-	if err == nil && j.ID == id {
-		err = j.Check()
-	}
 	if err != nil || j.ID != id {
 		metric.Count("stored_jobs_rejected_total")
 		t.cfg.Logger.Error("stored job not readable", "key", r.Key, "job", j.ID, "error", err)
 		return
 	}
 	j.Key = r.Key
+	if err := j.Check(); err != nil {
+		metric.Count("stored_jobs_rejected_total")
+		t.core.FailInvalidJob(now, j, err)
+		return
+	}
 	t.core.AddJob(now, j)
 }
--- a/internal/operator/follower.go
+++ b/internal/operator/follower.go
@@ -252,4 +252,7 @@
 	// The version is in force here at most age_ms after its acknowledgement.
 	age, _ := f.confirmation.age()
 	f.cfg.Logger.Info("configuration in force", "version", snap.Version(), "offset", snap.Offset(), "age_ms", age.Milliseconds())
+	if limited := snap.Limited(); len(limited) > 0 {
+		f.cfg.Logger.Warn("figures of queues cut to the limits of jobs", "version", snap.Version(), "queues", limited)
+	}
 }
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -65,6 +65,14 @@
 	return nil
 }
 
+// Limited returns the queue with its figures cut to what jobs may have, and whether any was.
+func (q Queue) Limited() (limited Queue, cut bool) {
+	limited = q
+	limited.Stretch = min(max(q.Stretch, 0), maxFactor)
+	limited.Target = min(max(q.Target, 0), maxQueueLatency)
+	return limited, limited != q
+}
+
 func (s *Step) check(i int) error {
 	switch {
 	case s.Count <= 0 || s.Count > maxTasks:
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -261,6 +261,22 @@
 	c.applyCancellation(now, j)
 }
 
+// FailInvalidJob adds a job that doesn't pass its check as failed, so that its customer learns of it. It
+// can't have been accepted by a version with the same limits.
+func (c *Core) FailInvalidJob(now time.Time, spec Job, reason error) {
+	if c.jobs[spec.ID] != nil {
+		c.AddJob(now, spec)
+		return
+	}
+	j := &job{spec: Job{ID: spec.ID, Key: spec.Key, Customer: spec.Customer}, accepted: now, deadline: now}
+	c.jobs[spec.ID] = j
+	for _, t := range c.restored[spec.ID] {
+		c.effects.Records = append(c.effects.Records, Record{Key: t.name})
+	}
+	delete(c.restored, spec.ID)
+	c.endJob(now, j, Failed, reason.Error())
+}
+
 func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{job: j, number: number, due: j.accepted}
 	if j.spec.Repeat > 0 {
