scheduler: Count jobs as waiting until a worker has started a task

Callers read a count of waiting jobs of 0 while the starts of all were rejected. Cause: a job left the count when its first start was ordered. Class: an order is taken for its effect. Change: a job has begun once a worker accepted a start or listed a run; records of tasks tell the next leader. Why it works: only what workers say counts.

--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -26,6 +26,9 @@
 	LastFailed int   `json:"failed,omitempty"`
 	FailedRuns []int `json:"faults,omitempty"`
 	Moves      int   `json:"moves,omitempty"`
+	// Begun is set if a worker was known to have started a task of the job. The others are
+	// known to the next leader once their workers report.
+	Begun bool `json:"begun,omitempty"`
 	// Need is what the run on Worker uses. The next leader needs it if it can't read the job.
 	Need *Resources `json:"need,omitempty"`
 }
@@ -76,6 +79,7 @@
 		*t.failures() = failed
 	}
 	j.started = true
+	j.begun = j.begun || st.value.Begun || st.value.Done || st.value.Checkpoint != "" || len(st.value.failedRuns()) > 0
 	j.state = Running
 	t.step.occ.started = true
 	switch {
@@ -163,7 +167,7 @@
 // storeTask adds a record of the task's state to the effects.
 func (c *Core) storeTask(t *task) {
 	failed := *t.failures()
-	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed, Moves: t.moves}
+	rec := taskRecord{Run: t.run, Failures: len(failed), Checkpoint: t.checkpoint, Done: t.phase == done, FailedRuns: failed, Moves: t.moves, Begun: t.step.occ.job.begun}
 	for _, run := range failed {
 		rec.LastFailed = max(rec.LastFailed, run)
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -114,8 +114,9 @@
 	queue    Queue // current policy; spec.Queue has that at submission
 	state    State
 	occs     []*occurrence
-	done     int // occurrences that are done
-	started  bool
+	done     int       // occurrences that are done
+	started  bool      // a start was ordered
+	begun    bool      // a worker is known to have started a task
 	deadline time.Time // end of its objective; the job earns its full worth until then
 	accepted time.Time
 	// pendingDrops counts the drops of the job's description that aren't confirmed yet. The
@@ -397,11 +398,12 @@
 	return j.state, j.spec.Customer, true
 }
 
-// Waiting counts, by queue, the jobs of which no task has started.
+// Waiting counts, by queue, the jobs of which no task has started. That a start was ordered does not
+// count: it may be rejected or get lost.
 func (c *Core) Waiting() map[string]int {
 	n := map[string]int{}
 	for _, j := range c.active {
-		if !j.started {
+		if !j.begun {
 			n[j.queue.Name]++
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -364,6 +364,7 @@
 		if r != nil && r.awaitsJob {
 			c.holdEnd(r)
 		} else if r != nil {
+			r.noteBegun()
 			c.runEnded(now, r, e.Cause, e.Checkpoint)
 		}
 		switch {
@@ -406,6 +407,7 @@
 		r.progressAt = now
 	}
 	r.percent, r.reportedAt = entry.Percent, now
+	r.noteBegun()
 	if r.task != nil {
 		r.task.listed(now)
 	}
@@ -414,6 +416,13 @@
 	}
 }
 
+// noteBegun records that a worker has started the run.
+func (r *run) noteBegun() {
+	if r.task != nil {
+		r.task.step.occ.job.begun = true
+	}
+}
+
 // StartResult is the worker's answer to a Start.
 type StartResult int
 
@@ -465,6 +474,7 @@
 	}
 	switch result {
 	case Accepted:
+		r.noteBegun()
 		w.failedStarts, w.lastStartFailed = 0, false
 		if r.task != nil {
 			r.task.step.rejections = rejections{}
