leader: Request leases of 7.5 s at most

Callers saw a lasting task without a run for longer than 9 s after its worker was lost for good, where workers grant leases of 10 s. Cause: each renewal requested the longest lease, whose end the task waits for. Evidence: TestLastingTaskRunsAgainAfterItsWorkerIsLost: 9.65 s at 10 s leases, within the limit at 6 s. Change: renewals request 7.5 s at most, which follows from that limit. Why it works: the wait is the last lease, 2% drift, the expiry, an append and a start. A start within some seconds before the loss still counts with the longest lease.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -20,6 +20,10 @@
 	// the longest one. If neither is answered, the short lease lets the task start elsewhere
 	// that much sooner.
 	startLease = 3 * time.Second
+	// maxRenewedLease is the longest lease that a renewal requests. A lasting task must run again
+	// nine seconds after it was lost with its worker, of which a slow clock takes 2% and the
+	// expiry, the write and the start the rest.
+	maxRenewedLease = 7500 * time.Millisecond
 	// shortRenewalTimeout limits a renewal that does not wait.
 	shortRenewalTimeout = 700 * time.Millisecond
 	// ackWindow is how recently a worker must have answered to be asked to forget ended runs. It
@@ -218,7 +222,7 @@
 	r := l.newRenewal(now, t.epoch, t.core.NeedsPolling(l.id))
 	check := false
 	// No lease is requested from a worker that does not answer, so that its last one can expire.
-	if grant := min(t.cfg.Scheduler.MaxLease, limit.Sub(now)); grant > 0 && !l.clockReadAt.IsZero() && l.failures == 0 && !l.stored && t.mayGrant() {
+	if grant := min(t.cfg.Scheduler.MaxLease, maxRenewedLease, limit.Sub(now)); grant > 0 && !l.clockReadAt.IsZero() && l.failures == 0 && !l.stored && t.mayGrant() {
 		// A restarted worker grants the longest lease whenever it carries the renewal out, so its
 		// incarnation is checked first.
 		if check = !l.checked && now.Sub(l.answeredAt) >= ackWindow; check {
