operator: Name the store that a read goes to apart from the offset

Cause: 'from' meant an offset in one place and a store in another. Change: renamed, and the fields of an answer explained. Result: tests of operator pass.

--- a/internal/operator/follower.go
+++ b/internal/operator/follower.go
@@ -118,8 +118,8 @@
 
 // answer is the result of a read.
 type answer struct {
-	number int
-	from   int64
+	number int   // of the read, from 1 on
+	from   int64 // offset from which was read
 	sentAt time.Time
 	read   catalog.Read
 	err    error
@@ -129,7 +129,7 @@
 // overdue, others are sent without waiting for its end.
 func (f *Follower) Run(ctx context.Context) {
 	answers := make(chan answer, maxReads)
-	pending, number, wait, from := 0, 0, time.Duration(0), f.cfg.Store
+	pending, number, wait, source := 0, 0, time.Duration(0), f.cfg.Store
 	due := time.NewTimer(0)
 	defer due.Stop()
 	for {
@@ -147,19 +147,19 @@
 					a := f.read(ctx, s, wait)
 					a.number = n
 					answers <- a
-				}(number, from, wait)
+				}(number, source, wait)
 				due.Reset(wait + f.share(overdueShare))
 			} else {
 				due.Reset(f.share(overdueShare))
 			}
-			wait, from = 0, f.cfg.Redial // unless the answer comes in time
+			wait, source = 0, f.cfg.Redial // unless the answer comes in time
 		case a := <-answers:
 			pending--
 			ok := f.apply(ctx, a)
 			if a.number != number {
 				continue // a later read is on its way
 			}
-			wait, from = f.share(pollShare), f.cfg.Store
+			wait, source = f.share(pollShare), f.cfg.Store
 			if ok {
 				due.Reset(minReadInterval - time.Since(a.sentAt))
 				continue
