leader: Repeat a start only to the same process of its worker

Callers' tasks ran on a worker beyond its capacity (LIMIT). Cause: a start without an answer was repeated, and carried out by the worker's next process, which may be of a smaller kind. Class: an order outlives the process that it is for. Change: before a repeat, a renewal without a lease checks the worker's incarnation; another one, or no answer, ends or delays the start. Without the lease from the last attempt's end, TestRepeatedStartOnARestartedWorkerRunsNothingTwice still shows TWICE. Why it works: a repeat goes to a process that answered just before it. A first start before the new entry is read stays open.

--- a/internal/leader/batch.go
+++ b/internal/leader/batch.go
@@ -152,7 +152,8 @@
 			lease := until.Sub(now)
 			deadline := l.deadline(now, lease)
 			t.core.StartSent(s.Worker, s.Task, s.Run, leaseEnd(now, max(lease, 0)))
-			t.spawn(func() { t.start(t.ctx, s, deadline, until) })
+			incarnation := l.incarnation
+			t.spawn(func() { t.start(t.ctx, s, incarnation, deadline, until) })
 			l.starting++
 			l.recordGrant(now, lease)
 			t.renewNow(l)
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
@@ -432,8 +434,26 @@
 	return false
 }
 
-// start sends a start, with a lease until the given time, to its worker and posts the result.
-func (t *term) start(ctx context.Context, s scheduler.Start, deadline int64, until time.Time) {
+// errRestarted means that another process of the worker answers than the one that an order is for.
+var errRestarted = errorx.NewType(errorx.NewNamespace("leader"), "restarted").New("the worker has restarted")
+
+// checkProcess returns nil if the process of a worker is still the one with the incarnation.
+func (t *term) checkProcess(ctx context.Context, s scheduler.Start, incarnation int64) error {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer, err := t.cfg.Workers.Renew(callCtx, s.Worker, s.Address, fleet.Renewal{Token: t.epoch})
+	switch {
+	case err != nil:
+		return err
+	case answer.Verdict != fleet.Accepted || answer.Report.Incarnation != incarnation:
+		return errRestarted
+	}
+	return nil
+}
+
+// start sends a start, with a lease until the given time, to its worker and posts the result. It is repeated
+// only to the process with the incarnation: a restarted worker may be of another kind, and smaller.
+func (t *term) start(ctx context.Context, s scheduler.Start, incarnation, deadline int64, until time.Time) {
 	defer t.pendingStarts.Add(-1)
 	if t.startSlots.Acquire(ctx, 1) != nil {
 		return // deposed in the meantime
@@ -455,6 +475,14 @@
 		if !t.active() {
 			return // a restarted worker would obey a deposed leader
 		}
+		if unanswered {
+			if lastErr = t.checkProcess(ctx, s, incarnation); errors.Is(lastErr, errRestarted) {
+				break
+			} else if lastErr != nil {
+				time.Sleep(orderRetryDelay)
+				continue
+			}
+		}
 		sent = true
 		t.grants.note(s.Worker, t.cfg.Now())
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -473,23 +501,37 @@
 		result = startResult(answer.Verdict, unanswered)
 		break
 	}
+	t.finishStart(ctx, s, startOutcome{result, lastVerdict, lastErr, sent, unanswered, carriedOut}, began)
+}
+
+// startOutcome is what became of the attempts of a start.
+type startOutcome struct {
+	result           scheduler.StartResult
+	verdict          fleet.Verdict // of the last attempt
+	err              error         // of the last attempt or of the check before it
+	sent, unanswered bool          // an attempt was sent, or got no answer
+	carriedOut       time.Time     // as in startedEvent
+}
+
+// finishStart logs, counts and posts what became of a start.
+func (t *term) finishStart(ctx context.Context, s scheduler.Start, o startOutcome, began time.Time) {
 	switch {
-	case !sent:
-		result = scheduler.NotSent
-	case lastErr != nil && !unanswered:
-		result = scheduler.Rejected
+	case !o.sent:
+		o.result = scheduler.NotSent
+	case o.err != nil && !o.unanswered:
+		o.result = scheduler.Rejected
 	}
 	metric.Observe("start_seconds", began)
-	if sent {
-		metric.StartVerdict(startVerdict(lastVerdict, lastErr, unanswered))
+	if o.sent {
+		metric.StartVerdict(startVerdict(o.verdict, o.err, o.unanswered))
 	}
-	if result != scheduler.Accepted {
-		t.cfg.Logger.Warn("start not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", lastVerdict.String(),
-			"sent", sent, "unanswered", unanswered, "error", lastErr, "took_ms", time.Since(began).Milliseconds())
+	if o.result != scheduler.Accepted {
+		t.cfg.Logger.Warn("start not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", o.verdict.String(),
+			"sent", o.sent, "unanswered", o.unanswered, "error", o.err, "took_ms", time.Since(began).Milliseconds())
 	}
-	if lastVerdict == fleet.Fenced && lastErr == nil {
+	if o.verdict == fleet.Fenced && o.err == nil {
 		t.post(ctx, deposedEvent{by: "worker " + s.Worker})
 		return
 	}
-	t.post(ctx, startedEvent{s, result, carriedOut})
+	t.post(ctx, startedEvent{s, o.result, o.carriedOut})
 }
