join: Check in the soak that a job cancelled as unknown never runs

Cause: the soak took 410 to a cancel before the answer to the submission for a cancel without effect. A first form, which asked the same after 200, was wrong: a completed job answers 200 to a cancel.

--- a/internal/cmd/join/soak_client_test.go
+++ b/internal/cmd/join/soak_client_test.go
@@ -25,8 +25,10 @@
 	cancelAfter time.Duration   // from its acceptance; 0 if it isn't cancelled
 	cancelEarly time.Duration   // from its submission, whether it is answered or not; 0 if it isn't cancelled
 	cancelled   bool            // a cancel that may have been carried out was sent before the acceptance
-	accepted    time.Time
-	rejected    bool // no attempt so far can have been accepted
+	// cancelledUnknown is set if such a cancel was answered that there is no such job.
+	cancelledUnknown bool
+	accepted         time.Time
+	rejected         bool // no attempt so far can have been accepted
 }
 
 // runClient submits jobs of drawn shapes one after the other, as client number k, and follows each
@@ -190,6 +192,8 @@
 // checkEnd checks the state in which a job has ended.
 func (s *soak) checkEnd(j *soakJob, state scheduler.State) {
 	switch {
+	case j.cancelledUnknown && state != scheduler.Cancelled:
+		s.reportf("job %s ended in state %s, though it was cancelled before it was known", j.ID, state)
 	case state == scheduler.Completed:
 		s.checkTasksEnded(j)
 	case state == scheduler.Cancelled && s.cancelDue(j):
--- a/internal/cmd/join/soak_shape_test.go
+++ b/internal/cmd/join/soak_shape_test.go
@@ -75,10 +75,11 @@
 func (s *soak) cancelBeforeAnswer(ctx context.Context, c *platformtest.Client, j *soakJob) {
 	time.Sleep(j.cancelEarly)
 	status, err := c.Cancel(ctx, j.ID, j.Queue.Priority)
-	if err == nil && status == http.StatusOK {
+	j.cancelledUnknown = err == nil && status == http.StatusGone
+	if err == nil && status == http.StatusOK || j.cancelledUnknown {
 		s.setEnded(j.ID)
 	}
-	j.cancelled = !refusedConnection(err) && (err != nil || status != http.StatusGone)
+	j.cancelled = !refusedConnection(err)
 }
 
 // workLeft returns how long the open work takes at most, one job after the other, each away from
