--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/metric"
-	"rhubarbshore/internal/scheduler"
 )
 
 const (
@@ -421,117 +416,3 @@
 		e.address == l.answeredFrom && e.address == l.address &&
 		l.starting == 0 && !l.startedAt.After(e.sentAt) && t.core.HasOnlyAnsweredRuns(l.id)
 }
-
-// awaitStartWindow waits until a batch is stored that was sent within startWindow. It returns false once
-// the start's lease would have ended.
-func (t *term) awaitStartWindow(ctx context.Context, until time.Time) bool {
-	for ctx.Err() == nil && t.cfg.Now().Before(until) {
-		if t.cfg.Now().Sub(t.lastWrite.get()) <= startWindow {
-			return true
-		}
-		time.Sleep(retryDelay)
-	}
-	return false
-}
-
-// errRestarted means that another process of the worker answers than the one that an order is for.
-var errRestarted = errorx.NewType(errorx.NewNamespace("leader"), "restarted").New("the worker has restarted")
-
-// checkProcess returns nil if the process of a worker is still the one with the incarnation.
-func (t *term) checkProcess(ctx context.Context, s scheduler.Start, incarnation int64) error {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	answer, err := t.cfg.Workers.Renew(callCtx, s.Worker, s.Address, fleet.Renewal{Token: t.epoch})
-	switch {
-	case err != nil:
-		return err
-	case answer.Verdict != fleet.Accepted || answer.Report.Incarnation != incarnation:
-		return errRestarted
-	}
-	return nil
-}
-
-// start sends a start, with a lease until the given time, to its worker and posts the result. It is repeated
-// only to the process with the incarnation: a restarted worker may be of another kind, and smaller.
-func (t *term) start(ctx context.Context, s scheduler.Start, incarnation, deadline int64, until time.Time) {
-	defer t.pendingStarts.Add(-1)
-	if t.startSlots.Acquire(ctx, 1) != nil {
-		return // deposed in the meantime
-	}
-	release := sync.OnceFunc(func() { t.startSlots.Release(1) })
-	defer release()
-	defer time.AfterFunc(maxStartSlotTime, release).Stop()
-	began := time.Now()
-	unanswered := false
-	result := scheduler.Uncertain
-	lastVerdict := fleet.Malformed
-	var lastErr error
-	var carriedOut time.Time
-	sent := false
-	for range orderAttempts {
-		if !t.awaitStartWindow(ctx, until) {
-			break
-		}
-		if !t.active() {
-			return // a restarted worker would obey a deposed leader
-		}
-		if unanswered {
-			if lastErr = t.checkProcess(ctx, s, incarnation); errors.Is(lastErr, errRestarted) {
-				break
-			} else if lastErr != nil {
-				time.Sleep(orderRetryDelay)
-				continue
-			}
-		}
-		sent = true
-		t.grants.note(s.Worker, t.cfg.Now())
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		answer, err := t.cfg.Workers.Start(callCtx, s, t.epoch, deadline)
-		cancel()
-		lastErr, lastVerdict = err, answer.Verdict
-		unreached := errors.Is(err, fleet.ErrUnreached)
-		if !unreached {
-			carriedOut = t.cfg.Now()
-		}
-		if err != nil {
-			unanswered = unanswered || !unreached
-			time.Sleep(orderRetryDelay)
-			continue
-		}
-		result = startResult(answer.Verdict, unanswered)
-		break
-	}
-	t.finishStart(ctx, s, startOutcome{result, lastVerdict, lastErr, sent, unanswered, carriedOut}, began)
-}
-
-// startOutcome is what became of the attempts of a start.
-type startOutcome struct {
-	result           scheduler.StartResult
-	verdict          fleet.Verdict // of the last attempt
-	err              error         // of the last attempt or of the check before it
-	sent, unanswered bool          // an attempt was sent, or got no answer
-	carriedOut       time.Time     // as in startedEvent
-}
-
-// finishStart logs, counts and posts what became of a start.
-func (t *term) finishStart(ctx context.Context, s scheduler.Start, o startOutcome, began time.Time) {
-	switch {
-	case !o.sent:
-		o.result = scheduler.NotSent
-	case o.err != nil && !o.unanswered:
-		o.result = scheduler.Rejected
-	}
-	metric.Observe("start_seconds", began)
-	if o.sent {
-		metric.StartVerdict(startVerdict(o.verdict, o.err, o.unanswered))
-	}
-	if o.result != scheduler.Accepted {
-		t.cfg.Logger.Warn("start not taken", "task", s.Task, "run", s.Run, "worker", s.Worker, "verdict", o.verdict.String(),
-			"sent", o.sent, "unanswered", o.unanswered, "error", o.err, "took_ms", time.Since(began).Milliseconds())
-	}
-	if o.verdict == fleet.Fenced && o.err == nil {
-		t.post(ctx, deposedEvent{by: "worker " + s.Worker})
-		return
-	}
-	t.post(ctx, startedEvent{s, o.result, o.carriedOut})
-}
