Mend what a newcomer's reading of the change found

Change: store.NewestExtent; one cut in scheduler.Queue.Limited; the true reason; an error; the words. 'call not admitted by the leader' names the call.

--- a/internal/intake/relay.go
+++ b/internal/intake/relay.go
@@ -36,7 +36,10 @@
 	a, err := in.cfg.Admit(ctx, r.From, r.Job.QueueOffset)
 	if err != nil || a.Customer != r.Job.Customer || a.Rest != r.Job.ID {
 		in.cfg.Logger.Info("relayed job refused", "job", r.Job.ID, "config", a.Version, "customer", r.Job.Customer, "owner", a.Customer, "error", err)
-		return RelayResult{Reason: "not allowed by the configuration in force"}
+		if err != nil {
+			return RelayResult{Reason: err.Error()}
+		}
+		return RelayResult{Reason: "the job is another one than the call is admitted for"}
 	}
 	r.Job.Queue, r.Job.QueueOffset = a.Route.Queue, a.Offset
 	err = in.store(ctx, r.Job)
--- a/internal/leader/feeds.go
+++ b/internal/leader/feeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,7 @@
 // readJobsToEnd reads what a part holds when it is called and returns once it is applied. A read that
 // stops before the end, at the limit of a page, says nothing about the jobs behind it.
 func (t *term) readJobsToEnd(ctx context.Context, part int) error {
-	for end := int64(-1); ; {
+	for end, last := int64(-1), int64(-1); ; {
 		applied := make(chan struct{})
 		extent, err := t.readJobs(ctx, part, 0, func() { close(applied) })
 		if err != nil {
@@ -98,6 +99,10 @@
 			end = extent.End
 		}
 		if extent.Next < end {
+			if extent.Next <= last {
+				return fmt.Errorf("part %d ends at %d, but nothing is returned from %d on: %w", part, extent.End, last, ErrIndeterminate)
+			}
+			last = extent.Next
 			continue
 		}
 		select {
@@ -118,7 +123,7 @@
 	}
 	askedAt := t.cfg.Now()
 	records, end, err := t.cfg.Log.Newest(ctx, stream)
-	return newPartJobs(records, store.Extent{AskedAt: askedAt, Next: end, End: end}), err
+	return newPartJobs(records, store.NewestExtent(askedAt, end)), err
 }
 
 // catchUp returns once all jobs of a part that had been accepted when it was called are applied.
--- a/internal/leader/partjobs.go
+++ b/internal/leader/partjobs.go
@@ -46,7 +46,7 @@
 func (t *term) newestJobs(ctx context.Context, part int) (partJobs, error) {
 	askedAt := t.cfg.Now()
 	records, end, err := t.newest(ctx, intake.Stream(part))
-	return newPartJobs(records, store.Extent{AskedAt: askedAt, Next: end, End: end}), err
+	return newPartJobs(records, store.NewestExtent(askedAt, end)), err
 }
 
 // addJobs adds the submissions to the scheduler. Copies whose job was dropped, by a leader of an
--- a/internal/operator/admit.go
+++ b/internal/operator/admit.go
@@ -17,7 +17,7 @@
 // test for it with errors.Is.
 var ErrUnconfirmed = errorx.NewType(errorx.NewNamespace("operator"), "unconfirmed").New("the configuration is not confirmed")
 
-var errNone = fmt.Errorf("no configuration yet: %w", ErrUnconfirmed)
+var errNoConfiguration = fmt.Errorf("no configuration yet: %w", ErrUnconfirmed)
 
 // AdmitPath is the path of the call with which a VM has the leader admit a client's call.
 const AdmitPath = "/admit"
@@ -85,7 +85,7 @@
 	snap := f.snapshot.Load()
 	switch {
 	case snap == nil:
-		return catalog.Admission{Age: -1}, errNone
+		return catalog.Admission{Age: -1}, errNoConfiguration
 	case !recent || snap.Offset() < floor:
 		return catalog.Admission{Age: age, Version: snap.Version(), Offset: snap.Offset()}, ErrUnconfirmed
 	}
@@ -125,7 +125,7 @@
 	reply, err := httpjson.Post[AdmitRequest, AdmitReply](ctx, f.cfg.Client, "http://"+address+AdmitPath, &r, nil)
 	if err != nil || !reply.Confirmed {
 		metric.Count("remote_admissions_failed_total")
-		f.cfg.Logger.Warn("call not admitted by the leader", "leader", address, "floor", r.Floor, "took_ms", time.Since(start).Milliseconds(), "error", err)
+		f.cfg.Logger.Warn("call not admitted by the leader", "leader", address, "host", o.Host, "path", o.Path, "confirmed", reply.Confirmed, "floor", r.Floor, "took_ms", time.Since(start).Milliseconds(), "error", err)
 		return catalog.Admission{Age: -1}, unconfirmed
 	}
 	metric.Count("remote_admissions_total")
--- a/internal/operator/follower_test.go
+++ b/internal/operator/follower_test.go
@@ -39,7 +39,7 @@
 func (s *logStore) Config(ctx context.Context) (catalog.Read, error) {
 	askedAt := time.Now()
 	records, end, err := s.log.Newest(ctx, configStream)
-	read := catalog.Read{Extent: store.Extent{AskedAt: askedAt, Next: end, End: end}}
+	read := catalog.Read{Extent: store.NewestExtent(askedAt, end)}
 	for _, r := range records {
 		read.Snapshot = decode(r)
 	}
--- a/internal/scheduler/cancellation.go
+++ b/internal/scheduler/cancellation.go
@@ -14,7 +14,7 @@
 	// maxCancellationTTL is how long the cancelling of an unknown job is kept, unless outcomes are
 	// kept for less. Writes that the store carries out late come within seconds.
 	maxCancellationTTL = time.Minute
-	// maxCancellations bounds the memory for them, to about 2 MB.
+	// maxCancellations bounds the memory for them.
 	maxCancellations = 10_000
 	// cancellationSeparator separates a job's ID from its customer in the key of a record. No ID
 	// contains it.
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -22,6 +22,7 @@
 	maxInterval     = 365 * 24 * time.Hour
 	maxUnixMS       = int64(1) << 43 // in the year 2248
 	maxFactor       = 1e6
+	maxQueueStretch = 1000 // of a configuration; jobs of earlier versions may have up to maxFactor
 	maxQueueLatency = 365 * 24 * time.Hour
 	// maxObjective bounds computed run times and objectives.
 	maxObjective = 50 * 365 * 24 * time.Hour
@@ -68,7 +69,7 @@
 // Limited returns the queue with its figures cut to what jobs may have, and whether any was.
 func (q Queue) Limited() (limited Queue, cut bool) {
 	limited = q
-	limited.Stretch = min(max(q.Stretch, 0), maxFactor)
+	limited.Stretch = min(max(q.Stretch, 0), maxQueueStretch)
 	limited.Target = min(max(q.Target, 0), maxQueueLatency)
 	return limited, limited != q
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,6 +51,12 @@
 // stored before AskedAt.
 func (e Extent) Complete() bool { return e.Next >= e.End }
 
+// NewestExtent returns the extent of a read of the newest records, which reached the end that the stream
+// had when it was sent.
+func NewestExtent(askedAt time.Time, end int64) Extent {
+	return Extent{AskedAt: askedAt, Next: end, End: end}
+}
+
 // Page is a consecutive range of a stream's records.
 type Page struct {
 	Records []Record
