scheduler: Compute due times beyond the range of a duration

Cause: the time from the first occurrence was computed as a duration, which holds 292 years, so the product overflowed from occurrence 293 on. Conclusion: limits have to hold for what is computed from several figures.

--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -102,3 +102,6 @@
 	}
 	return h.step.occ.job.spec.ID, h.step.tasks[0].reservation.expires
 }
+
+// Due returns when an occurrence of a timed job is due.
+func Due(j *Job, number int) time.Time { return newOccurrence(&job{spec: *j}, number).due }
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -94,6 +94,14 @@
 	Accepted    int64         `json:"accepted"` // Unix milliseconds, by the accepting VM's clock
 }
 
+// dueAt returns when an occurrence of a timed job is due. Seconds are counted apart from their fraction, as
+// the time from the first occurrence may exceed the range of a duration.
+func (j *Job) dueAt(number int) time.Time {
+	n := int64(number)
+	seconds, fraction := int64(j.Interval/time.Second), int64(j.Interval%time.Second)
+	return time.Unix(time.UnixMilli(j.First).Unix()+n*seconds, (j.First%1000)*int64(time.Millisecond)+n*fraction)
+}
+
 // State is a stage of a job's life cycle.
 type State string
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -281,7 +281,7 @@
 func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{job: j, number: number, due: j.accepted}
 	if j.spec.Repeat > 0 {
-		o.due = time.UnixMilli(j.spec.First).Add(time.Duration(number) * j.spec.Interval)
+		o.due = j.spec.dueAt(number)
 	}
 	for i := range j.spec.Steps {
 		s := &step{occ: o, spec: &j.spec.Steps[i], index: i}
--- a/internal/standin/stall.go
+++ b/internal/standin/stall.go
@@ -138,9 +138,12 @@
 	return k
 }
 
-// Due returns when an occurrence of a job with times is due.
+// Due returns when an occurrence of a job with times is due. Whole days are counted apart, as the time from
+// the first occurrence may exceed the range of a duration.
 func Due(j *scheduler.Job, occurrence int) time.Time {
-	return time.UnixMilli(j.First).Add(time.Duration(occurrence) * j.Interval)
+	const day = 24 * time.Hour
+	days, rest := int(j.Interval/day), j.Interval%day
+	return time.UnixMilli(j.First).UTC().AddDate(0, 0, occurrence*days).Add(time.Duration(occurrence) * rest)
 }
 
 func taskName(j *scheduler.Job, occurrence, step, n int) string {
