leader: Cut the queue's figures of jobs that an earlier version accepted

During a rolling update a VM of the version before accepts jobs with uncut figures of their queue; a leader of this version shows them as failed (LOST: without cause). Cause: the figures are cut where a configuration is read, so a job that another version stored still has those of its configuration, and fails the check. Change: the leader cuts the figures when it reads a job, with a line and a counter. Why it works: the cut figures are those that this version accepts the job with. Conclusion: only what no version accepts is shown as failed.

--- a/internal/leader/partjobs.go
+++ b/internal/leader/partjobs.go
@@ -76,6 +76,11 @@
 		return
 	}
 	j.Key = r.Key
+	var cut bool
+	if j.Queue, cut = j.Queue.Limited(); cut { // a VM of an earlier version accepted the job
+		metric.Count("stored_queues_cut_total")
+		t.cfg.Logger.Info("figures of a stored job's queue cut to the limits of jobs", "job", j.ID, "queue", j.Queue.Name)
+	}
 	if err := j.Check(); err != nil {
 		metric.Count("stored_jobs_rejected_total")
 		t.core.FailInvalidJob(now, j, err)
