leader: Don't take a stored job that can't be decoded for an unknown one

A GET for a job whose stored description can't be decoded is answered 410 (LOST), a DELETE as well, and its runs are stopped as unknown. A later version may store such a description during a rolling update. Cause: a record that can't be decoded counted as no record. Change: the scheduler knows that the job exists, and awaits it like one of a part that isn't read yet. Calls for it are refused with 503 and a Retry-After. A reply of the leader can say that it refuses a call, so that the VM that forwarded it doesn't repeat it until its deadline; for VMs of earlier versions the reply is indefinite. Why it works: whoever looks up the job finds the mark first; a readable submission removes it. Conclusion: stored states of tasks that can't be decoded are still passed over.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -76,6 +76,10 @@
 // Error implements error.
 func (e *BusyError) Error() string { return e.Reason }
 
+// errNoAnswer is returned if a query got no definite reply before its call ended. The leader may have
+// carried out the call.
+var errNoAnswer = &BusyError{Reason: "no VM schedules at present", RetryAfter: minRetryAfter}
+
 // Log is the part of the store that an intake uses.
 type Log interface {
 	Append(ctx context.Context, s store.Stream, records []store.Record, o store.AppendOptions) (int64, error)
@@ -368,12 +372,23 @@
 }
 
 // Reply answers a Query. Definite is false if the VM does not schedule or cannot give a definite
-// answer.
+// answer. Refused then tells why repeats of the call can't succeed before RetryAfterMS, if that is so.
 type Reply struct {
-	Definite bool            `json:"sure"`
-	Known    bool            `json:"known,omitempty"`
-	State    scheduler.State `json:"state,omitempty"`
-	Waiting  int             `json:"waiting,omitempty"`
+	Definite bool   `json:"sure"`
+	Refused  string `json:"refused,omitempty"`
+	// RetryAfterMS is a time from now on, in milliseconds.
+	RetryAfterMS int64           `json:"retry,omitempty"`
+	Known        bool            `json:"known,omitempty"`
+	State        scheduler.State `json:"state,omitempty"`
+	Waiting      int             `json:"waiting,omitempty"`
+}
+
+// refusal returns a BusyError if the call is refused, nil otherwise.
+func (r Reply) refusal() error {
+	if r.Refused == "" {
+		return nil
+	}
+	return &BusyError{Reason: r.Refused, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond}
 }
 
 // AnswerQuery answers a query with the local scheduler, which is nil if this VM does not
@@ -392,12 +407,16 @@
 	default:
 		rep.Waiting, err = local.Waiting(ctx, q.Queue)
 	}
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		rep.Refused, rep.RetryAfterMS = busy.Reason, busy.RetryAfter.Milliseconds()
+	}
 	rep.Known = err == nil
 	rep.Definite = err == nil || errors.Is(err, scheduler.ErrUnknown)
 	return rep
 }
 
-// query sends a query to the scheduling VM until it gets a definite reply. Once another VM
+// query sends a query to the scheduling VM until it gets a definite reply or is refused. Once another VM
 // schedules, the query goes to that one at once.
 func (in *Intake) query(ctx context.Context, q Query) (Reply, error) {
 	timeout, delay, previous := queryTimeout, queryRetryDelay, ""
@@ -406,12 +425,12 @@
 		if address != previous {
 			timeout, delay, previous = queryTimeout, queryRetryDelay, address
 		}
-		if rep, ok := in.queryOnce(ctx, q, address, changed, timeout); ok {
-			return rep, nil
+		if rep, ok := in.queryOnce(ctx, q, address, changed, timeout); ok || rep.Refused != "" {
+			return rep, rep.refusal()
 		}
 		select {
 		case <-ctx.Done():
-			return Reply{}, &BusyError{Reason: "no VM schedules at present", RetryAfter: minRetryAfter}
+			return Reply{}, errNoAnswer
 		case <-changed:
 		case <-time.After(delay):
 		}
@@ -463,8 +482,11 @@
 // Cancel cancels a customer's job. The cancellation is stored when it returns nil.
 func (in *Intake) Cancel(ctx context.Context, id, customer string) error {
 	rep, err := in.query(ctx, Query{Cancel: id, Customer: customer})
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoAnswer):
 		return ErrUncertain
+	case err != nil:
+		return err
 	}
 	if !rep.Known {
 		return scheduler.ErrUnknown
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,7 +1,9 @@
 package intake_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -56,21 +58,22 @@
 	mu    sync.Mutex
 	delay map[string]time.Duration
 	calls map[string]int
+	reply intake.Reply
 }
 
 // RoundTrip implements http.RoundTripper.
 func (l *leaders) RoundTrip(r *http.Request) (*http.Response, error) {
 	l.mu.Lock()
 	l.calls[r.URL.Host]++
-	delay := l.delay[r.URL.Host]
+	delay, reply := l.delay[r.URL.Host], l.reply
 	l.mu.Unlock()
 	select {
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	case <-time.After(delay):
 	}
-	body := io.NopCloser(strings.NewReader(`{"sure":true,"known":true,"state":"running"}`))
-	return &http.Response{StatusCode: http.StatusOK, Body: body, Header: http.Header{}}, nil
+	data, err := json.Marshal(reply)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data)), Header: http.Header{}}, err
 }
 
 // admitKey admits calls under a configuration in which a customer's key allows jobs below /jobs/.
@@ -101,7 +104,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		log := standin.NewLog(standin.LogConfig{Latency: 4 * time.Millisecond, Seed: 1})
 		watched := store.NewHealthTracker(log.View("vm"))
-		s := &site{log: log, ctx: ctx, tracker: &tracker{changed: make(chan struct{})}, leaders: &leaders{delay: map[string]time.Duration{}, calls: map[string]int{}}}
+		s := &site{log: log, ctx: ctx, tracker: &tracker{changed: make(chan struct{})}, leaders: &leaders{delay: map[string]time.Duration{}, calls: map[string]int{}, reply: intake.Reply{Definite: true, Known: true, State: scheduler.Running}}}
 		s.client = &http.Client{Transport: s.leaders}
 		s.intake = intake.New(intake.Config{
 			Log: watched, LeaderTracker: s.tracker, Client: s.client, Logger: slog.New(slog.DiscardHandler),
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -279,7 +279,7 @@
 	t := &term{
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, inboxSize), endTerm: cancel, ctx: ctx, startedAt: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{ackable: map[string]endAck{}}, unstoredOutcomes: map[string]bool{}, rejected: map[string]bool{},
-		statusCache: statusCache{jobs: map[string]jobStatus{}, watchers: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), grants: newGrantTimes(), startSlots: semaphore.NewWeighted(maxConcurrentStarts),
+		statusCache: statusCache{jobs: map[string]jobStatus{}, unreadable: map[string]bool{}, watchers: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), grants: newGrantTimes(), startSlots: semaphore.NewWeighted(maxConcurrentStarts),
 		suspension: suspend.New(suspend.Config{Clocks: l.cfg.Clocks}),
 	}
 	defer t.recoverPanic()
--- a/internal/leader/partjobs.go
+++ b/internal/leader/partjobs.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,9 +71,14 @@
 		return
 	}
 	j, err := decodeStoredJob(r.Value)
-	if err != nil || j.ID != id {
-		metric.Count("stored_jobs_rejected_total")
-		t.cfg.Logger.Error("stored job not readable", "key", r.Key, "job", j.ID, "error", err)
+	if err == nil && j.ID != id {
+		err = fmt.Errorf("the record names the job %.40q: %w", j.ID, scheduler.ErrUnreadable)
+	}
+	if err != nil {
+		metric.Count("stored_jobs_unreadable_total")
+		t.cfg.Logger.Error("stored job not readable; calls for it are refused", "key", r.Key, "epoch", t.epoch, "error", err)
+		t.core.AwaitUnreadable(id)
+		t.statusCache.markUnreadable(id)
 		return
 	}
 	j.Key = r.Key
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -30,17 +30,22 @@
 	// catchUpTimeout limits the read before a job is reported as unknown. It leaves time for
 	// another try within the time that VMs wait for an answer of the leader.
 	catchUpTimeout = 400 * time.Millisecond
+	// unreadableRetryAfter is when to ask again for a job that can't be read: VMs of the version that
+	// stored it may lead after a rolling update.
+	unreadableRetryAfter = 30 * time.Second
 )
 
 // statusCache holds the published state of jobs. The loop writes it, and queries are answered
 // from it outside the loop, so that any number of them costs the loop nothing.
 type statusCache struct {
-	mu        sync.Mutex
-	jobs      map[string]jobStatus
-	watchers  map[string]chan struct{} // closed when a new status of the job is published
-	waiting   map[string]int           // number of waiting jobs by queue
-	countedAt time.Time
-	countAsOf time.Time // all jobs that were stored before are counted; zero if some may not be
+	mu   sync.Mutex
+	jobs map[string]jobStatus
+	// unreadable are the jobs whose stored description can't be decoded, unless they are among jobs.
+	unreadable map[string]bool
+	watchers   map[string]chan struct{} // closed when a new status of the job is published
+	waiting    map[string]int           // number of waiting jobs by queue
+	countedAt  time.Time
+	countAsOf  time.Time // all jobs that were stored before are counted; zero if some may not be
 }
 
 // jobStatus is the published status of a job.
@@ -78,6 +83,13 @@
 	}
 }
 
+// markUnreadable notes that the stored description of a job can't be decoded.
+func (c *statusCache) markUnreadable(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreadable[id] = true
+}
+
 // updateWaiting publishes the number of waiting jobs once per waitingCountInterval. The times are those
 // up to which the jobs of each part are read.
 func (c *statusCache) updateWaiting(now time.Time, core *scheduler.Core, readAsOf []time.Time) {
@@ -94,6 +106,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v, known := c.jobs[id]
+	if !known && c.unreadable[id] {
+		return jobStatus{}, scheduler.ErrUnreadable
+	}
 	if !known || !scheduler.MaySee(customer, v.customer) {
 		return jobStatus{}, scheduler.ErrUnknown
 	}
@@ -143,7 +158,7 @@
 	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
 		return "", ErrDeposed // the jobs of a term that was suspended say nothing
 	}
-	return v.state, err
+	return v.state, refusal(err)
 }
 
 // Owner returns the customer of a job, and whether this VM leads and knows the job.
@@ -202,7 +217,7 @@
 	}
 	state, err := t.cancel(ctx, id, customer, false)
 	if !errors.Is(err, scheduler.ErrUnknown) {
-		return state, err
+		return state, refusal(err)
 	}
 	if t.catchUp(ctx, intake.PartOf(id)) != nil {
 		return "", ErrIndeterminate
@@ -211,7 +226,16 @@
 	if errors.Is(err, scheduler.ErrUnknown) && !t.active() {
 		return "", ErrDeposed
 	}
-	return state, err
+	return state, refusal(err)
+}
+
+// refusal returns the error of a call that is refused at once, as no repeat of it can succeed before
+// another leader is elected, and other errors unchanged.
+func refusal(err error) error {
+	if errors.Is(err, scheduler.ErrUnreadable) {
+		return &intake.BusyError{Reason: err.Error(), RetryAfter: unreadableRetryAfter}
+	}
+	return err
 }
 
 // cancel has the loop cancel a job that it knows, or keep the call for one that it doesn't.
--- a/internal/scheduler/occurrence_test.go
+++ b/internal/scheduler/occurrence_test.go
@@ -40,7 +40,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		j := scheduler.Job{
 			ID: "timed", Repeat: maxOccurrences, First: upTo(t, 1<<43, "first"), Interval: time.Duration(upTo(t, int64(maxInterval), "interval")),
-			Steps:    []scheduler.Step{tasks(1, 1)},
+			Steps: []scheduler.Step{tasks(1, 1)},
 		}
 		assert.NilError(t, j.Check())
 		number := int(upTo(t, maxOccurrences-1, "number"))
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -154,6 +154,10 @@
 	CheckpointInterval time.Duration
 }
 
+// ErrUnreadable is returned for a job that exists but whose stored description can't be decoded. Callers
+// test for it with errors.Is.
+var ErrUnreadable = errorx.NewType(errorx.NewNamespace("scheduler"), "unreadable").New("the stored job can't be read")
+
 // Core holds the state of the workers and of the job queue. It is not safe for concurrent
 // use; one goroutine owns it.
 type Core struct {
@@ -167,6 +171,7 @@
 	cancellations    map[string]time.Time      // when the cancellings of unknown jobs expire, by cancellationKey
 	restored         map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
 	readAsOf         func(id string) time.Time // see AwaitJobs; nil if all are added at once
+	unreadable       map[string]bool           // see AwaitUnreadable
 	effects          Effects
 	runTimes         map[string]*runTimeStats // by queue
 	index            *index
@@ -183,7 +188,7 @@
 // New returns a Core without jobs and workers.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]time.Time{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]time.Time{}, unreadable: map[string]bool{},
 		index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
@@ -229,6 +234,7 @@
 		return
 	}
 	c.changed = true
+	delete(c.unreadable, spec.ID)
 	j := &job{spec: spec, queue: spec.Queue, state: Queued, accepted: time.UnixMilli(spec.Accepted)}
 	c.updateQueue(j)
 	occurrences := max(spec.Repeat, 1)
@@ -269,6 +275,7 @@
 		c.AddJob(now, spec)
 		return
 	}
+	delete(c.unreadable, spec.ID)
 	j := &job{spec: Job{ID: spec.ID, Key: spec.Key, Customer: spec.Customer}, accepted: now, deadline: now}
 	c.jobs[spec.ID] = j
 	for _, t := range c.restored[spec.ID] {
@@ -354,9 +361,13 @@
 	o.job.done++
 }
 
-// findJob returns a customer's job, and ErrUnknown for a job that customer may not see.
+// findJob returns a customer's job, ErrUnknown for a job that customer may not see, and ErrUnreadable for one
+// whose customer is not known, as its description can't be decoded.
 func (c *Core) findJob(id, customer string) (*job, error) {
 	j := c.jobs[id]
+	if j == nil && c.unreadable[id] {
+		return nil, ErrUnreadable
+	}
 	if j == nil || !MaySee(customer, j.spec.Customer) {
 		return nil, ErrUnknown
 	}
--- a/internal/scheduler/unread.go
+++ b/internal/scheduler/unread.go
@@ -64,7 +64,15 @@
 }
 
 func (c *Core) awaits(id string) bool {
-	return c.jobs[id] == nil && c.readAsOf != nil && c.readAsOf(id).IsZero()
+	return c.jobs[id] == nil && (c.unreadable[id] || c.readAsOf != nil && c.readAsOf(id).IsZero())
+}
+
+// AwaitUnreadable notes that a job exists whose description can't be decoded, as a later version may have
+// stored it. It is awaited until a readable description of it is added.
+func (c *Core) AwaitUnreadable(id string) {
+	if c.jobs[id] == nil {
+		c.unreadable[id] = true
+	}
 }
 
 // mayBeStored reports whether a description of the job that was stored at the given time may not be
