scheduler: Leave places for kept cancellings to other customers

One customer who cancels 10,000 unknown jobs within a minute uses up all places. Calls of the others were repeated by their VM until the deadline and answered 504; no metric showed it. Cause: one bound for all customers, and a refusal that looked like a leader that is not up to date. Change: a customer may keep as many as are free, 5,000 if alone. A call beyond that is refused at once with 503 and the time until the next one expires. Gauge cancellations_kept, counter cancellations_refused_total, one log line in 32. Why it works: whatever one customer keeps, as many places are free. Conclusion: many customers together can still fill the places; a minute bounds that.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -167,16 +167,18 @@
 	startSlots *semaphore.Weighted
 
 	// The fields below belong to the loop.
-	links            map[string]*link
-	marked           []*link // links to check for due renewals in this round
-	pending          batch
-	inFlight         *batch
-	sequence         int64
-	policyOffset     int64
-	droppable        []scheduler.Description // not needed any more, but not dropped yet
-	droppedAt        time.Time
-	unstoredOutcomes map[string]bool // jobs whose outcome is not stored yet
-	rejected         map[string]bool // workers of which a rejected registry entry was logged
+	links        map[string]*link
+	marked       []*link // links to check for due renewals in this round
+	pending      batch
+	inFlight     *batch
+	sequence     int64
+	policyOffset int64
+	droppable    []scheduler.Description // not needed any more, but not dropped yet
+	droppedAt    time.Time
+	// refusedCancellations counts the calls to cancel unknown jobs that could not be kept.
+	refusedCancellations int
+	unstoredOutcomes     map[string]bool // jobs whose outcome is not stored yet
+	rejected             map[string]bool // workers of which a rejected registry entry was logged
 	// inherited are the silent workers of the earlier term, and silent those of the newest record
 	// of this term, each as in termRecord.
 	inherited, silent map[string]int64
@@ -312,6 +314,7 @@
 func (t *term) logEnd() {
 	t.cfg.Logger.Info("term ends", "epoch", t.epoch, "term_ms", t.cfg.Now().Sub(t.startedAt).Milliseconds())
 	publishStalls(scheduler.NoStalls(), 0)
+	metric.Set("cancellations_kept", 0)
 }
 
 // recoverPanic makes a panic end the term instead of the process. The next leader reads the same
@@ -364,6 +367,8 @@
 				t.setPolicy(snap)
 			}
 			t.core.Tick(now)
+			kept, _ := t.core.Cancellations()
+			metric.Set("cancellations_kept", float64(kept))
 			t.checkStalls(now)
 			t.expireLeases(now)
 			t.markAllForCheck()
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 )
 
@@ -30,6 +31,9 @@
 	// catchUpTimeout limits the read before a job is reported as unknown. It leaves time for
 	// another try within the time that VMs wait for an answer of the leader.
 	catchUpTimeout = 400 * time.Millisecond
+	// minCancellationRetryAfter is the shortest time after which to try again if the cancelling of an
+	// unknown job can't be kept.
+	minCancellationRetryAfter = time.Second
 	// unreadableRetryAfter is when to ask again for a job that can't be read: VMs of the version that
 	// stored it may lead after a rolling update.
 	unreadableRetryAfter = 30 * time.Second
@@ -279,8 +283,7 @@
 	kept := false
 	if c.keep && errors.Is(out.err, scheduler.ErrUnknown) {
 		if err := t.core.CancelUnknown(now, c.job, c.customer); err != nil {
-			t.cfg.Logger.Warn("cancelling of an unknown job not kept", "job", c.job, "error", err)
-			out.err = ErrIndeterminate
+			out.err = t.refuseCancellation(now, c, err)
 		} else {
 			kept = true
 		}
@@ -299,5 +302,17 @@
 	}
 }
 
+// refuseCancellation returns the error of a call that can't be kept until the next cancellation expires.
+func (t *term) refuseCancellation(now time.Time, c cancelEvent, reason error) error {
+	metric.Count("cancellations_refused_total")
+	kept, nextExpiry := t.core.Cancellations()
+	retryAfter := max(nextExpiry.Sub(now), minCancellationRetryAfter)
+	if t.refusedCancellations++; t.refusedCancellations%logInterval == 1 {
+		t.cfg.Logger.Warn("cancelling of an unknown job refused", "job", c.job, "customer", c.customer, "kept", kept,
+			"refused", t.refusedCancellations, "retry_after_ms", retryAfter.Milliseconds(), "error", reason)
+	}
+	return &intake.BusyError{Reason: reason.Error(), RetryAfter: retryAfter}
+}
+
 // IsLeader reports whether this VM leads.
 func (l *Leader) IsLeader() bool { return l.current.Load() != nil }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -168,27 +168,30 @@
 	workers          map[string]*worker
 	sortedWorkers    []*worker // sorted by ID
 	policy           Policy
-	cancellations    map[string]time.Time      // when the cancellings of unknown jobs expire, by cancellationKey
-	restored         map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
-	readAsOf         func(id string) time.Time // see AwaitJobs; nil if all are added at once
-	unreadable       map[string]bool           // see AwaitUnreadable
-	effects          Effects
-	runTimes         map[string]*runTimeStats // by queue
-	index            *index
-	urgentDemand     map[string]*demandRate      // demand of arriving work of priority 0, by service
-	withBadRuns      map[*worker]bool            // workers with bad runs
-	gangReservations map[string]*gangReservation // capacity reserved for waiting gangs, by service
-	idleSince        map[string]idleTimes        // by service
-	nextIdleLog      time.Time                   // when the next line about a job in an idle service may follow
-	nextStallCheck   time.Time                   // when the next check for stalled jobs is due
-	evaluations      int64                       // workers evaluated to place tasks
-	changed          bool                        // something has changed since the last scheduling round
+	cancellations    map[string]cancellation // of unknown jobs, by cancellationKey
+	cancellationsOf  map[string]int          // number of cancellations by customer
+	// nextCancellationExpiry is when the first cancellation expires, as of the last tick.
+	nextCancellationExpiry time.Time
+	restored               map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
+	readAsOf               func(id string) time.Time // see AwaitJobs; nil if all are added at once
+	unreadable             map[string]bool           // see AwaitUnreadable
+	effects                Effects
+	runTimes               map[string]*runTimeStats // by queue
+	index                  *index
+	urgentDemand           map[string]*demandRate      // demand of arriving work of priority 0, by service
+	withBadRuns            map[*worker]bool            // workers with bad runs
+	gangReservations       map[string]*gangReservation // capacity reserved for waiting gangs, by service
+	idleSince              map[string]idleTimes        // by service
+	nextIdleLog            time.Time                   // when the next line about a job in an idle service may follow
+	nextStallCheck         time.Time                   // when the next check for stalled jobs is due
+	evaluations            int64                       // workers evaluated to place tasks
+	changed                bool                        // something has changed since the last scheduling round
 }
 
 // New returns a Core without jobs and workers.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]time.Time{}, unreadable: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]cancellation{}, cancellationsOf: map[string]int{}, unreadable: map[string]bool{},
 		index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
