leader: Don't run a job whose stored state can't be decoded

Seen: by reading, beside the fault of unreadable descriptions. A task that was done runs again if the record of it, or the outcome of its job, can't be decoded (TWICE). A later version may store such a record during a rolling update. Cause: the record was logged and passed over, as if nothing had been stored. Change: its job is awaited for the whole term, calls for it are refused with 503, and neither its description nor another submission adds it. A job whose outcome is known is not affected. Counter stored_states_unreadable_total. Test: TestJobWithAnUnreadableStateDoesNotRun failed before (2 starts, 0 expected). Why it works: a job is scheduled only after AddJob, which asks for the mark first. Conclusion: what can't be decoded stops its own job only.

--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -220,7 +220,11 @@
 			continue
 		}
 		if err := t.core.Restore(now, r.Key, r.Value); err != nil {
-			t.cfg.Logger.Error("stored state not readable", "key", r.Key, "error", err)
+			metric.Count("stored_states_unreadable_total")
+			t.cfg.Logger.Error("stored state not readable; calls for its job are refused", "key", r.Key, "epoch", t.epoch, "error", err)
+			id := scheduler.JobOf(r.Key)
+			t.core.AwaitUnreadableState(id)
+			t.statusCache.markUnreadable(id)
 		}
 	}
 	t.applyEffects(t.core.TakeEffects()) // publishes the stored outcomes
--- a/internal/leader/unreadable_test.go
+++ b/internal/leader/unreadable_test.go
@@ -10,6 +10,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/leader"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
 )
@@ -97,3 +98,29 @@
 	})
 	assert.DeepEqual(t, violations, []string(nil))
 }
+
+// Guards against work that is done twice, and a job that is answered as if it ran, since the stored outcome of the
+// job or the state of one of its tasks can't be decoded: a later version has stored it.
+func TestJobWithAnUnreadableStateDoesNotRun(t *testing.T) {
+	for name, suffix := range map[string]string{"outcome": "", "task": ".0.0.0"} {
+		t.Run(name, func(t *testing.T) {
+			violations := run(t, 2, func(p *pool) {
+				j := job(1, 1, step(2, 1))
+				p.submit(j)
+				p.log.Put(leader.Stream, store.Record{Key: j.ID + suffix, Value: []byte(`{"run":{},"state":{}}`)})
+				p.elect()
+				time.Sleep(2 * time.Second)
+				p.assertRefused(t, j.ID)
+				p.submit(j)
+				time.Sleep(2 * time.Second)
+				p.assertRefused(t, j.ID)
+				assert.Check(t, is.Equal(p.fleet.Starts(), 0), "starts")
+				p.log.Put(leader.Stream, store.Record{Key: j.ID + suffix})
+				p.takeOver(time.Second)
+				assert.Check(t, is.Len(p.waitForJobs(20*time.Second), 0))
+				assert.Check(t, is.Equal(p.state(j.ID), scheduler.Completed))
+			})
+			assert.DeepEqual(t, violations, []string(nil))
+		})
+	}
+}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -44,6 +44,14 @@
 // called before Restore.
 func (c *Core) SetEarlierStartsEnd(at time.Time) { c.earlierStartsEnd = at }
 
+// JobOf returns the ID of the job that the stored record with the key belongs to.
+func JobOf(key string) string {
+	if i := strings.IndexAny(key, "."+cancellationSeparator); i >= 0 {
+		return key[:i]
+	}
+	return key
+}
+
 // Restore loads a record that an earlier leader stored. All records must be loaded before
 // the first job is added.
 func (c *Core) Restore(now time.Time, key string, value []byte) error {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -175,6 +175,7 @@
 	restored               map[string][]storedTask   // tasks of jobs that haven't been added yet, by job
 	readAsOf               func(id string) time.Time // see AwaitJobs; nil if all are added at once
 	unreadable             map[string]bool           // see AwaitUnreadable
+	undecodedState         map[string]bool           // see AwaitUnreadableState
 	effects                Effects
 	runTimes               map[string]*runTimeStats // by queue
 	index                  *index
@@ -191,7 +192,7 @@
 // New returns a Core without jobs and workers.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]cancellation{}, cancellationsOf: map[string]int{}, unreadable: map[string]bool{},
+		cfg: cfg, jobs: map[string]*job{}, workers: map[string]*worker{}, cancellations: map[string]cancellation{}, cancellationsOf: map[string]int{}, unreadable: map[string]bool{}, undecodedState: map[string]bool{},
 		index: newIndex(), urgentDemand: map[string]*demandRate{}, withBadRuns: map[*worker]bool{}, gangReservations: map[string]*gangReservation{}, idleSince: map[string]idleTimes{}, restored: map[string][]storedTask{}, runTimes: map[string]*runTimeStats{},
 	}
 }
@@ -227,6 +228,9 @@
 // to be added in the order in which they were stored. The record with the ID as its key stays as
 // long as the job is open.
 func (c *Core) AddJob(now time.Time, spec Job) {
+	if c.jobs[spec.ID] == nil && c.undecodedState[spec.ID] {
+		return
+	}
 	if j, known := c.jobs[spec.ID]; known {
 		switch {
 		case j.state.Final():
@@ -274,7 +278,7 @@
 // FailInvalidJob adds a job that doesn't pass its check as failed, so that its customer learns of it. It
 // can't have been accepted by a version with the same limits.
 func (c *Core) FailInvalidJob(now time.Time, spec Job, reason error) {
-	if c.jobs[spec.ID] != nil {
+	if c.jobs[spec.ID] != nil || c.undecodedState[spec.ID] {
 		c.AddJob(now, spec)
 		return
 	}
--- a/internal/scheduler/unread.go
+++ b/internal/scheduler/unread.go
@@ -67,6 +67,15 @@
 	return c.jobs[id] == nil && (c.unreadable[id] || c.readAsOf != nil && c.readAsOf(id).IsZero())
 }
 
+// AwaitUnreadableState notes that a job has a stored state that can't be decoded, as a later version may have
+// stored it. Unless its outcome is known, it is awaited for the whole term, even if its description is added: a
+// task of it may be running or done.
+func (c *Core) AwaitUnreadableState(id string) {
+	if c.jobs[id] == nil {
+		c.unreadable[id], c.undecodedState[id] = true, true
+	}
+}
+
 // AwaitUnreadable notes that a job exists whose description can't be decoded, as a later version may have
 // stored it. It is awaited until a readable description of it is added.
 func (c *Core) AwaitUnreadable(id string) {
