leader: Ask a worker for the run of a start without an answer

Cause: a start waits 0.5 s for its answer, and so did the check of the worker's process before a repeat. Neither was answered in time, so the run was stopped though the worker listed it. Change: up to two checks that overlap and are answered within 1.1 s together, the time that two failed ones took before. A run that the process lists counts as accepted. Orders wait no longer, so the next leader doesn't either. Why it works: a report of the same process that lists the run is as good as the answer to its start; where links are fast, no call is different.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -37,6 +37,10 @@
 	orderTimeout    = 500 * time.Millisecond
 	orderAttempts   = 3
 	orderRetryDelay = 50 * time.Millisecond
+	// runChecks and runCheckInterval limit the calls that ask for the run of a start without an answer.
+	// Together they wait longer than one order, as links may be slow.
+	runChecks        = 2
+	runCheckInterval = orderTimeout + orderRetryDelay
 	// maxConcurrentStarts limits the starts in progress, so that a burst of them leaves
 	// processor time for pings and renewals, and the first gangs are complete before the last
 	// ones begin. With this limit, no start reached its deadline in eight bursts on VMs with
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -80,24 +80,60 @@
 	errFenced = errorx.NewType(namespace, "fenced").New("the worker obeys a later leader")
 )
 
-// checkProcess returns nil if the process of a worker is still the one with the incarnation.
-func (t *term) checkProcess(ctx context.Context, s scheduler.Start, incarnation int64) error {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+// runCheck is the result of asking a worker for the run of a start that got no answer.
+type runCheck struct {
+	begun bool // the worker lists the run
+	err   error
+}
+
+// definite reports whether the worker answered.
+func (c runCheck) definite() bool {
+	return c.err == nil || errors.Is(c.err, errRestarted) || errors.Is(c.err, errFenced)
+}
+
+// findRun asks the process of a worker with the incarnation for the run of a start. It sends runChecks calls
+// at intervals unless one is answered, and waits for all of them: answers may take longer than orderTimeout.
+func (t *term) findRun(ctx context.Context, s scheduler.Start, incarnation int64) runCheck {
+	ctx, cancel := context.WithTimeout(ctx, runChecks*runCheckInterval)
 	defer cancel()
-	answer, err := t.cfg.Workers.Renew(callCtx, s.Worker, s.Address, fleet.Renewal{Token: t.epoch})
+	answers := make(chan runCheck, runChecks)
+	last := runCheck{err: fleet.ErrUnanswered}
+	for sent := 0; sent < runChecks; sent++ {
+		t.spawn(func() { answers <- t.checkRun(ctx, s, incarnation) })
+		next := time.NewTimer(runCheckInterval)
+		for waiting := true; waiting; {
+			select {
+			case last = <-answers:
+				if last.definite() {
+					next.Stop()
+					return last
+				}
+				next.Reset(orderRetryDelay)
+			case <-next.C:
+				waiting = false
+			}
+		}
+	}
+	return last
+}
+
+// checkRun asks a worker once.
+func (t *term) checkRun(ctx context.Context, s scheduler.Start, incarnation int64) runCheck {
+	answer, err := t.cfg.Workers.Renew(ctx, s.Worker, s.Address, fleet.Renewal{Token: t.epoch})
 	switch {
 	case err != nil:
-		return err
+		return runCheck{err: err}
 	case answer.Verdict == fleet.Fenced:
-		return errFenced
+		return runCheck{err: errFenced}
 	case answer.Verdict != fleet.Accepted || answer.Report.Incarnation != incarnation:
-		return errRestarted
+		return runCheck{err: errRestarted}
 	}
-	return nil
+	return runCheck{begun: answer.Report.Lists(s.Task, s.Run)}
 }
 
-// start sends a start, with a lease until the given time, to its worker and posts the result. It is repeated
-// only to the process with the incarnation: a restarted worker may be of another kind, and smaller.
+// start sends a start, with a lease until the given time, to its worker and posts the result. If it gets no
+// answer, it is repeated only to the process with the incarnation, as a restarted worker may be of another kind
+// and smaller, and only if that process does not list the run.
 func (t *term) start(ctx context.Context, s scheduler.Start, incarnation, deadline int64, until time.Time) {
 	defer t.pendingStarts.Add(-1)
 	if t.startSlots.Acquire(ctx, 1) != nil {
@@ -115,11 +151,13 @@
 	sent := false
 	for range orderAttempts {
 		if unanswered {
-			if lastErr = t.checkProcess(ctx, s, incarnation); errors.Is(lastErr, errRestarted) || errors.Is(lastErr, errFenced) {
+			check := t.findRun(ctx, s, incarnation)
+			if lastErr = check.err; lastErr != nil {
+				break
+			}
+			if check.begun {
+				result, lastVerdict, carriedOut = scheduler.Accepted, fleet.Accepted, t.cfg.Now()
 				break
-			} else if lastErr != nil {
-				time.Sleep(orderRetryDelay)
-				continue
 			}
 		}
 		// The check may have taken long, so the window is awaited after it.
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -181,6 +181,12 @@
 	Ended   []EndedTask
 }
 
+// Lists reports whether a run is among the running or the ended ones.
+func (r *Report) Lists(task string, run int) bool {
+	return slices.ContainsFunc(r.Running, func(e RunningTask) bool { return e.Task == task && e.Run == run }) ||
+		slices.ContainsFunc(r.Ended, func(e EndedTask) bool { return e.Task == task && e.Run == run })
+}
+
 // Start orders a worker to run a task.
 type Start struct {
 	Worker, Address  string
