lease: Move the rule for what a worker may still run into a package

Change: package lease, which does no I/O and reads no clock: Limits, Earlier (what earlier leaders may have granted) and Worker (one worker's leases). leader asks it and keeps the calls, the records and the questions to earlier leaders. The package's comment has the whole rule. Conclusion: what may be sent to a worker that came back smaller is not decided in it yet.

--- a/internal/leader/batch.go
+++ b/internal/leader/batch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
@@ -149,13 +150,12 @@
 			// However late the start is sent, its lease must end before the next leader stops
 			// waiting for the leases that were requested when the batch was sent.
 			until := earlier(now.Add(startLease), b.sentAt.Add(t.cfg.Scheduler.MaxLease))
-			lease := until.Sub(now)
-			deadline := l.deadline(now, lease)
-			t.core.StartSent(s.Worker, s.Task, s.Run, leaseEnd(now, max(lease, 0)))
+			d := until.Sub(now)
+			deadline := l.deadline(now, d)
+			t.core.StartSent(s.Worker, s.Task, s.Run, lease.End(now, max(d, 0)))
 			incarnation := l.incarnation
 			t.spawn(func() { t.start(t.ctx, s, incarnation, deadline, until) })
-			l.starting++
-			l.recordGrant(now, lease)
+			l.leases.StartSent(now, d)
 			t.renewNow(l)
 		}
 	}
--- a/internal/leader/earlier.go
+++ b/internal/leader/earlier.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/store"
 )
 
@@ -87,13 +88,19 @@
 	if len(t.earlier) > maxEarlierTerms {
 		t.earlier = []earlierTerm{{}}
 	}
-	t.silent, t.earlierWrite = t.inherited, t.fencedAt
+	writtenAt := t.fencedAt
 	if len(terms) > 0 {
 		newest := terms[len(terms)-1].epoch
-		t.earlierWrite = earlier(t.fencedAt, t.reachedAge(newest, ages[termKeyPrefix+strconv.FormatInt(newest, 10)]))
+		writtenAt = earlier(t.fencedAt, t.reachedAge(newest, ages[termKeyPrefix+strconv.FormatInt(newest, 10)]))
 	}
+	t.silent = t.inherited
+	silent := make(map[string]time.Duration, len(t.inherited))
+	for id, ms := range t.inherited {
+		silent[id] = time.Duration(ms) * time.Millisecond
+	}
+	t.earlierLeases = lease.NewEarlier(lease.EarlierConfig{Limits: t.leaseLimits(), WrittenAt: writtenAt, Silent: silent})
 	t.cfg.Logger.Info("leases of earlier terms", "epoch", t.epoch, "listed", listed, "silent", len(t.inherited), "terms", len(t.earlier),
-		"written_ms", t.fencedAt.Sub(t.earlierWrite).Milliseconds())
+		"written_ms", t.fencedAt.Sub(writtenAt).Milliseconds())
 }
 
 // readAge returns the age in a record of ageRecord. One that can't be read counts as the end of the term.
@@ -116,18 +123,17 @@
 		return t.fencedAt
 	}
 	if diff := age - seenAge; diff > 0 {
-		return seenAt.Add(time.Duration(float64(diff) * maxClockDrift))
+		return seenAt.Add(time.Duration(float64(diff) * lease.MaxClockDrift))
 	}
-	return seenAt.Add(-time.Duration(float64(seenAge-age) / maxClockDrift))
+	return seenAt.Add(-time.Duration(float64(seenAge-age) / lease.MaxClockDrift))
 }
 
 // awaitEarlierEnds returns once all leaders of earlier terms certainly have ended, and posts that. It
 // gives up when their leases have expired in any case.
-func (t *term) awaitEarlierEnds(ctx context.Context, open []earlierTerm) {
+func (t *term) awaitEarlierEnds(ctx context.Context, open []earlierTerm, limit time.Time) {
 	if t.cfg.EndedFor == nil || len(open) == 0 || slices.ContainsFunc(open, func(e earlierTerm) bool { return e.Leader == "" }) {
 		return
 	}
-	limit := leaseEnd(t.earlierWrite, leaseLimit(t.cfg.Scheduler.MaxLease))
 	open = slices.Clone(open)
 	var lastGrant time.Time
 	var over []endedTerm
@@ -162,16 +168,25 @@
 func (earlierEndedEvent) eventKind() eventKind { return kindEarlierEnded }
 
 func (e earlierEndedEvent) apply(t *term, now time.Time) {
-	t.earlierLeasesEnd = leaseEnd(e.lastGrant.Add(orderTimeout), t.cfg.Scheduler.MaxLease)
-	unclaimed := 0
+	t.earlierLeases.Ended(e.lastGrant)
+	unclaimed, _ := t.learnEarlierLeases()
+	t.cfg.Logger.Info("leaders of earlier terms have ended", "epoch", t.epoch, "after_ms", now.Sub(t.fencedAt).Milliseconds(),
+		"workers_unclaimed", unclaimed, "leases_end_ms", t.earlierLeases.End().Sub(now).Milliseconds())
+}
+
+// learnEarlierLeases applies what has become known of the leases of earlier terms. It returns on how many
+// workers only such leases may be in force, and on how many they end sooner.
+func (t *term) learnEarlierLeases() (inherited, sooner int) {
 	for id, l := range t.links {
-		if !l.claimed && !l.granted {
-			l.leasesExpire = earlier(l.leasesExpire, t.initialExpiry(id))
-			unclaimed++
+		isInherited, isSooner := l.leases.LearnEarlier(id, t.earlierLeases)
+		if isInherited {
+			inherited++
+		}
+		if isSooner {
+			sooner++
 		}
 	}
-	t.cfg.Logger.Info("leaders of earlier terms have ended", "epoch", t.epoch, "after_ms", now.Sub(t.fencedAt).Milliseconds(),
-		"workers_unclaimed", unclaimed, "leases_end_ms", t.earlierLeasesEnd.Sub(now).Milliseconds())
+	return inherited, sooner
 }
 
 // noteUnclaimed notes the workers on which leases of earlier terms may be in force.
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"rhubarbshore/internal/lease"
 )
 
 // maxAskedWorkers limits the workers of which a leader asks when earlier ones granted the last lease.
@@ -68,7 +70,7 @@
 
 // grantedBefore returns the time a duration ago on another machine's clock, at the latest.
 func (t *term) grantedBefore(since time.Duration) time.Time {
-	return t.cfg.Now().Add(-time.Duration(float64(since) / maxClockDrift))
+	return t.cfg.Now().Add(-time.Duration(float64(since) / lease.MaxClockDrift))
 }
 
 // askForGrants asks the leaders of earlier terms, which have ended, when they last granted a lease on each of
@@ -131,7 +133,7 @@
 func (e unclaimedEvent) apply(t *term, now time.Time) {
 	var ids []string
 	for id, l := range t.links {
-		if !l.claimed && !l.granted && now.Before(l.leasesExpire) && t.core.HasRuns(id) {
+		if l.leases.Inherited() && now.Before(l.leases.Expires()) && t.core.HasRuns(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -145,16 +147,8 @@
 func (earlierGrantsEvent) eventKind() eventKind { return kindEarlierEnded }
 
 func (e earlierGrantsEvent) apply(t *term, now time.Time) {
-	t.earlierGrants = e.grants
-	sooner := 0
-	for id := range e.grants {
-		if l := t.links[id]; l != nil && !l.claimed && !l.granted {
-			if end := t.initialExpiry(id); end.Before(l.leasesExpire) {
-				l.leasesExpire = end
-				sooner++
-			}
-		}
-	}
+	t.earlierLeases.Granted(e.grants)
+	_, sooner := t.learnEarlierLeases()
 	t.cfg.Logger.Info("last leases of earlier leaders", "epoch", t.epoch, "after_ms", now.Sub(t.fencedAt).Milliseconds(),
 		"workers", len(e.grants), "end_sooner", sooner)
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -17,6 +17,7 @@
 	"rhubarbshore/internal/catalog"
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/intake"
+	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 	"rhubarbshore/internal/store"
@@ -106,11 +107,9 @@
 	// startWindow is how long after the last write was sent a start may be sent. A worker that has
 	// restarted unnoticed grants it the longest lease, whatever its deadline.
 	startWindow = 1100 * time.Millisecond
-	// storeOutage is the length of a store outage that leases outlast, and minStoreGrace how
-	// long, at least, leases may last beyond one lease after the last write. Longer ones delay
-	// work that was lost with its worker at a change of leader.
-	storeOutage   = 11 * time.Second
-	minStoreGrace = startWindow + orderTimeout - leaseExpirySlack
+	// storeOutage is the length of a store outage that leases outlast. Longer ones delay work that
+	// was lost with its worker at a change of leader.
+	storeOutage = 11 * time.Second
 	// writeStallTimeout is how long writes may fail, and loopStallTimeout how long a round of
 	// the loop may take, before the leader counts as stuck. Gangs whose start was interrupted
 	// must be complete, and tasks of cancelled jobs gone, within three to four seconds.
@@ -119,11 +118,6 @@
 	// handOverPause is how long a leader that hands over the leadership starts nothing: twice
 	// the half second that an order may take.
 	handOverPause = 2 * orderTimeout
-	// maxClockDrift is the largest factor by which a worker's clock may run slow: the 2 % of the
-	// platform's rules and some reserve.
-	maxClockDrift = 1.03
-	// leaseExpirySlack covers the limited resolution of clocks.
-	leaseExpirySlack = 250 * time.Millisecond
 	// inboxSize is the capacity of the loop's event queue.
 	inboxSize = 4096
 	// maxRoundEvents limits the events applied in one round of the loop. The most expensive
@@ -188,13 +182,10 @@
 	// earlier are the terms of which leases may be in force, on the unclaimed workers.
 	earlier        []earlierTerm
 	unclaimed      map[string]bool
-	earlierChanged bool // the stored term record lists earlier terms without need
-	// earlierWrite is when the last write of an earlier leader was sent, at the latest.
-	earlierWrite     time.Time
-	aliveAt          time.Time            // when the loop last ran
-	heldSince        time.Time            // no lease is granted until a batch is stored that was sent after this
-	earlierLeasesEnd time.Time            // when all leases of earlier terms have expired, zero if unknown
-	earlierGrants    map[string]time.Time // when leases were last requested in earlier terms, of workers asked for
+	earlierChanged bool           // the stored term record lists earlier terms without need
+	aliveAt        time.Time      // when the loop last ran
+	heldSince      time.Time      // no lease is granted until a batch is stored that was sent after this
+	earlierLeases  *lease.Earlier // what is known of the leases of earlier terms
 
 	readAsOf [intake.Parts]time.Time // time up to which all stored jobs of a part are applied, zero if this term may not have read some
 
@@ -219,10 +210,9 @@
 	eventKind() eventKind
 }
 
-// leaseLimit returns how long after the last write of a leader the leases that it grants may
-// end. The next leader waits that long for them.
-func leaseLimit(maxLease time.Duration) time.Duration {
-	return max(maxLease+minStoreGrace, storeOutage)
+// leaseLimits returns the limits of leases that all leaders observe.
+func (t *term) leaseLimits() lease.Limits {
+	return lease.Limits{MaxLease: t.cfg.Scheduler.MaxLease, StartWindow: startWindow, OrderTimeout: orderTimeout, StoreOutage: storeOutage}
 }
 
 // Stuck reports whether this VM leads without making progress: its writes fail, or its loop is
@@ -301,8 +291,8 @@
 		t.spawn(func() { t.followJobs(ctx, part) })
 	}
 	t.spawn(func() { t.followRegistry(ctx, stored.registry.Next) })
-	earlierTerms := t.earlier
-	t.spawn(func() { t.awaitEarlierEnds(ctx, earlierTerms) })
+	earlierTerms, earlierLeasesEnd := t.earlier, t.earlierLeases.End()
+	t.spawn(func() { t.awaitEarlierEnds(ctx, earlierTerms, earlierLeasesEnd) })
 	t.loopStats.ended.set(t.cfg.Now())
 	t.spawn(func() { t.logStats(ctx) })
 	l.current.Store(t)
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -70,23 +70,6 @@
 	return epoch, rec, nil
 }
 
-// initialExpiry returns when all leases on a worker that has not answered this leader have certainly
-// expired.
-func (t *term) initialExpiry(id string) time.Time {
-	lease := leaseLimit(t.cfg.Scheduler.MaxLease)
-	if ms, silent := t.inherited[id]; silent {
-		lease = min(lease, time.Duration(ms)*time.Millisecond)
-	}
-	end := leaseEnd(t.earlierWrite, lease)
-	if !t.earlierLeasesEnd.IsZero() {
-		end = earlier(end, t.earlierLeasesEnd)
-	}
-	if at, asked := t.earlierGrants[id]; asked {
-		end = earlier(end, leaseEnd(at.Add(orderTimeout), t.cfg.Scheduler.MaxLease))
-	}
-	return end
-}
-
 // silentWorkers returns the workers with runs that have not answered for silenceListedAfter, with the
 // milliseconds until all leases on them have expired. Workers to which a start may be on its way are
 // left out.
@@ -97,13 +80,13 @@
 		if l == nil {
 			continue
 		}
-		answers := l.failures == 0 && (l.claimed || l.address != "")
-		isNew := now.Sub(later(l.answeredAt, t.startedAt)) < silenceListedAfter
-		inherited := l.stored && !l.claimed
+		answers := l.failures == 0 && (l.leases.Claimed() || l.address != "")
+		isNew := now.Sub(later(l.leases.AnsweredAt(), t.startedAt)) < silenceListedAfter
+		inherited := l.stored && !l.leases.Claimed()
 		if (answers || isNew) && !inherited || len(silent) == maxSilentStored || !t.core.HasOnlyAnsweredRuns(id) {
 			continue
 		}
-		silent[id] = max(l.leasesExpire.Sub(now).Milliseconds(), 0)
+		silent[id] = max(l.leases.Expires().Sub(now).Milliseconds(), 0)
 	}
 	return silent
 }
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
 )
 
@@ -56,22 +57,16 @@
 	id, address  string
 	clockMS      int64     // the worker's clock in its last answer, in milliseconds
 	clockReadAt  time.Time // when that answer arrived
-	leasesExpire time.Time // when all leases on the worker have certainly expired
-	ackable      int64     // number of the last ended run whose record is stored
-	ackedEnd     int64     // number of the last ended run that the worker was asked to forget
-	answeredAt   time.Time // when the worker last answered a renewal
-	answeredFrom string    // address at which it did
-	startedAt    time.Time // when a start on the worker was last answered
+	leases       lease.Worker
+	ackable      int64 // number of the last ended run whose record is stored
+	ackedEnd     int64 // number of the last ended run that the worker was asked to forget
 	incarnation  int64
-	starting     int  // starts in progress, whose leases are counted once they are over
 	renewing     bool // a renewal is in progress
 	checked      bool // the last renewal only learned the worker's process, and was answered
 	unstoredEnds bool // ended runs were listed whose records are not stored yet
 	nextRenewal  time.Time
 	renewedAt    time.Time
 	failures     int
-	claimed      bool // the worker has answered this leader, so it rejects earlier ones
-	granted      bool // this leader may have granted leases on the worker
 	marked       bool // the link is in term.marked
 	stored       bool // the stored term record may name the worker as silent, so no lease is granted
 }
@@ -81,26 +76,16 @@
 	if l.clockReadAt.IsZero() {
 		return 0
 	}
-	return l.clockMS + int64(float64(at.Sub(l.clockReadAt).Milliseconds())/maxClockDrift)
+	return l.clockMS + int64(float64(at.Sub(l.clockReadAt).Milliseconds())/lease.MaxClockDrift)
 }
 
 // deadline returns, on the worker's clock, the end of a lease granted at the given time, or 0 if
 // the clock is unknown.
-func (l *link) deadline(at time.Time, lease time.Duration) int64 {
+func (l *link) deadline(at time.Time, d time.Duration) int64 {
 	if l.clockReadAt.IsZero() {
 		return 0
 	}
-	return l.estimateClock(at) + lease.Milliseconds()
-}
-
-// leaseEnd returns when a lease granted at the given time has certainly expired.
-func leaseEnd(at time.Time, lease time.Duration) time.Time {
-	return at.Add(time.Duration(float64(lease)*maxClockDrift) + leaseExpirySlack)
-}
-
-// recordGrant accounts for a lease that the worker may have granted.
-func (l *link) recordGrant(at time.Time, lease time.Duration) {
-	l.leasesExpire, l.granted = later(leaseEnd(at, lease), l.leasesExpire), true
+	return l.estimateClock(at) + d.Milliseconds()
 }
 
 // markForCheck makes this round check whether a renewal to the worker is due.
@@ -133,7 +118,7 @@
 	l := t.links[id]
 	if l == nil {
 		_, stored := t.silent[id]
-		l = &link{id: id, leasesExpire: t.initialExpiry(id), stored: stored}
+		l = &link{id: id, leases: lease.NewWorker(id, t.earlierLeases), stored: stored}
 		t.links[id] = l
 	}
 	if address != "" {
@@ -191,7 +176,7 @@
 // sendRenewals sends the due renewals to the marked workers.
 func (t *term) sendRenewals(ctx context.Context, now time.Time) {
 	// Leases must not be renewed for longer than the next leader waits for them to expire.
-	limit := t.lastWrite.get().Add(leaseLimit(t.cfg.Scheduler.MaxLease))
+	limit := t.lastWrite.get().Add(t.leaseLimits().AfterWrite())
 	t.loopStats.checks.Add(int64(len(t.marked)))
 	for _, l := range t.marked {
 		l.marked = false
@@ -226,11 +211,11 @@
 	if grant := min(t.cfg.Scheduler.MaxLease, maxRenewedLease, limit.Sub(now)); grant > 0 && !l.clockReadAt.IsZero() && l.failures == 0 && !l.stored && t.mayGrant() {
 		// A restarted worker grants the longest lease whenever it carries the renewal out, so its
 		// incarnation is checked first.
-		if check = !l.checked && now.Sub(l.answeredAt) >= ackWindow; check {
+		if check = !l.checked && now.Sub(l.leases.AnsweredAt()) >= ackWindow; check {
 			r.Wait = 0
 		} else {
 			r.Deadline = l.deadline(now, grant)
-			l.recordGrant(now, grant)
+			l.leases.Grant(now, grant)
 			t.grants.note(l.id, now)
 		}
 	}
@@ -251,7 +236,7 @@
 	if l.ackable > l.ackedEnd {
 		// A restarted worker numbers its ended runs from the start and would forget some that
 		// were never listed, so its incarnation is checked first.
-		if l.failures == 0 && now.Sub(l.answeredAt) < ackWindow {
+		if l.failures == 0 && now.Sub(l.leases.AnsweredAt()) < ackWindow {
 			r.ForgetUpTo = l.ackable
 		} else {
 			r.Wait = 0
@@ -301,7 +286,7 @@
 	case e.err != nil || e.answer.Verdict != fleet.Accepted:
 		e.recordFailure(t, l, now)
 		if e.provesEnd(t, l) {
-			t.cfg.Logger.Info("worker's process has ended", "worker", l.id, "address", e.address, "leases_end_ms", l.leasesExpire.Sub(now).Milliseconds())
+			t.cfg.Logger.Info("worker's process has ended", "worker", l.id, "address", e.address, "leases_end_ms", l.leases.Expires().Sub(now).Milliseconds())
 			t.endLeases(now, l)
 		}
 		return
@@ -310,15 +295,11 @@
 		e.recordFailure(t, l, now) // the time of day at the worker may have been set back before it restarted
 		return
 	}
-	t.noteAnswer(now, l)
-	l.answeredFrom = e.address
+	t.noteAnswer(now, l, e.address)
 	restarted := e.answer.Report.Incarnation > l.incarnation
 	if restarted {
 		l.setIncarnation(e.answer.Report.Incarnation)
 	}
-	if !l.claimed {
-		t.claim(now, l)
-	}
 	if e.answer.Clock > 0 {
 		l.clockMS, l.clockReadAt = e.answer.Clock, now
 	}
@@ -335,25 +316,19 @@
 	}
 }
 
-// noteAnswer notes that a worker has answered a renewal.
-func (t *term) noteAnswer(now time.Time, l *link) {
+// noteAnswer notes that a worker has answered a renewal at an address.
+func (t *term) noteAnswer(now time.Time, l *link, address string) {
 	if l.failures > 0 {
 		t.cfg.Logger.Info("worker answers renewals again", "worker", l.id, "failures", l.failures)
 	}
-	l.failures, l.answeredAt = 0, now
+	l.failures = 0
 	if l.stored {
 		t.nextSilenceCheck = now
 	}
-}
-
-// claim counts the longest lease on a worker that has answered for the first time: earlier leaders can
-// no longer renew there.
-func (t *term) claim(now time.Time, l *link) {
-	l.claimed = true
-	l.leasesExpire = time.Time{}
-	l.recordGrant(now, t.cfg.Scheduler.MaxLease)
-	t.grants.note(l.id, now) // the next leader may not ask the earlier ones
-	t.resolveEarlier(l.id)
+	if l.leases.Answered(now, address) {
+		t.grants.note(l.id, now) // the next leader may not ask the earlier ones
+		t.resolveEarlier(l.id)
+	}
 }
 
 // noteEnds notes which ended runs the worker may forget once the effects of its report are stored. It
@@ -393,12 +368,12 @@
 		if !t.core.Knows(id) {
 			delete(t.links, id)
 			t.resolveEarlier(id)
-			if now.After(l.leasesExpire) {
+			if now.After(l.leases.Expires()) {
 				t.grants.forget(id)
 			}
 			continue
 		}
-		if (l.failures > 0 || l.address == "") && l.starting == 0 && now.After(l.leasesExpire) {
+		if (l.failures > 0 || l.address == "") && !l.leases.MayRun(now) {
 			t.endLeases(now, l)
 		}
 	}
@@ -409,14 +384,13 @@
 	t.core.ExpireLeases(now, l.id)
 	t.resolveEarlier(l.id)
 	l.setIncarnation(0)
-	l.leasesExpire = now.Add(t.cfg.Scheduler.MaxLease)
+	l.leases.Reset(now)
 }
 
 // provesEnd reports whether the answer to a renewal proves that the worker's process has ended, and its runs
-// with it: another process answers at the address at which the worker did. Starts that may be carried out
-// after that, by a later process of the worker, have to wait for their leases.
+// with it: another process answered at its address. A start that is stored but not answered has to wait for
+// its lease.
 func (e renewalEvent) provesEnd(t *term, l *link) bool {
-	return e.err == nil && e.answer.Verdict == fleet.WorkerRestarted &&
-		e.address == l.answeredFrom && e.address == l.address &&
-		l.starting == 0 && !l.startedAt.After(e.sentAt) && t.core.HasOnlyAnsweredRuns(l.id)
+	return e.err == nil && e.answer.Verdict == fleet.WorkerRestarted && e.address == l.address &&
+		l.leases.Replaced(e.address, e.sentAt) && t.core.HasOnlyAnsweredRuns(l.id)
 }
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -214,7 +214,7 @@
 		t.setPolicy(snap)
 	}
 	t.readTerms(stored.state)
-	t.core.SetEarlierStartsEnd(leaseEnd(t.earlierWrite, startWindow+orderTimeout))
+	t.core.SetEarlierStartsEnd(t.earlierLeases.StartsEnd())
 	for _, r := range stored.state {
 		if isTermKey(r.Key) {
 			continue
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -50,12 +50,7 @@
 	t.core.StartAnswered(now, e.start.Worker, e.start.Task, e.start.Run, e.result)
 	l := t.links[e.start.Worker]
 	if l != nil {
-		l.starting = max(l.starting-1, 0) // the link may be newer than the start
-		l.startedAt = now
-		if !e.carriedOut.IsZero() {
-			// A worker that has restarted unnoticed grants the longest lease, whatever the deadline.
-			l.recordGrant(e.carriedOut, t.cfg.Scheduler.MaxLease)
-		}
+		l.leases.StartOver(now, e.carriedOut)
 	}
 	t.renewNow(l)
 }
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,59 @@
+// Package lease answers whether a worker may still run anything, and until when, as far as a leader can know. It
+// does no I/O and reads no clock.
+//
+// A worker runs tasks only while a lease is in force there, whose end it measures on its own clock. A leader
+// grants leases by renewals and starts. What it can't know is counted so that work never runs twice:
+//
+//   - A call that got no answer may have been carried out, and a start may be carried out until its
+//     call is given up.
+//   - A worker that has restarted unnoticed runs what it is sent, under its longest lease, since the end that a call
+//     requests is on the clock of the process before.
+//   - Earlier leaders may grant leases for some time after their last write, unless they have ended and tell when they
+//     last granted one.
+//
+// Nothing runs on a worker once all leases that may have been granted have expired, or once another process answers
+// at its address.
+package lease
+
+import "time"
+
+const (
+	// MaxClockDrift is the largest factor by which a worker's clock may run slow: the 2 % of the
+	// platform's rules and some reserve.
+	MaxClockDrift = 1.03
+	// ExpirySlack covers the limited resolution of clocks.
+	ExpirySlack = 250 * time.Millisecond
+)
+
+// End returns when a lease granted at the given time has certainly expired.
+func End(at time.Time, lease time.Duration) time.Time {
+	return at.Add(time.Duration(float64(lease)*MaxClockDrift) + ExpirySlack)
+}
+
+// Limits bound what leaders and workers do.
+type Limits struct {
+	MaxLease     time.Duration // longest lease that a worker grants
+	StartWindow  time.Duration // after its last write was sent, a leader sends starts for this long
+	OrderTimeout time.Duration // an order is carried out this long after it was sent, or not at all
+	StoreOutage  time.Duration // length of an outage of the store that leases outlast
+}
+
+// AfterWrite returns how long after its last write was sent the leases that a leader grants may end, before
+// clocks are allowed for. It covers a start at the end of the window, on a restarted worker.
+func (l Limits) AfterWrite() time.Duration {
+	return max(l.MaxLease+l.StartWindow+l.OrderTimeout-ExpirySlack, l.StoreOutage)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
