lease: Keep earlier leaders' leases until none of their starts can arrive

Seen: in drawn histories of package lease. A worker answers a new leader, restarts, and a start of the earlier leader, which may be carried out until 1.6 s after its last write, reaches the next process; if the worker answers nobody then, the leader starts its work elsewhere while that run goes on (TWICE). Nobody has reported it. Cause: the first answer counted for the worker, but it holds for its process. Change: leases of earlier leaders count beside the own ones until the worker answers a call that was sent after the last of their starts can have been carried out. With no earlier leader, any answer is enough. Test: TestNoLeaseOutlastsWhatTheLeaderKnows fails on the code before ('a lease is in force for 1ms, but the leader takes the worker for idle', after 44,601 histories); 1,000,000 pass in 11 s. Five mutations of the rule fail, two pass: the condition on starts in Replaced, which MayRun has as well, and the time of sending. TestWithoutAMechanismARuleBreaks cut the worker off 0.3 s after the change of leader; there the new rule waits even without the fencing token, so it does so after 3 s now, and the history breaks TWICE without the token as before. Why it works: an answer to a later call comes from a process that has obeyed this leader, and no start is left that could reach the one after it. Result: all tests of leader pass. Conclusion: a worker lost within 1.9 s of a change of leader counts longer if the earlier leader can't be reached: 11.6 s, not 6.4 s.

--- a/internal/leader/earlier.go
+++ b/internal/leader/earlier.go
@@ -98,7 +98,7 @@
 	for id, ms := range t.inherited {
 		silent[id] = time.Duration(ms) * time.Millisecond
 	}
-	t.earlierLeases = lease.NewEarlier(lease.EarlierConfig{Limits: t.leaseLimits(), WrittenAt: writtenAt, Silent: silent})
+	t.earlierLeases = lease.NewEarlier(lease.EarlierConfig{Limits: t.leaseLimits(), WrittenAt: writtenAt, First: len(t.earlier) == 0, Silent: silent})
 	t.cfg.Logger.Info("leases of earlier terms", "epoch", t.epoch, "listed", listed, "silent", len(t.inherited), "terms", len(t.earlier),
 		"written_ms", t.fencedAt.Sub(writtenAt).Milliseconds())
 }
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -295,7 +295,7 @@
 		e.recordFailure(t, l, now) // the time of day at the worker may have been set back before it restarted
 		return
 	}
-	t.noteAnswer(now, l, e.address)
+	e.noteAnswer(t, l, now)
 	restarted := e.answer.Report.Incarnation > l.incarnation
 	if restarted {
 		l.setIncarnation(e.answer.Report.Incarnation)
@@ -316,8 +316,8 @@
 	}
 }
 
-// noteAnswer notes that a worker has answered a renewal at an address.
-func (t *term) noteAnswer(now time.Time, l *link, address string) {
+// noteAnswer notes that a worker has answered a renewal.
+func (e renewalEvent) noteAnswer(t *term, l *link, now time.Time) {
 	if l.failures > 0 {
 		t.cfg.Logger.Info("worker answers renewals again", "worker", l.id, "failures", l.failures)
 	}
@@ -325,7 +325,7 @@
 	if l.stored {
 		t.nextSilenceCheck = now
 	}
-	if l.leases.Answered(now, address) {
+	if l.leases.Answered(e.sentAt, now, e.address) {
 		t.grants.note(l.id, now) // the next leader may not ask the earlier ones
 		t.resolveEarlier(l.id)
 	}
--- a/internal/lease/earlier.go
+++ b/internal/lease/earlier.go
@@ -6,8 +6,9 @@
 type Earlier struct {
 	limits    Limits
 	writtenAt time.Time
+	first     bool
 	silent    map[string]time.Duration
-	endedAt   time.Time            // when all their leases have expired, zero if unknown
+	lastGrant time.Time            // when they last granted a lease, zero unless all have ended
 	grants    map[string]time.Time // when they last granted one, by worker, if they were asked
 }
 
@@ -15,6 +16,8 @@
 type EarlierConfig struct {
 	Limits    Limits
 	WrittenAt time.Time // when the last write of an earlier leader was sent, at the latest
+	// First is set if no earlier leader is known: an answer of a worker is enough then.
+	First bool
 	// Silent has, from WrittenAt on, the time until all leases have expired on workers on which the earlier
 	// leaders granted none any more.
 	Silent map[string]time.Duration
@@ -22,7 +25,7 @@
 
 // NewEarlier returns what is known of the leases of earlier leaders.
 func NewEarlier(cfg EarlierConfig) *Earlier {
-	return &Earlier{limits: cfg.Limits, writtenAt: cfg.WrittenAt, silent: cfg.Silent}
+	return &Earlier{limits: cfg.Limits, writtenAt: cfg.WrittenAt, first: cfg.First, silent: cfg.Silent}
 }
 
 // WrittenAt returns when the last write of an earlier leader was sent, at the latest.
@@ -35,7 +38,7 @@
 }
 
 // Ended notes that all earlier leaders have ended and granted no lease after a time.
-func (e *Earlier) Ended(lastGrant time.Time) { e.endedAt = e.afterGrant(lastGrant) }
+func (e *Earlier) Ended(lastGrant time.Time) { e.lastGrant = lastGrant }
 
 // Granted notes when the earlier leaders, which have ended, last granted a lease on workers.
 func (e *Earlier) Granted(at map[string]time.Time) { e.grants = at }
@@ -47,8 +50,8 @@
 		d = min(d, silent)
 	}
 	end := End(e.writtenAt, d)
-	if !e.endedAt.IsZero() {
-		end = earlier(end, e.endedAt)
+	if !e.lastGrant.IsZero() {
+		end = earlier(end, e.afterGrant(e.lastGrant))
 	}
 	if at, known := e.grants[worker]; known {
 		end = earlier(end, e.afterGrant(at))
@@ -59,15 +62,22 @@
 // End returns when all leases of the earlier leaders have expired, on whatever worker.
 func (e *Earlier) End() time.Time {
 	end := End(e.writtenAt, e.limits.AfterWrite())
-	if !e.endedAt.IsZero() {
-		return earlier(end, e.endedAt)
+	if !e.lastGrant.IsZero() {
+		return earlier(end, e.afterGrant(e.lastGrant))
 	}
 	return end
 }
 
 // StartsEnd returns until when workers may accept starts of the earlier leaders.
 func (e *Earlier) StartsEnd() time.Time {
-	return End(e.writtenAt, e.limits.StartWindow+e.limits.OrderTimeout)
+	if e.first {
+		return e.writtenAt
+	}
+	end := End(e.writtenAt, e.limits.StartWindow+e.limits.OrderTimeout)
+	if !e.lastGrant.IsZero() {
+		return earlier(end, e.lastGrant.Add(e.limits.OrderTimeout))
+	}
+	return end
 }
 
 // afterGrant returns when a lease has expired that was granted last at the given time. The call may be carried out
