leader: Tell by its clock which process carried a start out

Cause: each answered start counted with the longest lease, as a restarted worker may have carried it out. Change: the answer to a start has the worker's clock, which starts again with each process ('its counts start anew (..., its clock)', PROTOCOL.md). Starts of which an attempt got no answer count as before. Conclusion: the wait after a change of leader still counts the longest lease.

--- a/internal/leader/batch.go
+++ b/internal/leader/batch.go
@@ -153,8 +153,8 @@
 			d := until.Sub(now)
 			deadline := l.deadline(now, d)
 			t.core.StartSent(s.Worker, s.Task, s.Run, lease.End(now, max(d, 0)))
-			incarnation := l.incarnation
-			t.spawn(func() { t.start(t.ctx, s, incarnation, deadline, until) })
+			to := workerProcess{l.incarnation, l.clock}
+			t.spawn(func() { t.start(t.ctx, s, to, deadline, until) })
 			l.leases.StartSent(now, d)
 			t.renewNow(l)
 		}
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -55,8 +55,7 @@
 // link is the leader's state of the leases and renewals of one worker. The loop owns it.
 type link struct {
 	id, address  string
-	clockMS      int64     // the worker's clock in its last answer, in milliseconds
-	clockReadAt  time.Time // when that answer arrived
+	clock        lease.Clock // in the worker's last answer
 	leases       lease.Worker
 	ackable      int64 // number of the last ended run whose record is stored
 	ackedEnd     int64 // number of the last ended run that the worker was asked to forget
@@ -73,16 +72,16 @@
 
 // estimateClock returns an estimate of the worker's clock that is never ahead of it.
 func (l *link) estimateClock(at time.Time) int64 {
-	if l.clockReadAt.IsZero() {
+	if l.clock.ReadAt.IsZero() {
 		return 0
 	}
-	return l.clockMS + int64(float64(at.Sub(l.clockReadAt).Milliseconds())/lease.MaxClockDrift)
+	return l.clock.MS + int64(float64(at.Sub(l.clock.ReadAt).Milliseconds())/lease.MaxClockDrift)
 }
 
 // deadline returns, on the worker's clock, the end of a lease granted at the given time, or 0 if
 // the clock is unknown.
 func (l *link) deadline(at time.Time, d time.Duration) int64 {
-	if l.clockReadAt.IsZero() {
+	if l.clock.ReadAt.IsZero() {
 		return 0
 	}
 	return l.estimateClock(at) + d.Milliseconds()
@@ -168,7 +167,7 @@
 // runs start again.
 func (l *link) setIncarnation(incarnation int64) {
 	if l.incarnation != 0 {
-		l.clockReadAt, l.ackable, l.ackedEnd, l.unstoredEnds = time.Time{}, 0, 0, false
+		l.clock, l.ackable, l.ackedEnd, l.unstoredEnds = lease.Clock{}, 0, 0, false
 	}
 	l.incarnation = incarnation
 }
@@ -208,7 +207,7 @@
 	r := l.newRenewal(now, t.epoch, t.core.NeedsPolling(l.id))
 	check := false
 	// No lease is requested from a worker that does not answer, so that its last one can expire.
-	if grant := min(t.cfg.Scheduler.MaxLease, maxRenewedLease, limit.Sub(now)); grant > 0 && !l.clockReadAt.IsZero() && l.failures == 0 && !l.stored && t.mayGrant() {
+	if grant := min(t.cfg.Scheduler.MaxLease, maxRenewedLease, limit.Sub(now)); grant > 0 && !l.clock.ReadAt.IsZero() && l.failures == 0 && !l.stored && t.mayGrant() {
 		// A restarted worker grants the longest lease whenever it carries the renewal out, so its
 		// incarnation is checked first.
 		if check = !l.checked && now.Sub(l.leases.AnsweredAt()) >= ackWindow; check {
@@ -230,7 +229,7 @@
 // newRenewal returns a renewal that requests no lease.
 func (l *link) newRenewal(now time.Time, token int64, needsPolling bool) fleet.Renewal {
 	r := fleet.Renewal{Token: token, Wait: renewalWait}
-	if l.clockReadAt.IsZero() || !needsPolling || l.unstoredEnds || l.failures > 0 || l.stored {
+	if l.clock.ReadAt.IsZero() || !needsPolling || l.unstoredEnds || l.failures > 0 || l.stored {
 		r.Wait = 0
 	}
 	if l.ackable > l.ackedEnd {
@@ -301,7 +300,7 @@
 		l.setIncarnation(e.answer.Report.Incarnation)
 	}
 	if e.answer.Clock > 0 {
-		l.clockMS, l.clockReadAt = e.answer.Clock, now
+		l.clock = lease.Clock{MS: e.answer.Clock, ReadAt: now}
 	}
 	if !restarted {
 		l.ackedEnd = max(l.ackedEnd, e.request.ForgetUpTo)
--- a/internal/leader/orders.go
+++ b/internal/leader/orders.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"rhubarbshore/internal/fleet"
+	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
 	"rhubarbshore/internal/scheduler"
 )
@@ -41,7 +42,7 @@
 type startedEvent struct {
 	start      scheduler.Start
 	result     scheduler.StartResult
-	carriedOut time.Time // when the last attempt was carried out at the latest, zero if none was
+	carriedOut time.Time // when a process that is not known carried out the last attempt at the latest, zero if none did
 }
 
 func (startedEvent) eventKind() eventKind { return kindStart }
@@ -75,6 +76,12 @@
 	errFenced = errorx.NewType(namespace, "fenced").New("the worker obeys a later leader")
 )
 
+// workerProcess is the process of a worker that a start is meant for, as it was when the worker last answered.
+type workerProcess struct {
+	incarnation int64
+	clock       lease.Clock
+}
+
 // runCheck is the result of asking a worker for the run of a start that got no answer.
 type runCheck struct {
 	begun bool // the worker lists the run
@@ -127,9 +134,9 @@
 }
 
 // start sends a start, with a lease until the given time, to its worker and posts the result. If it gets no
-// answer, it is repeated only to the process with the incarnation, as a restarted worker may be of another kind
+// answer, it is repeated only to the process that it is meant for, as a restarted worker may be of another kind
 // and smaller, and only if that process does not list the run.
-func (t *term) start(ctx context.Context, s scheduler.Start, incarnation, deadline int64, until time.Time) {
+func (t *term) start(ctx context.Context, s scheduler.Start, to workerProcess, deadline int64, until time.Time) {
 	defer t.pendingStarts.Add(-1)
 	if t.startSlots.Acquire(ctx, 1) != nil {
 		return // deposed in the meantime
@@ -146,7 +153,7 @@
 	sent := false
 	for range orderAttempts {
 		if unanswered {
-			check := t.findRun(ctx, s, incarnation)
+			check := t.findRun(ctx, s, to.incarnation)
 			if lastErr = check.err; lastErr != nil {
 				break
 			}
@@ -178,6 +185,9 @@
 			continue
 		}
 		result = startResult(answer.Verdict, unanswered)
+		if !unanswered && to.clock.IsSameProcess(lease.Clock{MS: answer.Clock, ReadAt: carriedOut}) {
+			carriedOut = time.Time{}
+		}
 		break
 	}
 	t.finishStart(ctx, s, startOutcome{
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -44,7 +44,8 @@
 	earlier   *lease.Earlier
 	calls     []earlierCall // in the order in which they are carried out
 	lastGrant time.Time     // when an earlier leader last sent a call that grants a lease
-	started   int           // starts in progress
+	started   []time.Time   // when the starts in progress were sent
+	endedAt   time.Time     // when a process of the worker last ended
 }
 
 func (h *history) millis(most time.Duration, name string) time.Duration {
@@ -91,6 +92,9 @@
 	}
 }
 
+// endProcess ends the worker's process. The next one has heard of no leader.
+func (h *history) endProcess() { h.worker, h.endedAt = process{until: h.now}, h.now }
+
 // step draws an event.
 func (h *history) step() {
 	switch rapid.IntRange(0, 7).Draw(h.T, "event") {
@@ -103,16 +107,23 @@
 		}
 	case 1:
 		h.known.StartSent(h.now, limits.MaxLease/2)
-		h.started++
+		h.started = append(h.started, h.now)
 	case 2: // a start is over; a restarted worker may have carried it out
-		if h.started == 0 {
+		if len(h.started) == 0 {
 			return
 		}
-		h.started--
+		sentAt := h.started[0]
+		h.started = h.started[1:]
 		if !rapid.Bool().Draw(h.T, "carried out") {
 			h.known.StartOver(h.now, time.Time{})
 			return
 		}
+		if !h.endedAt.After(sentAt) && rapid.Bool().Draw(h.T, "known process") {
+			h.worker.obeys = true
+			h.worker.grant(sentAt, limits.MaxLease/2)
+			h.known.StartOver(h.now, time.Time{})
+			return
+		}
 		h.worker.obeys = true
 		h.worker.grant(h.now, limits.MaxLease)
 		h.known.StartOver(h.now, h.now)
@@ -120,15 +131,15 @@
 		sentAt := h.now
 		h.worker.obeys = true
 		if rapid.Bool().Draw(h.T, "ends before the answer arrives") {
-			h.worker = process{until: h.now}
+			h.endProcess()
 		}
 		h.pass(h.millis(time.Second, "answered after"))
 		h.known.Answered(sentAt, h.now, "a")
 	case 4: // the process ends and the next one has heard of no leader
-		h.worker = process{until: h.now}
+		h.endProcess()
 	case 5: // the process ends and that of another worker answers
 		if h.known.Replaced("a", h.now) {
-			h.worker = process{until: h.now}
+			h.endProcess()
 			h.known.Reset(h.now)
 		}
 	case 6, 7:
@@ -158,7 +169,7 @@
 			h.step()
 			h.pass(h.millis(4*time.Second, "wait"))
 		}
-		if h.started == 0 {
+		if len(h.started) == 0 {
 			h.pass(lease.End(time.Time{}, limits.AfterWrite()).Sub(time.Time{}) + time.Millisecond)
 			if h.known.MayRun(h.now) {
 				h.Fatalf("the worker counts as busy without end")
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -30,6 +30,19 @@
 	return at.Add(time.Duration(float64(lease)*MaxClockDrift) + ExpirySlack)
 }
 
+// Clock is a reading of a worker's clock, which starts again with each process of it.
+type Clock struct {
+	MS     int64     // what it showed, in milliseconds
+	ReadAt time.Time // when the answer with it arrived; zero if there was none
+}
+
+// IsSameProcess reports whether a later reading is certainly of the same process: the clock of one that started
+// after this reading can't show as much yet.
+func (c Clock) IsSameProcess(later Clock) bool {
+	sinceRead := later.ReadAt.Sub(c.ReadAt)
+	return !c.ReadAt.IsZero() && time.Duration(later.MS)*time.Millisecond > time.Duration(float64(sinceRead)*MaxClockDrift)+ExpirySlack
+}
+
 // Limits bound what leaders and workers do.
 type Limits struct {
 	MaxLease     time.Duration // longest lease that a worker grants
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -40,3 +40,27 @@
 	inherited, sooner := answered.LearnEarlier("other", e)
 	assert.Assert(t, !inherited && !sooner, "an answer of the worker says more")
 }
+
+// Guards against a start that a restarted worker has carried out under its longest lease, and that is taken for one of
+// the process before: each process's clock starts again.
+func TestClockOfALaterProcessIsToldFromThatOfTheOneBefore(t *testing.T) {
+	readAt := time.UnixMilli(1_788_900_000_000)
+	before := lease.Clock{MS: 480_000, ReadAt: readAt}
+	for _, c := range []struct {
+		after time.Duration
+		ms    int64
+		same  bool
+	}{
+		{after: 0, ms: 480_000, same: true},
+		{after: 10 * time.Second, ms: 490_000, same: true},
+		{after: 10 * time.Second, ms: 489_800, same: true}, // 2 % slow
+		{after: 10 * time.Second, ms: 10_000},
+		{after: 10 * time.Second, ms: 10_200}, // 2 % fast
+		{after: 10 * time.Second, ms: 0},
+		{after: time.Hour, ms: 3_600_000},
+	} {
+		got := before.IsSameProcess(lease.Clock{MS: c.ms, ReadAt: readAt.Add(c.after)})
+		assert.Equal(t, got, c.same, "%v later %d ms", c.after, c.ms)
+	}
+	assert.Assert(t, !(lease.Clock{}).IsSameProcess(before), "no clock was read before")
+}
--- a/internal/lease/worker.go
+++ b/internal/lease/worker.go
@@ -62,7 +62,8 @@
 }
 
 // StartOver counts the longest lease for a start that is over, which a restarted worker may have carried out at the
-// given time at the latest; zero if none can have.
+// given time at the latest; zero if none can have. For the process that the start was meant for, the lease
+// of the start is counted already.
 func (w *Worker) StartOver(now, carriedOut time.Time) {
 	w.starting = max(w.starting-1, 0) // the worker may have been forgotten meanwhile
 	w.startedAt = now
