scheduler: Look at the worker's kind again before a reservation is used

A task that has reserved capacity starts on a worker that came back as another kind meanwhile, without its label or of another service (ROUTE). Cause: the kind is checked when capacity is reserved, and not when it is used. Change: a reservation is dropped if its worker doesn't have the service and label of the task any more; one function decides that here and for free capacity. Test: TestReservationDoesNotOutliveTheKindOfItsWorker failed before in both cases ('started on a worker that does not fit it'). Why it works: all starts on reserved capacity go through startReserved.

--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -207,7 +207,7 @@
 // eligible reports whether the worker has the service and the label that the table's tasks
 // require.
 func (ft *fitTable) eligible(w *worker) bool {
-	return w.info.Service == ft.service && (ft.label == "" || slices.Contains(w.info.Labels, ft.label))
+	return w.info.serves(ft.service, ft.label)
 }
 
 // update recounts one worker.
--- a/internal/scheduler/model.go
+++ b/internal/scheduler/model.go
@@ -146,6 +146,11 @@
 	Incarnation int64 // start time of the worker's process in Unix milliseconds
 }
 
+// serves reports whether the worker belongs to a service and has a label, which may be empty.
+func (w *Worker) serves(service, label string) bool {
+	return w.Service == service && (label == "" || slices.Contains(w.Labels, label))
+}
+
 // sameForPlacement reports whether the same tasks fit on the worker if its entry is
 // replaced by o.
 func (w *Worker) sameForPlacement(o Worker) bool {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -483,14 +483,15 @@
 }
 
 // startReserved starts tasks whose reserved capacity has become free, all of them or none.
-// It drops the reservations if one has expired or its worker can't be given work.
+// It drops the reservations if one has expired or its worker can't be given the task, as it may have come back
+// as another kind.
 func (c *Core) startReserved(now time.Time, tasks []*task) bool {
 	reserved := map[*worker]Resources{}
 	for _, t := range tasks {
 		w := t.reservation.worker
 		condition := w.condition(now, c.cfg.ReportTimeout)
 		mayUse := condition == workerUsable || condition == workerQuarantined && t.step.right.quarantined
-		if !mayUse || now.After(t.reservation.expires) {
+		if !mayUse || !w.info.serves(t.step.occ.job.queue.Service, t.step.spec.Label) || now.After(t.reservation.expires) {
 			dropReservations(tasks)
 			return false
 		}
