scheduler: End a restored job whose attempts are used up

If the last failure of a task and the outcome of its job fall into two appends of a split batch, and the leader is lost in between, the next one starts the task again (BUDGET). Cause: only a failure that is noted ends a job; a restored count does not. Change: a job is failed when it is added if a task of it has used up its attempts, by the larger of the numbers of its submission and of the configuration in force. Why it works: no round of scheduling comes between the adding and the check. Conclusion: a restored state gets the checks that lead to it.

--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -63,6 +63,28 @@
 	c.endJob(now, s.occ.job, Failed, reason)
 }
 
+// endSpentJob ends a restored job of which a task has used up its attempts. The leader that noted the last failure
+// may have been lost before it stored the outcome.
+func (c *Core) endSpentJob(now time.Time, j *job) {
+	attempts := max(j.spec.Queue.Attempts, j.queue.Attempts) // a configuration may have changed them since
+	if attempts == 0 {
+		return
+	}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			if s.spec.LongRunning {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.phase != done && len(*t.failures()) >= attempts {
+					c.endJob(now, j, Failed, "a task had used up its attempts under an earlier leader")
+					return
+				}
+			}
+		}
+	}
+}
+
 // runEnded removes a run that has certainly ended from its worker, and completes or
 // requeues its task.
 func (c *Core) runEnded(now time.Time, r *run, cause Cause, checkpoint string) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -272,6 +272,7 @@
 	c.effects.Changed = append(c.effects.Changed, spec.ID)
 	c.cfg.Logger.Info("job taken in", "job", spec.ID, "queue", j.queue.Name, "config", spec.QueueOffset, "policy", c.policy.Offset, "priority", j.queue.Priority,
 		"customer", spec.Customer, "tasks", j.taskCount(), "steps", len(spec.Steps), "repeat", spec.Repeat)
+	c.endSpentJob(now, j)
 	c.applyCancellation(now, j)
 }
 
