leader: Don't acknowledge ends of a worker's former process to the next one

A worker that restarts while a renewal with last_seen is on its way is asked to forget ends that it has not listed yet; a task that is done then runs again (TWICE). Cause: the number of the last acknowledged end counted for whichever process answered. Change: a renewal carries the process that it is meant for; if another one answers, only what that lists counts. It is posted as the event that it becomes. Why it works: numbers of ends belong to a process, and are compared with it.

--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -7,6 +7,7 @@
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
+	"rhubarbshore/internal/scheduler"
 )
 
 const (
@@ -222,8 +223,8 @@
 	if !check {
 		l.renewedAt = now
 	}
-	id, address := l.id, l.address
-	t.spawn(func() { t.sendRenewal(ctx, id, address, r, check) })
+	e := renewalEvent{id: l.id, address: l.address, request: r, check: check, incarnation: l.incarnation}
+	t.spawn(func() { t.sendRenewal(ctx, e) })
 }
 
 // newRenewal returns a renewal that requests no lease.
@@ -244,19 +245,20 @@
 	return r
 }
 
-func (t *term) sendRenewal(ctx context.Context, id, address string, r fleet.Renewal, check bool) {
+// sendRenewal sends the request of e and posts e with the answer.
+func (t *term) sendRenewal(ctx context.Context, e renewalEvent) {
 	if !t.active() {
 		return
 	}
 	timeout := shortRenewalTimeout
-	if r.Wait > 0 {
-		timeout = r.Wait + renewalMargin
+	if e.request.Wait > 0 {
+		timeout = e.request.Wait + renewalMargin
 	}
-	sentAt := t.cfg.Now()
+	e.sentAt = t.cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	answer, err := t.cfg.Workers.Renew(callCtx, id, address, r)
+	e.answer, e.err = t.cfg.Workers.Renew(callCtx, e.id, e.address, e.request)
 	cancel()
-	t.post(ctx, renewalEvent{id: id, address: address, sentAt: sentAt, answer: answer, err: err, request: r, check: check})
+	t.post(ctx, e)
 }
 
 type renewalEvent struct {
@@ -267,8 +269,14 @@
 	err     error
 	request fleet.Renewal
 	check   bool // no lease was requested, since the worker may have restarted
+	// incarnation is the process of the worker that the request was meant for.
+	incarnation int64
 }
 
+// answeredByNext reports whether another process answered than the one that the request was meant for. Ends of
+// the former one that the request acknowledged say nothing about it.
+func (e renewalEvent) answeredByNext() bool { return e.answer.Report.Incarnation != e.incarnation }
+
 func (renewalEvent) eventKind() eventKind { return kindRenewal }
 
 func (e renewalEvent) apply(t *term, now time.Time) {
@@ -295,14 +303,15 @@
 		return
 	}
 	e.noteAnswer(t, l, now)
-	restarted := e.answer.Report.Incarnation > l.incarnation
-	if restarted {
+	if e.answer.Report.Incarnation > l.incarnation {
 		l.setIncarnation(e.answer.Report.Incarnation)
 	}
 	if e.answer.Clock > 0 {
 		l.clock = lease.Clock{MS: e.answer.Clock, ReadAt: now}
 	}
-	if !restarted {
+	if e.answeredByNext() {
+		e.answer.LastEnded = lastListed(e.answer.Report)
+	} else {
 		l.ackedEnd = max(l.ackedEnd, e.request.ForgetUpTo)
 	}
 	l.nextRenewal = now
@@ -330,6 +339,14 @@
 	}
 }
 
+// lastListed returns the largest number of an ended run in a report.
+func lastListed(r scheduler.Report) (last int64) {
+	for _, end := range r.Ended {
+		last = max(last, end.Number)
+	}
+	return last
+}
+
 // noteEnds notes which ended runs the worker may forget once the effects of its report are stored. It
 // reports whether the worker has to keep some, as their jobs can't be read yet.
 func (t *term) noteEnds(l *link, answer fleet.RenewalAnswer) (held bool) {
