--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -332,14 +332,7 @@
 	f.mu.Unlock()
 	if m == nil || unreachable || lost {
 		if late && m != nil && !unreachable {
-			time.AfterFunc(fault.Late, func() {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				if f.machines[id] == m { // a call in flight is lost when its worker restarts
-					f.advance(time.Now())
-					apply()
-				}
-			})
+			f.applyLate(fault.Late, id, m, apply)
 		}
 		<-ctx.Done()
 		return nil, fleet.ErrUnanswered
@@ -347,6 +340,18 @@
 	return m, nil
 }
 
+// applyLate carries out a call after a delay, unless its worker has restarted, which loses calls in flight.
+func (f *Fleet) applyLate(delay time.Duration, id string, m *machine, apply func()) {
+	time.AfterFunc(delay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.machines[id] == m {
+			f.advance(time.Now())
+			apply()
+		}
+	})
+}
+
 // answersAt reports whether a worker answers at an address.
 func (f *Fleet) answersAt(address string) bool {
 	for id, m := range f.machines {
