leader: Lock what tests share with the leader's goroutines

Both are races of the tests, with no code of the product in either stack but as a caller. Change: pool.newest, the recorded cancellations and the recorded calls are read under their locks. The checks are the same. Conclusion: new tests have to run under the race detector before they are committed.

--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -294,7 +294,11 @@
 }
 
 // newest returns the newest leader.
-func (p *pool) newest() *testLeader { return p.leaders[len(p.leaders)-1] }
+func (p *pool) newest() *testLeader {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaders[len(p.leaders)-1]
+}
 
 // state asks the newest leader for a job's state.
 func (p *pool) state(id string) scheduler.State {
--- a/internal/leader/latecancel_test.go
+++ b/internal/leader/latecancel_test.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// answered reports whether the DELETE of a job had a definite answer.
+func (c *cancellations) answered(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.answeredAt[id].IsZero()
+}
+
+// lateStarts returns the starts that came later than allowed.
+func (c *cancellations) lateStarts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
+}
+
 // playLateJob submits and cancels a job, and returns once its client has a definite answer or gives up.
 func (p *pool) playLateJob(id int, l lateJob, c *cancellations) {
 	j := job(id, 1, step(1, 1))
@@ -134,7 +148,7 @@
 			time.Sleep(20 * time.Second)
 			for i := range jobs {
 				id := job(i+1, 1).ID
-				if c.answeredAt[id].IsZero() {
+				if !c.answered(id) {
 					unanswered = append(unanswered, id)
 				}
 				if s := p.state(id); s != scheduler.Cancelled && s != scheduler.Completed {
@@ -142,8 +156,8 @@
 				}
 			}
 		})
-		if len(violations)+len(c.late)+len(unanswered)+len(wrong) > 0 {
-			rt.Fatalf("broken rules: %v\nstarted late: %v\nno answer: %v\nstates: %v", violations, c.late, unanswered, wrong)
+		if late := c.lateStarts(); len(violations)+len(late)+len(unanswered)+len(wrong) > 0 {
+			rt.Fatalf("broken rules: %v\nstarted late: %v\nno answer: %v\nstates: %v", violations, late, unanswered, wrong)
 		}
 	})
 }
--- a/internal/leader/lostends_test.go
+++ b/internal/leader/lostends_test.go
@@ -73,6 +73,8 @@
 			assert.Check(t, is.Equal(p.state(job(2+i, 1).ID), scheduler.Completed))
 		}
 		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		assert.Check(t, *r.restarted)
 		newest := int64(0)
 		for born := range r.listed {
