lease: Drop two methods that nothing calls

Cause: found by reading the change as a newcomer. Earlier.WrittenAt and Earlier.Silent have had no caller since the logs and records stayed with leader. Change: they are removed. Conclusion: none.

--- a/internal/lease/earlier.go
+++ b/internal/lease/earlier.go
@@ -28,15 +28,6 @@
 	return &Earlier{limits: cfg.Limits, writtenAt: cfg.WrittenAt, first: cfg.First, silent: cfg.Silent}
 }
 
-// WrittenAt returns when the last write of an earlier leader was sent, at the latest.
-func (e *Earlier) WrittenAt() time.Time { return e.writtenAt }
-
-// Silent reports whether the earlier leaders granted no leases on a worker any more.
-func (e *Earlier) Silent(worker string) bool {
-	_, silent := e.silent[worker]
-	return silent
-}
-
 // Ended notes that all earlier leaders have ended and granted no lease after a time.
 func (e *Earlier) Ended(lastGrant time.Time) { e.lastGrant = lastGrant }
 
