Revert "suspend: Notice suspensions that a step of the time of day hides"

Cause, by reading, not shown by a run: tests in virtual time have the machine's real boot time, which now is read each 100 ms of virtual time and looks like a suspension if a step takes long, so the term ends. The product's clocks all are real.

--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -15,10 +15,6 @@
 // clocks and below the shortest time in which another VM takes over.
 const minSuspension = 400 * time.Millisecond
 
-// bootReadInterval is the running time after which the boot time is read although the time of day shows no
-// suspension: it may have been set back at the same time.
-const bootReadInterval = 100 * time.Millisecond
-
 // Clocks are the clocks of a machine.
 type Clocks interface {
 	// Steady returns the time of the steady clock, which stands still during a suspension.
@@ -41,7 +37,6 @@
 	mu      sync.Mutex
 	dayLead time.Duration // time of day less steady time when last compared, in Unix time
 	lag     time.Duration // boot time less steady time when last compared
-	bootAt  time.Duration // steady time when the boot time was read last
 	err     error         // why the boot time could not be read last
 }
 
@@ -52,7 +47,7 @@
 	}
 	d := &Detector{clocks: cfg.Clocks}
 	steady := d.clocks.Steady()
-	d.dayLead, d.bootAt = dayLead(d.clocks, steady), steady
+	d.dayLead = dayLead(d.clocks, steady)
 	var boot time.Duration
 	if boot, d.err = d.clocks.Boot(); d.err == nil {
 		d.lag = boot - steady
@@ -64,37 +59,25 @@
 	return time.Duration(c.Day().UnixNano()) - steady
 }
 
-// Check returns for how long the machine was suspended since the last call, or 0. To read the boot time
-// costs a system call, so it is read if the time of day has jumped, and once per bootReadInterval. If
-// it cannot be read, a jump of the time of day ahead counts as a suspension; the error is returned once, and
-// with each jump.
+// Check returns for how long the machine was suspended since the last call, or 0. The time of
+// day decides whether the boot time is read, which costs a system call. If the boot time cannot
+// be read, a jump of the time of day ahead counts as a suspension.
 func (d *Detector) Check() (time.Duration, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	steady := d.clocks.Steady()
 	lead := dayLead(d.clocks, steady)
 	jump := lead - d.dayLead
-	jumped := jump.Abs() >= minSuspension
-	if !jumped && steady-d.bootAt < bootReadInterval {
+	if jump.Abs() < minSuspension {
 		return 0, nil
 	}
-	d.bootAt = steady
-	if jumped {
-		d.dayLead = lead
-	}
+	d.dayLead = lead
 	boot, err := d.clocks.Boot()
 	if err != nil || d.err != nil {
-		reported := d.err != nil
 		d.err = err
 		if err == nil {
 			d.lag = boot - steady
 		}
-		if !jumped && reported {
-			return 0, nil
-		}
-		if !jumped {
-			jump = 0
-		}
 		return max(jump, 0), errorx.Decorate(err, "read the boot time")
 	}
 	suspended := boot - steady - d.lag
