--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -64,3 +64,16 @@
 	}
 	assert.Assert(t, !(lease.Clock{}).IsSameProcess(before), "no clock was read before")
 }
+
+// Guards against work that runs twice: a worker answered the leader and restarted, and the start of an earlier leader
+// reached its next process as late as it can be carried out.
+func TestStartOfAnEarlierLeaderOnARestartedWorkerIsWaitedFor(t *testing.T) {
+	writtenAt := time.UnixMilli(1_788_900_000_000)
+	e := lease.NewEarlier(lease.EarlierConfig{Limits: limits, WrittenAt: writtenAt})
+	w := lease.NewWorker("w", e)
+	answeredAt := writtenAt.Add(100 * time.Millisecond)
+	w.Answered(answeredAt, answeredAt, "a")
+	p := process{}
+	p.grant(writtenAt.Add(limits.StartWindow+limits.OrderTimeout), limits.MaxLease)
+	assert.Assert(t, w.MayRun(p.until), "a lease is in force until %v after the last write", p.until.Sub(writtenAt))
+}
