review: Take ports for the third review's daemons one by one

Cause: five ports in a row were not to be found while 25,000 connections of a soak were in TIME-WAIT, so a trial could not run.

Change: each port is found by itself.

--- a/review/stand3/site_test.go
+++ b/review/stand3/site_test.go
@@ -214,48 +214,35 @@
 
 // vm is a VM of the system with its daemon.
 type vm struct {
-	site                     *site
-	name, zone               string
-	clients, ready, internal string
-	settings                 string
-	cmd                      *exec.Cmd
-	log                      *os.File
+	site           *site
+	name, zone     string
+	clients, ready string
+	settings       string
+	cmd            *exec.Cmd
+	log            *os.File
 }
 
-func freePorts(n int) (int, error) {
-	for range 50 {
-		first, err := listen()
+// freePorts finds ports that nothing listens on.
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := listen()
 		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		ok := port+n < 65000
-		open := []net.Listener{first}
-		for i := 1; ok && i < n; i++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
-			if err != nil {
-				ok = false
-				break
-			}
-			open = append(open, l)
-		}
-		for _, l := range open {
-			_ = l.Close()
-		}
-		if ok {
-			return port, nil
+			return nil, err
 		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return 0, fmt.Errorf("no free ports")
+	return ports, nil
 }
 
 func (s *site) addVM(name, zone string) error {
-	port, err := freePorts(5)
+	ports, err := freePorts(3)
 	if err != nil {
 		return err
 	}
 	at := func(p int) string { return fmt.Sprintf("127.0.0.1:%d", p) }
-	v := &vm{site: s, name: name, zone: zone, clients: at(port), ready: at(port + 1), internal: at(port + 3), settings: filepath.Join(s.dir, name+".toml")}
+	v := &vm{site: s, name: name, zone: zone, clients: at(ports[0]), ready: at(ports[1]), settings: filepath.Join(s.dir, name+".toml")}
 	text := fmt.Sprintf(`node_name = %q
 role = "scheduler"
 machine_class = "frontend"
@@ -325,7 +312,7 @@
 minimum_ttl_ms = 1000
 [cloud]
 duties = []
-`, name, zone, port+3, port+4, heartbeat.Milliseconds(), v.clients, v.ready, s.maxHold.Milliseconds(), s.store.address)
+`, name, zone, ports[2], ports[2], heartbeat.Milliseconds(), v.clients, v.ready, s.maxHold.Milliseconds(), s.store.address)
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
