review: Let lost minions of the third review answer nothing any more

Cause: a minion of the stand-ins that had lost its power still answered a call that was waiting, with empty lists, so that its runs counted as ended at once.

Change: such a call ends without an answer.

--- a/review/stand3/minion_test.go
+++ b/review/stand3/minion_test.go
@@ -207,8 +207,7 @@
 	dark := m.dark
 	m.mu.Unlock()
 	if dark {
-		<-r.Context().Done()
-		return
+		silence(r.Context())
 	}
 	var in order
 	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&in) != nil {
@@ -259,6 +258,12 @@
 	m.site.note("%s: grey is %v", m, grey)
 }
 
+// silence ends a call without an answer, once the caller has given it up.
+func silence(ctx context.Context) {
+	<-ctx.Done()
+	panic(http.ErrAbortHandler)
+}
+
 // admit checks the token and takes the deadline over. The caller holds the lock.
 func (m *minion) admit(w http.ResponseWriter, in order) bool {
 	if in.Token < m.token {
@@ -351,6 +356,9 @@
 		case <-time.After(time.Duration(min(in.Wait, 2000)) * time.Millisecond):
 		}
 		m.mu.Lock()
+		if m.dark {
+			silence(ctx)
+		}
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, r := range m.runs {
