--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,8 +13,9 @@
 // Errors of a call to a worker. Callers test for them with errors.Is.
 var (
 	workerErrors = errorx.NewNamespace("worker")
-	// ErrUnanswered means that the call may have been carried out or may still be.
-	ErrUnanswered = errorx.NewType(workerErrors, "unanswered").New("the worker did not answer")
+	// ErrUnanswered means that the call may have been carried out or may still be: there was no answer, or
+	// one that does not tell.
+	ErrUnanswered = errorx.NewType(workerErrors, "unanswered").New("no answer that tells what the worker did")
 	// ErrUnreached means that the call was not sent.
 	ErrUnreached = errorx.NewType(workerErrors, "unreached").New("the worker was not reached")
 )
