httpjson: Take an answer without a body for an unknown outcome

A VM that is answered a relayed job with an empty 200 tells its client 503 while the job may be stored (REFUSED), and on the zone-by-zone path an empty 200 is an empty lease table (TWICE). An empty body was not decoded at all, and null decodes into a struct without an error; both left every field unset. Change: an answer is needed unless its type has no fields; null counts for lists only, which Go encodes so when they have no entries. Why it works: callers already tell an unknown outcome from a refusal.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -203,7 +204,20 @@
 	if refused(resp.StatusCode) {
 		return out, newStatusError(resp.StatusCode, data)
 	}
-	if len(data) > 0 && json.Unmarshal(data, &out) != nil {
+	return decodeAnswer[Out](data)
+}
+
+// decodeAnswer decodes the body of an answer. One that is missing tells nothing, and null neither if Out is a struct,
+// unless it has no fields. A list without entries may be null.
+func decodeAnswer[Out any](data []byte) (Out, error) {
+	var out Out
+	kind := reflect.TypeFor[Out]()
+	isStruct := kind.Kind() == reflect.Struct
+	if isStruct && kind.NumField() == 0 && len(data) == 0 {
+		return out, nil
+	}
+	decoded := &out
+	if json.Unmarshal(data, &decoded) != nil || isStruct && decoded == nil {
 		return out, ErrUnknownOutcome
 	}
 	return out, nil
