leader: Have witnesses bound the leases of a leader that is lost

Cause: a leader renews leases for up to 11 s after its last write, to outlast outages of the store. The next leader can't ask a lost one, and waits as long, though the store answered all the while. Why it works: what the leader may grant is known from any one of its witnesses, and from the stored record that it had none. Conclusion: leases of 10 s wait 11.9 s still, for starts on restarted workers.

--- a/internal/cmd/join/stall_test.go
+++ b/internal/cmd/join/stall_test.go
@@ -265,3 +265,22 @@
 	o.daemons[i].start(t)
 	o.check(t)
 }
+
+// Guards against a task that lasts and waits for leases that only an outage of the store explains: its worker was lost
+// with the leader, which can't be asked any more.
+func TestLastingTaskRunsAgainInTimeAfterItsWorkerAndLeaderAreLostForGood(t *testing.T) {
+	t.Parallel()
+	// maxWait is the users' limit: 3 s without a run from 6 s after the last one.
+	const maxWait = 9 * time.Second
+	o := newOutage(t, 3)
+	time.Sleep(5*time.Second + o.jitter(3*time.Second))
+	i := o.leader(t)
+	assert.Assert(t, i >= 0)
+	o.daemons[i].stop(syscall.SIGKILL)
+	const task = "00000000000000f1.0.0.0"
+	o.platform.Lose(o.platform.Fleet.WorkerOf(task))
+	lost := time.Now()
+	waitUntil(t, 2*maxWait, func() bool { return o.platform.Fleet.Running(task) })
+	assert.Check(t, time.Since(lost) < maxWait, "no run for %v; logs: %s", time.Since(lost), keepLogs(t, o.daemons))
+	assert.DeepEqual(t, o.platform.Fleet.Violations(), []string(nil))
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -100,6 +100,7 @@
 type Ping struct {
 	VM      string `json:"vm"`
 	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
 	Epoch   int64  `json:"epoch"`
 	// ConnRefused tells another standby that the leader refuses the sender's connections.
 	ConnRefused bool `json:"refused,omitempty"`
@@ -107,7 +108,8 @@
 	// the VM.
 	Cores     float64 `json:"cores,omitempty"`
 	StoreDown bool    `json:"unfit,omitempty"`
-	// Incarnation is that of the leader of an earlier term, in a question about that term.
+	// Incarnation is that of the sender of a ping, or of the leader of an earlier term in a question about that
+	// term.
 	Incarnation string `json:"life,omitempty"`
 	// Workers are the IDs of the workers that a question about an earlier term asks for.
 	Workers []string `json:"workers,omitempty"`
@@ -150,7 +152,7 @@
 
 // Config configures a Member.
 type Config struct {
-	VM, Address string
+	VM, Address, Zone string
 	// Cores is the VM's share of a processor. Larger VMs are preferred as leaders.
 	Cores  float64
 	Log    Log
@@ -201,10 +203,13 @@
 	// unavailable.
 	leaderWarning leaderWarning
 	lastSeen      sighting
+	witness       witness
 }
 
 type standby struct {
 	name, address   string
+	zone            string
+	incarnation     string // empty for a version that does not tell
 	cores           float64
 	storeDown       bool
 	first, lastSeen time.Time // arrival of the first and the last ping
@@ -363,7 +368,10 @@
 func (m *Member) ping(ctx context.Context, leader LeaderRecord) pingResult {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	in := Ping{VM: m.cfg.VM, Address: m.cfg.Address, Epoch: leader.Epoch, Cores: m.cfg.Cores, StoreDown: !m.cfg.StoreHealthy()}
+	in := Ping{
+		VM: m.cfg.VM, Address: m.cfg.Address, Zone: m.cfg.Zone, Incarnation: m.incarnation,
+		Epoch: leader.Epoch, Cores: m.cfg.Cores, StoreDown: !m.cfg.StoreHealthy(),
+	}
 	pong, err := httpjson.Post[Ping, Pong](ctx, m.cfg.Client, "http://"+leader.Address+"/ping", &in, nil)
 	switch {
 	case errors.Is(err, httpjson.ErrUnsent) && ctx.Err() == nil:
@@ -677,7 +685,10 @@
 	if previous, known := m.standbys[in.VM]; known {
 		first = previous.first
 	}
-	m.standbys[in.VM] = standby{in.VM, in.Address, in.Cores, in.StoreDown, first, now}
+	m.standbys[in.VM] = standby{
+		name: in.VM, address: in.Address, zone: in.Zone, incarnation: in.Incarnation,
+		cores: in.Cores, storeDown: in.StoreDown, first: first, lastSeen: now,
+	}
 	out := Pong{Leading: true}
 	if at := m.cfg.StuckAsOf(); !at.IsZero() {
 		out.Stuck, out.StuckMS = true, max(now.Sub(at).Milliseconds(), 0)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -124,6 +124,9 @@
 		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	}
 	time.Sleep(2 * time.Millisecond)
+	if r.URL.Path == election.WitnessPath {
+		return answerWitness(to, r)
+	}
 	var in election.Ping
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		return nil, err
@@ -142,6 +145,10 @@
 	case "/term":
 		out = to.HandleTerm(in)
 	}
+	return respond(out)
+}
+
+func respond(out any) (*http.Response, error) {
 	data, err := json.Marshal(out)
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(data)), Header: http.Header{}}, err
 }
@@ -165,7 +172,7 @@
 func (p *pool) addWith(name string, cores float64) *member {
 	m := &member{net: p.net, name: name, done: make(chan struct{})}
 	m.Member = election.New(election.Config{
-		VM: name, Address: name, Cores: cores, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Leader: m,
+		VM: name, Address: name, Zone: zoneOf(name), Cores: cores, Log: p.log.View(name), Client: &http.Client{Transport: m}, Logger: slog.New(slog.DiscardHandler), Leader: m,
 		StoreHealthy:   func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.storeDown },
 		StoreFailedAt:  func() time.Time { return m.failedAt(func() bool { return m.storeDown }) },
 		TermAge:        m.termAge,
--- a/internal/election/ended.go
+++ b/internal/election/ended.go
@@ -15,7 +15,12 @@
 
 // Identity identifies this run of the VM's process for EndedFor.
 func (m *Member) Identity() string {
-	value, err := json.Marshal(m.record())
+	return m.record().identity()
+}
+
+// identity identifies one run of the process of a VM, in the same way each time.
+func (r LeaderRecord) identity() string {
+	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // a plain struct can always be encoded
 	}
--- a/internal/leader/batch.go
+++ b/internal/leader/batch.go
@@ -140,6 +140,7 @@
 	t.inFlight = nil
 	if b.silent != nil {
 		t.silenceStored(b.silent)
+		t.witnesses.stored, t.witnesses.sent = *t.witnesses.sent, nil
 	}
 	for _, s := range b.starts {
 		// A run that was lost while its start was being stored may have been replaced.
--- a/internal/leader/earlier.go
+++ b/internal/leader/earlier.go
@@ -32,6 +32,7 @@
 type earlierTerm struct {
 	Epoch  int64  `json:"epoch"`
 	Leader string `json:"leader,omitempty"` // empty if unknown
+	witnessSet
 }
 
 // identity returns what the next leaders know this process by.
@@ -83,7 +84,7 @@
 		if stored.Listed {
 			listed, t.inherited, t.earlier = stored.epoch, stored.Silent, stored.Earlier
 		}
-		t.earlier = append(t.earlier, earlierTerm{stored.epoch, stored.Leader})
+		t.earlier = append(t.earlier, earlierTerm{stored.epoch, stored.Leader, stored.witnessSet})
 	}
 	if len(t.earlier) > maxEarlierTerms {
 		t.earlier = []earlierTerm{{}}
@@ -143,7 +144,7 @@
 			defer cancel()
 			since, _, ended := t.cfg.EndedFor(callCtx, e.Leader, e.Epoch, nil)
 			if ended {
-				over = append(over, endedTerm{e, t.grantedBefore(since)})
+				over = append(over, endedTerm{e, t.before(since)})
 				lastGrant = later(lastGrant, over[len(over)-1].lastGrant)
 			}
 			return ended
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"rhubarbshore/internal/lease"
 )
 
 // maxAskedWorkers limits the workers of which a leader asks when earlier ones granted the last lease.
@@ -68,11 +66,6 @@
 	lastGrant time.Time
 }
 
-// grantedBefore returns the time a duration ago on another machine's clock, at the latest.
-func (t *term) grantedBefore(since time.Duration) time.Time {
-	return t.cfg.Now().Add(-time.Duration(float64(since) / lease.MaxClockDrift))
-}
-
 // askForGrants asks the leaders of earlier terms, which have ended, when they last granted a lease on each of
 // the workers that have not answered this one, and posts that. It gives up at a limit.
 func (t *term) askForGrants(ctx context.Context, terms []endedTerm, limit time.Time) {
@@ -99,7 +92,7 @@
 			for i, id := range ids {
 				at := e.lastGrant
 				if len(each) == len(ids) { // otherwise the VM has restarted, or runs a version that does not tell
-					at = earlier(at, t.grantedBefore(each[i]))
+					at = earlier(at, t.before(each[i]))
 				}
 				grants[id] = later(grants[id], at)
 			}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,6 +76,9 @@
 	// LastSeen returns when this VM last heard from the leader of a term and the age that the term had
 	// reached by then, as in Leader.TermAge; false if that is unknown.
 	LastSeen func(epoch int64) (at time.Time, age time.Duration, known bool)
+	// Witnesses are other VMs that keep this one from granting leases for long after a write, nil if there are
+	// none.
+	Witnesses Witnesses
 	// MaxBatch limits the bytes of one append; 0 means no limit.
 	MaxBatch int
 	// Now returns the current time; tests replace it.
@@ -182,6 +185,7 @@
 	aliveAt        time.Time      // when the loop last ran
 	heldSince      time.Time      // no lease is granted until a batch is stored that was sent after this
 	earlierLeases  *lease.Earlier // what is known of the leases of earlier terms
+	witnesses      witnesses
 
 	readAsOf [intake.Parts]time.Time // time up to which all stored jobs of a part are applied, zero if this term may not have read some
 
@@ -268,7 +272,7 @@
 		cfg: l.cfg, epoch: epoch, inbox: make(chan event, inboxSize), endTerm: cancel, ctx: ctx, startedAt: l.cfg.Now(),
 		links: map[string]*link{}, pending: batch{ackable: map[string]endAck{}}, unstoredOutcomes: map[string]bool{}, rejected: map[string]bool{},
 		statusCache: statusCache{jobs: map[string]jobStatus{}, unreadable: map[string]bool{}, watchers: map[string]chan struct{}{}}, core: scheduler.New(l.cfg.Scheduler), grants: newGrantTimes(), startSlots: semaphore.NewWeighted(maxConcurrentStarts),
-		suspension: suspend.New(suspend.Config{Clocks: l.cfg.Clocks}),
+		suspension: suspend.New(suspend.Config{Clocks: l.cfg.Clocks}), witnesses: witnesses{stored: l.cfg.firstWitnesses()},
 	}
 	defer t.recoverPanic()
 	t.lastWrite.set(time.Now())
@@ -289,6 +293,7 @@
 	t.spawn(func() { t.followRegistry(ctx, stored.registry.Next) })
 	earlierTerms, earlierLeasesEnd := t.earlier, t.earlierLeases.End()
 	t.spawn(func() { t.awaitEarlierEnds(ctx, earlierTerms, earlierLeasesEnd) })
+	t.spawn(func() { t.askEarlierWitnesses(ctx, earlierTerms, earlierLeasesEnd) })
 	t.loopStats.ended.set(t.cfg.Now())
 	t.spawn(func() { t.logStats(ctx) })
 	l.current.Store(t)
@@ -357,6 +362,7 @@
 			metric.Set("cancellations_kept", float64(kept))
 			t.checkStalls(now)
 			t.expireLeases(now)
+			t.confirm(ctx, now)
 			t.markAllForCheck()
 			t.statusCache.updateWaiting(now, t.core, t.readAsOf[:])
 		}
--- a/internal/leader/leases.go
+++ b/internal/leader/leases.go
@@ -37,6 +37,7 @@
 	// Listed is set once the leader has stored its silent workers. Until then it grants no lease
 	// on those of the term before, so that these stay in force.
 	Listed bool `json:"listed,omitempty"`
+	witnessSet
 }
 
 // isTermKey reports whether a key of the state stream is that of a term record.
@@ -107,7 +108,7 @@
 	}
 	t.nextSilenceCheck = now.Add(tickInterval)
 	silent := t.silentWorkers(now)
-	changed := t.earlierChanged || len(silent) != len(t.silent) || len(silent) > 0 && !now.Before(t.silenceRefreshAt)
+	changed := t.chooseWitnesses(now) || t.earlierChanged || len(silent) != len(t.silent) || len(silent) > 0 && !now.Before(t.silenceRefreshAt)
 	for id := range silent {
 		_, stored := t.silent[id]
 		changed = changed || !stored
@@ -117,10 +118,11 @@
 
 // addTermRecord puts a term record at the head of the pending batch.
 func (t *term) addTermRecord(now time.Time, silent map[string]int64) {
-	own := termRecord{Leader: t.cfg.identity(), Earlier: t.earlier, Silent: silent, Listed: true}.stored(t.epoch)
+	next := t.witnesses.next()
+	own := termRecord{Leader: t.cfg.identity(), Earlier: t.earlier, Silent: silent, Listed: true, witnessSet: next}.stored(t.epoch)
 	records := append([]store.Record{own}, t.earlierTerms...)
 	t.pending.records, t.earlierTerms, t.earlierChanged = append(records, t.pending.records...), nil, false
-	t.pending.silent = silent
+	t.pending.silent, t.witnesses.sent = silent, &next
 	t.silent, t.silenceRefreshAt = silent, now.Add(silenceRefresh)
 	for id := range silent {
 		t.links[id].stored = true
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -176,7 +176,7 @@
 // sendRenewals sends the due renewals to the marked workers.
 func (t *term) sendRenewals(ctx context.Context, now time.Time) {
 	// Leases must not be renewed for longer than the next leader waits for them to expire.
-	limit := t.lastWrite.get().Add(t.leaseLimits().AfterWrite())
+	limit := t.grantLimit()
 	t.loopStats.checks.Add(int64(len(t.marked)))
 	for _, l := range t.marked {
 		l.marked = false
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -22,7 +22,7 @@
 	delay := retryDelay
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := t.cfg.Log.Append(callCtx, Stream, []store.Record{termRecord{Leader: t.cfg.identity()}.stored(t.epoch)}, store.AppendOptions{Producer: producerName, Epoch: t.epoch, Sequence: 0})
+		_, err := t.cfg.Log.Append(callCtx, Stream, []store.Record{termRecord{Leader: t.cfg.identity(), witnessSet: t.witnesses.stored}.stored(t.epoch)}, store.AppendOptions{Producer: producerName, Epoch: t.epoch, Sequence: 0})
 		cancel()
 		if err == nil {
 			t.fencedAt = t.cfg.Now()
--- a/internal/lease/earlier.go
+++ b/internal/lease/earlier.go
@@ -8,6 +8,7 @@
 	writtenAt time.Time
 	first     bool
 	silent    map[string]time.Duration
+	confirmed time.Time            // when a witness last confirmed one of them, zero unless witnesses of all tell
 	lastGrant time.Time            // when they last granted a lease, zero unless all have ended
 	grants    map[string]time.Time // when they last granted one, by worker, if they were asked
 }
@@ -31,18 +32,17 @@
 // Ended notes that all earlier leaders have ended and granted no lease after a time.
 func (e *Earlier) Ended(lastGrant time.Time) { e.lastGrant = lastGrant }
 
+// Confirmed notes when witnesses last confirmed one of the earlier leaders, at the latest. They confirm none any more.
+func (e *Earlier) Confirmed(at time.Time) { e.confirmed = at }
+
 // Granted notes when the earlier leaders, which have ended, last granted a lease on workers.
 func (e *Earlier) Granted(at map[string]time.Time) { e.grants = at }
 
 // Expiry returns when all leases of the earlier leaders on a worker have certainly expired.
 func (e *Earlier) Expiry(worker string) time.Time {
-	d := e.limits.AfterWrite()
+	end := e.End()
 	if silent, known := e.silent[worker]; known {
-		d = min(d, silent)
-	}
-	end := End(e.writtenAt, d)
-	if !e.lastGrant.IsZero() {
-		end = earlier(end, e.afterGrant(e.lastGrant))
+		end = earlier(end, End(e.writtenAt, silent))
 	}
 	if at, known := e.grants[worker]; known {
 		end = earlier(end, e.afterGrant(at))
@@ -53,8 +53,11 @@
 // End returns when all leases of the earlier leaders have expired, on whatever worker.
 func (e *Earlier) End() time.Time {
 	end := End(e.writtenAt, e.limits.AfterWrite())
+	if !e.confirmed.IsZero() {
+		end = earlier(end, End(later(e.writtenAt, e.confirmed), e.limits.AfterConfirmation()))
+	}
 	if !e.lastGrant.IsZero() {
-		return earlier(end, e.afterGrant(e.lastGrant))
+		end = earlier(end, e.afterGrant(e.lastGrant))
 	}
 	return end
 }
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -44,6 +44,8 @@
 	earlier   *lease.Earlier
 	calls     []earlierCall // in the order in which they are carried out
 	lastGrant time.Time     // when an earlier leader last sent a call that grants a lease
+	limited   bool          // it has witnesses
+	confirmed []time.Time   // when they confirmed it
 	started   []time.Time   // when the starts in progress were sent
 	endedAt   time.Time     // when a process of the worker last ended
 }
@@ -56,6 +58,11 @@
 // longest lease, as if it had restarted.
 func (h *history) drawEarlierCalls(writtenAt time.Time) {
 	h.lastGrant = writtenAt
+	if h.limited = rapid.Bool().Draw(h.T, "limited"); h.limited {
+		for range rapid.IntRange(0, 3).Draw(h.T, "confirmations") {
+			h.confirmed = append(h.confirmed, writtenAt.Add(h.millis(limits.AfterWrite(), "confirmed after")))
+		}
+	}
 	for range rapid.IntRange(0, 4).Draw(h.T, "calls") {
 		c := earlierCall{start: rapid.Bool().Draw(h.T, "start")}
 		sentAt := writtenAt
@@ -64,7 +71,10 @@
 			c.at, c.lease = sentAt.Add(h.millis(limits.OrderTimeout, "carried out after")), limits.MaxLease
 		} else {
 			sentAt = writtenAt.Add(h.millis(limits.AfterWrite(), "renewed after"))
-			c.at, c.lease = sentAt, min(limits.MaxLease, writtenAt.Add(limits.AfterWrite()).Sub(sentAt))
+			c.at, c.lease = sentAt, min(limits.MaxLease, h.grantLimit(writtenAt, sentAt).Sub(sentAt))
+			if c.lease < 0 {
+				continue
+			}
 		}
 		if sentAt.After(h.lastGrant) {
 			h.lastGrant = sentAt
@@ -74,6 +84,35 @@
 	slices.SortStableFunc(h.calls, func(a, b earlierCall) int { return a.at.Compare(b.at) })
 }
 
+// grantLimit returns when the leases must end that the earlier leader grants at a time.
+func (h *history) grantLimit(writtenAt, now time.Time) time.Time {
+	if !h.limited {
+		return writtenAt.Add(limits.AfterWrite())
+	}
+	var confirmed time.Time
+	for _, at := range h.confirmed {
+		if !at.After(now) && at.After(confirmed) {
+			confirmed = at
+		}
+	}
+	return limits.GrantLimit(writtenAt, confirmed)
+}
+
+// learnConfirmations has a witness tell when it last confirmed the earlier leader. It does not do so any more.
+func (h *history) learnConfirmations() {
+	last := h.now.Add(-time.Hour)
+	for _, at := range h.confirmed {
+		if at.After(h.now) {
+			return // asked now, it would not confirm then
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	h.earlier.Confirmed(last)
+	h.known.LearnEarlier("w", h.earlier)
+}
+
 // pass lets time pass and carries out the calls of the earlier leader.
 func (h *history) pass(d time.Duration) {
 	h.now = h.now.Add(d)
@@ -97,7 +136,7 @@
 
 // step draws an event.
 func (h *history) step() {
-	switch rapid.IntRange(0, 7).Draw(h.T, "event") {
+	switch rapid.IntRange(0, 9).Draw(h.T, "event") {
 	case 0: // a renewal without an answer
 		d := h.millis(limits.MaxLease, "lease")
 		h.known.Grant(h.now, d)
@@ -142,6 +181,10 @@
 			h.endProcess()
 			h.known.Reset(h.now)
 		}
+	case 8, 9:
+		if h.limited {
+			h.learnConfirmations()
+		}
 	case 6, 7:
 		if len(h.calls) > 0 || !h.now.After(h.lastGrant.Add(limits.OrderTimeout)) {
 			return // it has not ended
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,8 @@
 //   - A worker that has restarted unnoticed runs what it is sent, under its longest lease, since the end that a call
 //     requests is on the clock of the process before.
 //   - Earlier leaders may grant leases for some time after their last write, unless they have ended and tell when they
-//     last granted one.
+//     last granted one. A leader that has named witnesses grants less, unless all of them confirm that they know of no
+//     later leader, and each tells the next one when it last did.
 //
 // Nothing runs on a worker once all leases that may have been granted have expired, or once another process answers
 // at its address.
@@ -51,10 +52,21 @@
 	StoreOutage  time.Duration // length of an outage of the store that leases outlast
 }
 
-// AfterWrite returns how long after its last write was sent the leases that a leader grants may end, before
-// clocks are allowed for. It covers a start at the end of the window, on a restarted worker.
-func (l Limits) AfterWrite() time.Duration {
-	return max(l.MaxLease+l.StartWindow+l.OrderTimeout-ExpirySlack, l.StoreOutage)
+// AfterConfirmation returns how long after its last confirmation, by a stored write or by its witnesses, the leases
+// that a leader grants may end, before clocks are allowed for. It covers a start at the end of the window, on a
+// restarted worker.
+func (l Limits) AfterConfirmation() time.Duration {
+	return l.MaxLease + l.StartWindow + l.OrderTimeout - ExpirySlack
+}
+
+// AfterWrite returns how long after its last write was sent the leases that a leader grants may end, however often
+// its witnesses confirm it, before clocks are allowed for.
+func (l Limits) AfterWrite() time.Duration { return max(l.AfterConfirmation(), l.StoreOutage) }
+
+// GrantLimit returns when the leases must end at the latest that a leader with witnesses grants, by when its last
+// write was sent and when its witnesses were last asked that have confirmed it, zero if they have not.
+func (l Limits) GrantLimit(lastWrite, confirmed time.Time) time.Time {
+	return earlier(lastWrite.Add(l.AfterWrite()), later(lastWrite, confirmed).Add(l.AfterConfirmation()))
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -77,3 +77,29 @@
 	p.grant(writtenAt.Add(limits.StartWindow+limits.OrderTimeout), limits.MaxLease)
 	assert.Assert(t, w.MayRun(p.until), "a lease is in force until %v after the last write", p.until.Sub(writtenAt))
 }
+
+// Guards against work that waits for leases that only an outage of the store explains, and against work that runs twice
+// as a confirmation of the leader that granted them is left out.
+func TestConfirmationsBoundTheWaitForALostLeader(t *testing.T) {
+	writtenAt := time.UnixMilli(1_788_900_000_000)
+	e := lease.NewEarlier(lease.EarlierConfig{Limits: limits, WrittenAt: writtenAt})
+	longest := lease.End(writtenAt, limits.AfterWrite())
+	assert.Equal(t, e.Expiry("w"), longest, "witnesses have not told")
+	for _, c := range []struct {
+		confirmed time.Time
+		want      time.Time
+	}{
+		{writtenAt.Add(-time.Hour), lease.End(writtenAt, limits.AfterConfirmation())},
+		{writtenAt.Add(time.Second), lease.End(writtenAt.Add(time.Second), limits.AfterConfirmation())},
+		{writtenAt.Add(10 * time.Second), longest},
+	} {
+		e.Confirmed(c.confirmed)
+		assert.Equal(t, e.Expiry("w"), c.want)
+		assert.Equal(t, e.End(), c.want)
+		limit := limits.GrantLimit(writtenAt, c.confirmed)
+		assert.Assert(t, !limit.Before(writtenAt.Add(limits.AfterConfirmation())) && !limit.After(writtenAt.Add(limits.AfterWrite())))
+		assert.Assert(t, limit.Before(c.want), "the leader's limit is before the end that the next one waits for")
+	}
+	// The users allow a lasting task 9 s, of which the write and the start after the wait take some.
+	assert.Assert(t, lease.End(writtenAt, limits.AfterConfirmation()).Sub(writtenAt) < 8*time.Second)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,8 @@
 		EndedFor: func(ctx context.Context, identity string, epoch int64, workers []string) (time.Duration, []time.Duration, bool) {
 			return n.member.EndedFor(ctx, identity, epoch, workers)
 		},
-		LastSeen: func(epoch int64) (time.Time, time.Duration, bool) { return n.member.LastSeen(epoch) },
+		Witnesses: witnesses{n},
+		LastSeen:  func(epoch int64) (time.Time, time.Duration, bool) { return n.member.LastSeen(epoch) },
 		Scheduler: scheduler.Config{
 			Logger: cfg.Logger, MaxLease: settings.Bounds.MaxLease, RemotePenalty: settings.Bounds.Penalty,
 			KeepEnded: endedRetentionFactor * settings.Bounds.KeepStatus, ReportTimeout: maxMissedHeartbeats * settings.Heartbeat, RestoreTime: settings.Bounds.Restore, CheckpointInterval: settings.Bounds.SaveEvery,
@@ -105,7 +106,7 @@
 	})
 	peers := platform.NewHTTPClient(maxPeerConns, dialTimeout)
 	n.member = election.New(election.Config{
-		VM: settings.VM, Address: settings.Internal, Cores: settings.Cores, StoreHealthy: n.log.Healthy, Log: n.log, Client: peers, Logger: cfg.Logger, Leader: n.leader, StoreFailedAt: n.log.FailedSentAt, StuckAsOf: n.leader.StuckAsOf, TermAge: n.leader.TermAge, SinceLastGrant: n.leader.SinceLastGrant,
+		VM: settings.VM, Zone: settings.Zone, Address: settings.Internal, Cores: settings.Cores, StoreHealthy: n.log.Healthy, Log: n.log, Client: peers, Logger: cfg.Logger, Leader: n.leader, StoreFailedAt: n.log.FailedSentAt, StuckAsOf: n.leader.StuckAsOf, TermAge: n.leader.TermAge, SinceLastGrant: n.leader.SinceLastGrant,
 	})
 	n.operator = operator.New(operator.Config{
 		Store: n.platformStore, Redial: platform.NewStore(platform.NewHTTPClient(noIdleConns, dialTimeout), settings.Store), Health: n.log,
@@ -206,6 +207,9 @@
 	handleJSON(r, "/ping", func(_ context.Context, in election.Ping) election.Pong { return n.member.HandlePing(in) })
 	handleJSON(r, "/heard", func(ctx context.Context, in election.Ping) election.Pong { return n.member.HandleHeard(ctx, in) })
 	handleJSON(r, "/term", func(_ context.Context, in election.Ping) election.Pong { return n.member.HandleTerm(in) })
+	handleJSON(r, election.WitnessPath, func(_ context.Context, in election.WitnessRequest) election.WitnessReply {
+		return n.member.HandleWitness(in)
+	})
 	// A campaign may outlast the call that requested it, so it gets the daemon's context.
 	handleJSON(r, "/take", func(_ context.Context, in election.Ping) election.Pong { return n.member.Accept(ctx, in) })
 	handleJSON(r, "/store", n.intake.Accept)
