scheduler: Stop runs before their draining worker leaves

A task that ended done on a draining minion starts again 8 s later. Cause: a run that takes longer than it seemed when the drain began was left there until the minion left, and the time left was counted from when its entry was read, up to half a second late. An end in the last milliseconds can't be reported: in all four traces the waiting hold ends with EOF 3 to 10 ms after the end, and the run counts as lost after its lease. The silent connections play no part. Change: the time left counts from when the entry may have been written (Config.RegistryDelay). Runs that are still there 0.15 s before it ends are stopped, and 0.4 s earlier those that don't seem to end by then. 'worker changed state' logs remaining_ms. Test: TestNoRunIsLeftOnAWorkerThatIsAboutToLeave failed before (still on the worker). Why it works: a run whose stop was accepted can't end done, and the stop is sent while the worker is certainly there. Tests of scheduler pass.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -142,6 +142,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	cfg.Scheduler.RegistryDelay = registryPollInterval
 	return &Leader{cfg: cfg}
 }
 
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -119,3 +119,35 @@
 	}
 	assert.Equal(t, next.runs["long.0.0.0"].Worker, workerID(0))
 }
+
+// Guards against a task that runs again after it is done: it took longer than it seemed when its worker began to drain,
+// and ended just before that left, too late to be reported.
+func TestNoRunIsLeftOnAWorkerThatIsAboutToLeave(t *testing.T) {
+	const (
+		remaining  = 3 * time.Second
+		reportTime = 50 * time.Millisecond // from an end to its report
+	)
+	for slowdown := 1.05; slowdown < 8; slowdown *= 1.1 {
+		p := newPool(t, 2)
+		p.autoFinish = true
+		p.submit("job", 1, "c", tasks(1, 1))
+		p.step(50 * time.Millisecond)
+		began, w := p.now, p.runs["job.0.0.0"].Worker
+		assert.Equal(t, w, workerID(0))
+		for p.now.Sub(began) < 6500*time.Millisecond {
+			p.step(50 * time.Millisecond)
+			p.report(0)
+			p.report(1)
+		}
+		drained := p.now
+		p.core.UpdateWorker(p.now, drainingWorker(remaining))
+		done := p.now.Sub(p.began["job.0.0.0"]).Seconds()
+		p.runSeconds, p.began["job.0.0.0"] = p.runSeconds*slowdown, p.now.Add(-time.Duration(done*slowdown*float64(time.Second)))
+		for p.now.Sub(drained) < remaining-reportTime {
+			p.step(50 * time.Millisecond)
+			p.report(0)
+			p.report(1)
+		}
+		assert.Assert(t, p.state("job") == scheduler.Completed || p.runs["job.0.0.0"].Worker != w, "%.2f times slower: still on the worker", slowdown)
+	}
+}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -115,9 +115,17 @@
 	c.stopRun(now, r, reasonNoProgress)
 }
 
+// drainReportTime is how long before a draining worker leaves its runs must have ended. An end just before it leaves may
+// not be reported any more, and the task would run again after the worker's lease. It covers the time between
+// checks, an order and a report.
+const drainReportTime = 150 * time.Millisecond
+
+// reasonWorkerLeaves is why runs on a draining worker are stopped.
+const reasonWorkerLeaves = "its worker leaves"
+
 // stopRunsForDrain stops the runs that a draining worker has no time to finish, among them all
 // that last until they are cancelled. Otherwise they would be lost when the worker goes, and
-// restart elsewhere only after its lease has expired. The runs are checked once a drain, and only
+// restart elsewhere only after its lease has expired. The runs are checked when the drain begins, and only
 // when the worker has reported, as a new leader does not know their progress before.
 func (c *Core) stopRunsForDrain(now time.Time, w *worker) {
 	if !w.drainPending || !w.synced {
@@ -128,17 +136,36 @@
 		if r.task == nil || !r.stopOrderedAt.IsZero() {
 			continue
 		}
-		remaining, ok := r.remaining(now)
-		if !ok {
-			remaining = time.Duration(float64(c.expectedRunTime(r.task.step)) * (100 - r.initialPercent) / 100)
-			if !r.runningSince.IsZero() {
-				remaining -= now.Sub(r.runningSince)
-			}
+		if r.task.step.spec.LongRunning || c.expectedEnd(now, r).After(w.leavesAt.Add(-drainReportTime)) {
+			c.stopRun(now, r, reasonWorkerLeaves)
 		}
-		if r.task.step.spec.LongRunning || now.Add(remaining).After(w.leavesAt) {
-			c.stopRun(now, r, "its worker leaves")
+	}
+}
+
+// mustLeave reports whether a run has to be stopped now, as its worker leaves: it takes longer than it seemed when
+// the drain began.
+func (c *Core) mustLeave(now time.Time, r *run) bool {
+	w := r.worker
+	if r.task == nil || !w.info.Draining || !w.listed || w.drainPending {
+		return false
+	}
+	latestEnd := w.leavesAt.Add(-drainReportTime)
+	if now.Before(latestEnd.Add(-c.cfg.StopTime)) {
+		return false
+	}
+	return !now.Before(latestEnd) || c.expectedEnd(now, r).After(latestEnd)
+}
+
+// expectedEnd estimates when a run ends.
+func (c *Core) expectedEnd(now time.Time, r *run) time.Time {
+	remaining, ok := r.remaining(now)
+	if !ok {
+		remaining = time.Duration(float64(c.expectedRunTime(r.task.step)) * (100 - r.initialPercent) / 100)
+		if !r.runningSince.IsZero() {
+			remaining -= now.Sub(r.runningSince)
 		}
 	}
+	return now.Add(remaining)
 }
 
 // remaining estimates from its reported progress how long a run still takes. It returns
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -144,6 +144,8 @@
 	KeepEnded time.Duration
 	// ReportTimeout is how long a worker may go without a report before it gets no new work.
 	ReportTimeout time.Duration
+	// RegistryDelay is how old a worker's entry may be when it is read.
+	RegistryDelay time.Duration
 	// RestoreTime is the time that a run needs to restore a checkpoint before it continues.
 	RestoreTime time.Duration
 	// StopTime is the maximum time that a stop takes.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -159,7 +159,7 @@
 		return
 	}
 	if w.listed && info.Draining != w.info.Draining {
-		c.cfg.Logger.Info("worker changed state", "worker", w.id, "draining", info.Draining, "runs", len(w.runs))
+		c.cfg.Logger.Info("worker changed state", "worker", w.id, "draining", info.Draining, "remaining_ms", info.Remaining.Milliseconds(), "runs", len(w.runs))
 	}
 	w.drainPending = info.Draining && (w.drainPending || !w.listed || !w.info.Draining)
 	if w.changesUse(info) {
@@ -169,7 +169,7 @@
 		w.synced = false // the entry may be as old, and the worker may have restarted since
 	}
 	c.index.stale = c.index.stale || !w.listed || !w.info.sameForPlacement(info)
-	w.info, w.listed, w.lastHeard, w.leavesAt = info, true, now, now.Add(info.Remaining)
+	w.info, w.listed, w.lastHeard, w.leavesAt = info, true, now, now.Add(info.Remaining-c.cfg.RegistryDelay)
 	if info.Incarnation > w.incarnation {
 		c.workerRestarted(now, w, info.Incarnation)
 	}
@@ -579,6 +579,8 @@
 			if now.Sub(r.stopOrderedAt) > stopRetryInterval {
 				c.stopRun(now, r, r.stopReason)
 			}
+		case c.mustLeave(now, r):
+			c.stopRun(now, r, reasonWorkerLeaves)
 		case c.gangWaitExceeded(now, r):
 			c.abortGang(now, r, "its gang is not whole in time")
 		case w.synced:
