leader: Reject registry entries of services that are not configured

All that runs on the minion lapses 6 s later, though it answers every call. Cause: any service was accepted, and the born of an entry outdates the minion's reports. Change: the services of the configuration are decoded, and an entry of another one is rejected, logged and counted. One of the service that the minion is known for holds. Test: TestEntryOfAnUnknownServiceEndsNoRun failed before (3 starts, not 2). Why it works: a rejected entry leaves what is known in force, with the born of before. Conclusion: a service that a version adds is used with its minions' next entries.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,7 @@
 	Version   int64
 	Offset    int64 // of the version in the operator's topic
 	Routes    []Route
+	Services  []string
 	Customers []Customer
 	Limits    Limits
 }
@@ -175,3 +176,8 @@
 	}
 	return out
 }
+
+// NamesService reports whether the configuration has a service. One that names none has all.
+func (s *Snapshot) NamesService(name string) bool {
+	return len(s.cfg.Services) == 0 || slices.Contains(s.cfg.Services, name)
+}
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -152,7 +152,7 @@
 	for i := range routes {
 		routes[i] = catalog.Route{Host: "h", Prefix: "/q", Queue: queue(i)}
 	}
-	return catalog.New(catalog.Config{Version: 1, Routes: routes})
+	return catalog.New(catalog.Config{Version: 1, Routes: routes, Services: []string{"robes"}})
 }
 
 func queue(priority int) scheduler.Queue {
--- a/internal/leader/links.go
+++ b/internal/leader/links.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"rhubarbshore/internal/fleet"
 	"rhubarbshore/internal/lease"
 	"rhubarbshore/internal/metric"
@@ -127,8 +129,22 @@
 	return l
 }
 
+// errUnknownService means that a registry entry names a service that the configuration does not have.
+var errUnknownService = errorx.NewType(namespace, "service").New("no such service is configured")
+
+// rejectsService reports whether a worker's entry is of no service of the configuration. An entry of the worker's known
+// service holds in any case.
+func (t *term) rejectsService(w scheduler.Worker) bool {
+	snap := t.cfg.Catalog()
+	return snap != nil && !snap.NamesService(w.Service) && t.core.Service(w.ID) != w.Service
+}
+
 func (t *term) updateWorkers(now time.Time, reg fleet.Registry) {
 	for _, w := range reg.Workers {
+		if t.rejectsService(w) {
+			t.logRejected(fleet.Rejected{ID: w.ID, Err: errUnknownService})
+			continue
+		}
 		t.core.UpdateWorker(now, w)
 		l := t.link(w.ID, "")
 		if w.Incarnation == 0 || w.Incarnation >= l.incarnation {
--- a/internal/leader/odd_test.go
+++ b/internal/leader/odd_test.go
@@ -84,6 +84,32 @@
 	assert.DeepEqual(t, violations, []string(nil))
 }
 
+// Guards against work that lapses on a sound worker: another writer left an entry under its ID, of a service that is not
+// configured, whose later start outdated all that the worker reported.
+func TestEntryOfAnUnknownServiceEndsNoRun(t *testing.T) {
+	violations := run(t, 2, func(p *pool) {
+		former := &formerEntry{}
+		p.wrap = func(c leader.Config) leader.Config {
+			c.Registry = formerRegistry{c.Registry, former}
+			return c
+		}
+		p.elect()
+		p.submit(job(1, 1, lastingStep(2, 8)))
+		time.Sleep(5 * time.Second)
+		p.addWorker(2)
+		odd := p.fleet.Worker("w00")
+		odd.Service, odd.Incarnation = "old-desk", odd.Incarnation+2000
+		former.set(odd, true)
+		time.Sleep(time.Second)
+		former.set(odd, false)
+		time.Sleep(20 * time.Second)
+		assert.Check(t, is.Equal(p.fleet.Starts(), 2))
+		assert.Check(t, is.Equal(p.fleet.UsedAccelerators(), int64(16)))
+		p.cancelLasting()
+	})
+	assert.DeepEqual(t, violations, []string(nil))
+}
+
 // Guards against a stored job that ends the processes of all leaders, one after the other: a job
 // with too many tasks was created before anything checked it.
 func TestStoredJobBeyondTheLimitsIsPassedOver(t *testing.T) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -302,6 +302,14 @@
 	return ids
 }
 
+// Service returns the service of a registered worker, or an empty string if it is not registered.
+func (c *Core) Service(id string) string {
+	if w := c.workers[id]; w != nil && w.listed {
+		return w.info.Service
+	}
+	return ""
+}
+
 // Knows reports whether the worker is registered or has runs.
 func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
 
