--- a/internal/election/witness.go
+++ b/internal/election/witness.go
@@ -61,9 +61,9 @@
 	return out
 }
 
-// Choose returns the identities of the standbys that should be witnesses of this VM: one in another zone each, where
+// ChooseWitnesses returns the identities of the standbys that should be witnesses of this VM: one in another zone each, where
 // there are such.
-func (m *Member) Choose(current []string) []string {
+func (m *Member) ChooseWitnesses(current []string) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	candidates := m.liveStandbys(time.Now())
@@ -98,8 +98,8 @@
 	return LeaderRecord{VM: s.name, Address: s.address, Incarnation: s.incarnation}.identity()
 }
 
-// Confirm asks a witness to confirm this VM as the leader of an epoch.
-func (m *Member) Confirm(ctx context.Context, identity string, epoch int64) bool {
+// ConfirmedBy asks a witness to confirm this VM as the leader of an epoch.
+func (m *Member) ConfirmedBy(ctx context.Context, identity string, epoch int64) bool {
 	out, ok := m.askWitness(ctx, identity, WitnessRequest{Epoch: epoch})
 	return ok && out.Confirmed
 }
--- a/internal/leader/startoffsets.go
+++ b/internal/leader/startoffsets.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// settledRefresh is the time after which a term record is replaced for its settled offset, which a new
-	// leader's wait is as much longer by.
+	// settledRefresh is the time after which a term record is replaced by one with a later settled offset. The
+	// next leader counts starts as recent for as much longer.
 	settledRefresh = 2 * time.Second
 	// offsetInterval is the time between two offsets that are kept.
 	offsetInterval = 500 * time.Millisecond
@@ -21,7 +21,7 @@
 	writtenAt time.Time      // when a term record with an offset was last written
 }
 
-// storedOffset means that all records before an offset were stored, and the starts among them decided, by a time.
+// storedOffset means that all records before an offset were stored, and the starts among them sent or queued, by a time.
 type storedOffset struct {
 	at  time.Time
 	end int64
--- a/internal/node/witnesses.go
+++ b/internal/node/witnesses.go
@@ -9,11 +9,11 @@
 type witnesses struct{ n *Node }
 
 // Choose implements leader.Witnesses.
-func (w witnesses) Choose(current []string) []string { return w.n.member.Choose(current) }
+func (w witnesses) Choose(current []string) []string { return w.n.member.ChooseWitnesses(current) }
 
 // Confirm implements leader.Witnesses.
 func (w witnesses) Confirm(ctx context.Context, witness string, epoch int64) bool {
-	return w.n.member.Confirm(ctx, witness, epoch)
+	return w.n.member.ConfirmedBy(ctx, witness, epoch)
 }
 
 // LastConfirmed implements leader.Witnesses.
